--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of mothstand, each beside its baseline in the same run."""
--- /dev/null
+++ b/mothstand/cli.py
@@ -0,0 +1,226 @@
+"""The ``mothstand`` command."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import logging as logging_of_python
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import anyio
+import fire
+from absl import logging
+
+from . import __version__
+from .clock import SystemClock
+from .core.config import diff_sections
+from .entry.instance import Instance
+from .errors import SettingsError
+from .operators.log_view import read_all, read_config
+from .operators.publish import InForce, Publisher, wait_in_force
+from .operators.reports import audit_lines, budget_lines, epoch_lines
+from .peers.client import GrpcPeers
+from .platform.instances import HttpInstanceList
+from .platform.log import HttpLog, LogError
+from .settings.folder import read_folder
+from .settings.instance import read_instance_settings
+from .settings.operator import OperatorSettings, read_operator_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from typing import Any
+
+#: Exit codes: wrong settings or use, refused by the log's fold, not in force in time, log out.
+EXIT_SETTINGS = 2
+EXIT_REFUSED = 3
+EXIT_NOT_IN_FORCE = 4
+EXIT_LOG_OUT = 5
+
+
+def _run(work: Coroutine[Any, Any, int]) -> None:
+    async def main() -> int:
+        return await work
+
+    code = anyio.run(main, backend_options={"use_uvloop": True})
+    if code:
+        sys.exit(code)
+
+
+def _set_up_logs() -> None:
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    # Libraries' own lines are no events of the catalogue.
+    for library in ("httpx", "httpcore", "hpack", "asyncio"):
+        logging_of_python.getLogger(library).setLevel(logging_of_python.WARNING)
+
+
+def _open_log(settings: OperatorSettings) -> HttpLog:
+    return HttpLog(settings.platform.address, caller="operator", timeout_s=2.0)
+
+
+class Commands:
+    """Router fleet for prepaid token budgets."""
+
+    def version(self) -> None:
+        """Print the version."""
+        print(__version__)
+
+    def serve(self, settings: str) -> None:
+        """Run one instance until SIGTERM.
+
+        Parameters
+        ----------
+        settings
+            Path of the instance's INI file.
+        """
+        read = read_instance_settings(Path(settings))
+        _set_up_logs()
+        anyio.run(Instance(read, SystemClock()).run, backend_options={"use_uvloop": True})
+
+    def hash(self, key: str) -> None:
+        """Print the digest of a caller's key, for a ``[key NAME]`` section."""
+        print(hashlib.sha256(str(key).encode()).hexdigest())
+
+    def check(self, folder: str) -> None:
+        """Validate a folder of INI files.
+
+        Parameters
+        ----------
+        folder
+            Path of the operators' folder.
+        """
+        sections = read_folder(Path(folder))
+        print(f"{folder}: {len(sections)} sections, valid")
+
+    def diff(self, folder: str, settings: str) -> None:
+        """Show what publishing a folder would change.
+
+        Parameters
+        ----------
+        folder
+            Path of the operators' folder.
+        settings
+            Path of the operator's INI file.
+        """
+        sections = read_folder(Path(folder))
+        operator = read_operator_settings(Path(settings))
+
+        async def run() -> int:
+            fold = await read_config(_open_log(operator))
+            print(f"in force: {fold.state.offset}")
+            for change in diff_sections(fold.state.sections, sections):
+                new = None if change.values is None else dict(change.values)
+                old = fold.state.sections.get(change.section)
+                print(f"[{change.section}] {json.dumps(old)} -> {json.dumps(new)}")
+            return 0
+
+        _run(run())
+
+    def publish(
+        self, folder: str, settings: str, base: int | None = None, timeout_s: float = 10.0
+    ) -> None:
+        """Publish a folder and wait until it is in force everywhere.
+
+        Parameters
+        ----------
+        folder
+            Path of the operators' folder.
+        settings
+            Path of the operator's INI file.
+        base
+            Offset that the folder was made from; refused if another is in force.
+        timeout_s
+            How long to wait for it to be in force.
+        """
+        sections = read_folder(Path(folder))
+        operator = read_operator_settings(Path(settings))
+        _run(_publish(operator, sections, base, timeout_s))
+
+    def status(self, settings: str) -> None:
+        """Show configuration, epochs and budgets as the log tells them.
+
+        Parameters
+        ----------
+        settings
+            Path of the operator's INI file.
+        """
+        operator = read_operator_settings(Path(settings))
+
+        async def run() -> int:
+            view = await read_all(_open_log(operator), operator.operator.ledger_shards)
+            print(f"configuration in force: {view.config.state.offset}")
+            for line in [*epoch_lines(view), *budget_lines(view)]:
+                print(line)
+            return 0
+
+        _run(run())
+
+    def audit(self, settings: str, contains: str = "") -> None:
+        """Show every change: of the configuration, and of who leads and holds what.
+
+        Parameters
+        ----------
+        settings
+            Path of the operator's INI file.
+        contains
+            Show only lines with this text.
+        """
+        operator = read_operator_settings(Path(settings))
+
+        async def run() -> int:
+            view = await read_all(_open_log(operator), operator.operator.ledger_shards)
+            for line in audit_lines(view, contains=contains):
+                print(line)
+            return 0
+
+        _run(run())
+
+
+async def _publish(
+    operator: OperatorSettings,
+    sections: dict[str, dict[str, str]],
+    base: int | None,
+    timeout_s: float,
+) -> int:
+    clock = SystemClock()
+    publisher = Publisher(_open_log(operator), operator.operator.name, clock)
+    published = await publisher.publish(sections, base_offset=base)
+    if not published.outcome.accepted:
+        print(f"refused at offset {published.offset}: {published.outcome.reason}", file=sys.stderr)
+        return EXIT_REFUSED
+    print(f"accepted at offset {published.offset}, {len(published.changes)} sections changed")
+    listing = HttpInstanceList(operator.platform.address, caller="operator", timeout_s=2.0)
+    peers = GrpcPeers(operator.secrets.fleet_key)
+    seen = await wait_in_force(
+        published.offset, listing, peers, clock, timeout_s=timeout_s, progress=_show
+    )
+    peers.close()
+    if seen.everywhere:
+        print(f"in force on all {len(seen.reached)} instances")
+        return 0
+    print(f"behind: {', '.join(seen.behind) or 'none'}", file=sys.stderr)
+    print(f"cannot be seen: {', '.join(seen.silent) or 'none'}", file=sys.stderr)
+    return EXIT_NOT_IN_FORCE
+
+
+def _show(seen: InForce) -> None:
+    total = len(seen.reached) + len(seen.behind) + len(seen.silent)
+    print(f"in force on {len(seen.reached)} of {total}")
+
+
+def main() -> None:
+    """Run the command; a wrong setting is one clear line and a non-zero exit code."""
+    try:
+        fire.Fire(Commands(), name="mothstand")
+    except SettingsError as error:
+        print(f"error: {error}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    except LogError as error:
+        print(f"error: the platform's log does not answer: {error}", file=sys.stderr)
+        sys.exit(EXIT_LOG_OUT)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/mothstand/core/config.py
@@ -0,0 +1,215 @@
+"""The operators' configuration: what it declares, and the fold of its stream."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from .escrow import EscrowPolicy
+from .records import ACCEPTED, ConfigPublished, Outcome, SectionChange, refused
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from datetime import datetime
+
+    from ..types import BudgetName, DataCentre
+
+#: Section header to its keys and values, as written.
+Sections = dict[str, dict[str, str]]
+
+
+class UpstreamKind(Enum):
+    """What an upstream speaks."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+@dataclass(frozen=True, slots=True)
+class Workspace:
+    """A customer of the fleet: higher `priority` goes first; empty `models` allows all."""
+
+    name: str
+    priority: int
+    models: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CallerKey:
+    """A caller's key, kept as its SHA-256 digest: who it is and which budget it spends."""
+
+    name: str
+    workspace: str
+    budget: BudgetName
+    sha256: str
+
+
+@dataclass(frozen=True, slots=True)
+class Budget:
+    """A prepaid budget; `paid_tokens` is cumulative and never goes down."""
+
+    name: BudgetName
+    workspace: str
+    paid_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A plain service: what a call costs and whether it may be repeated."""
+
+    name: str
+    tokens_per_call: int
+    idempotent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """A model engine or a plain service's instance."""
+
+    name: str
+    kind: UpstreamKind
+    address: str
+    data_centre: DataCentre
+    serves: tuple[str, ...]
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedStop:
+    """No new work for an upstream from `at_utc` on."""
+
+    upstream: str
+    at_utc: datetime
+
+
+@dataclass(frozen=True, slots=True)
+class FleetConfig:
+    """Everything the operators declare, validated."""
+
+    workspaces: dict[str, Workspace] = field(default_factory=dict)
+    keys_by_sha256: dict[str, CallerKey] = field(default_factory=dict)
+    budgets: dict[BudgetName, Budget] = field(default_factory=dict)
+    services: dict[str, Service] = field(default_factory=dict)
+    upstreams: dict[str, Upstream] = field(default_factory=dict)
+    stops: dict[str, PlannedStop] = field(default_factory=dict)
+    escrow: EscrowPolicy = field(default_factory=EscrowPolicy)
+    prompt_overhead_tokens: int = 64
+    max_body_bytes: int = 1_000_000
+    default_max_tokens: int = 512
+    answer_kept_s: float = 600.0
+
+
+def diff_sections(old: Sections, new: Sections) -> tuple[SectionChange, ...]:
+    """Return the changes that lead from `old` to `new`, in order of section."""
+    changes = []
+    for name in sorted(old.keys() | new.keys()):
+        if old.get(name) == new.get(name):
+            continue
+        values = tuple(sorted(new[name].items())) if name in new else None
+        changes.append(SectionChange(name, values))
+    return tuple(changes)
+
+
+def apply_changes(sections: Sections, changes: tuple[SectionChange, ...]) -> Sections:
+    """Return `sections` with `changes` applied."""
+    result = dict(sections)
+    for change in changes:
+        if change.values is None:
+            result.pop(change.section, None)
+        else:
+            result[change.section] = dict(change.values)
+    return result
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigState:
+    """The accepted configuration and the offset that put it in force."""
+
+    offset: int = 0
+    sections: Sections = field(default_factory=dict)
+    config: FleetConfig = field(default_factory=FleetConfig)
+
+
+@dataclass(frozen=True, slots=True)
+class AuditEntry:
+    """One line of the audit trail of the configuration."""
+
+    offset: int
+    time_utc: str
+    operator: str
+    base_offset: int
+    outcome: Outcome
+    changes: tuple[SectionChange, ...]
+
+
+class ConfigFold:
+    """The state of the ``config`` stream.
+
+    A record is accepted only if its base is the accepted configuration, so racing operators never
+    interleave: the loser is told who won and publishes again from the new base.
+
+    Parameters
+    ----------
+    validate
+        Turns sections into a configuration, or raises `SettingsError`. It must be the same pure
+        function in every process.
+    """
+
+    def __init__(self, validate: Callable[[Sections], FleetConfig]) -> None:
+        self._validate = validate
+        self.state = ConfigState()
+        self.audit: list[AuditEntry] = []
+        self._last_sequence: dict[str, int] = {}
+
+    def apply(self, offset: int, record: ConfigPublished) -> Outcome:
+        """Apply the record at `offset` and return what was decided about it."""
+        if record.record_id.sequence <= self._last_sequence.get(record.record_id.author, 0):
+            return refused("appended before, under the same record id")
+        self._last_sequence[record.record_id.author] = record.record_id.sequence
+        outcome = self._decide(offset, record)
+        self.audit.append(
+            AuditEntry(
+                offset=offset,
+                time_utc=record.time_utc,
+                operator=record.operator,
+                base_offset=record.base_offset,
+                outcome=outcome,
+                changes=record.changes,
+            )
+        )
+        return outcome
+
+    def _decide(self, offset: int, record: ConfigPublished) -> Outcome:
+        if record.base_offset != self.state.offset:
+            winner = self._author_of_accepted()
+            return refused(f"base {record.base_offset} is not {self.state.offset}, by {winner}")
+        sections = apply_changes(self.state.sections, record.changes)
+        try:
+            config = self._validate(sections)
+        except ValueError as error:
+            return refused(str(error))
+        lowered = lowered_budgets(self.state.config, config)
+        if lowered:
+            return refused("; ".join(lowered))
+        self.state = ConfigState(offset=offset, sections=sections, config=config)
+        return ACCEPTED
+
+    def _author_of_accepted(self) -> str:
+        for entry in reversed(self.audit):
+            if entry.outcome.accepted:
+                return f"{entry.operator} at {entry.time_utc}"
+        return "nobody"
+
+
+def lowered_budgets(old: FleetConfig, new: FleetConfig) -> list[str]:
+    """Return a sentence for each budget whose paid total went down."""
+    sentences = []
+    for name, budget in new.budgets.items():
+        before = old.budgets.get(name)
+        if before is not None and budget.paid_tokens < before.paid_tokens:
+            sentences.append(
+                f"budget {name}: paid_tokens {budget.paid_tokens} is below {before.paid_tokens};"
+                " it is a running total and only goes up"
+            )
+    return sentences
--- /dev/null
+++ b/mothstand/core/escrow.py
@@ -0,0 +1,140 @@
+"""How much escrow a leaseholder asks for, and how much of it it gives back.
+
+What a data centre holds is what it can go on spending while the platform is out, and what is out
+of others' reach meanwhile. The one figure to choose is the ride-through; see
+``docs/design/budgets.md``.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class EscrowPolicy:
+    """The operators' settings of the escrow policy.
+
+    Parameters
+    ----------
+    ride_through_s
+        Seconds of demand that a grant should cover.
+    refill_below_percent
+        Ask again when less than this share of the target is left.
+    end_share_percent
+        Never ask for more than this share of what is ungranted, divided by the number of data
+        centres; so that grants shrink as a budget nears its end.
+    allowance_percent
+        Share of a grant that may be spent while the witness does not answer; it is stranded if
+        the holder then dies. 0 refuses instead.
+    promotion_percent
+        Share of a grant that the witness may spend by itself when holder and platform are both
+        gone; it is stranded when the witness dies first.
+    unwitnessed_percent
+        Share of the target asked for in an epoch without a witness, all of which a crash strands.
+    demand_window_s
+        Time constant of the demand estimate.
+    """
+
+    ride_through_s: float = 3600.0
+    refill_below_percent: int = 50
+    end_share_percent: int = 50
+    allowance_percent: int = 2
+    promotion_percent: int = 25
+    unwitnessed_percent: int = 10
+    demand_window_s: float = 60.0
+
+
+class Demand:
+    """Estimates one budget's spend rate at one leaseholder, as an exponentially decaying rate.
+
+    Parameters
+    ----------
+    window_s
+        Time constant: spend older than a few of these no longer counts.
+    """
+
+    __slots__ = ("_at_s", "_tokens", "_window_s", "largest_tokens")
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._tokens = 0.0
+        self._at_s = 0.0
+        self.largest_tokens = 0
+
+    def add(self, tokens: int, now_s: float) -> None:
+        """Count a reservation of `tokens` at `now_s`."""
+        self._decay(now_s)
+        self._tokens += tokens
+        self.largest_tokens = max(self.largest_tokens, tokens)
+
+    def rate_tokens_per_s(self, now_s: float) -> float:
+        """Return the estimated demand."""
+        self._decay(now_s)
+        return self._tokens / self._window_s
+
+    def _decay(self, now_s: float) -> None:
+        elapsed_s = max(0.0, now_s - self._at_s)
+        self._tokens *= math.exp(-elapsed_s / self._window_s)
+        self._at_s = now_s
+
+
+@dataclass(frozen=True, slots=True)
+class EscrowView:
+    """What the policy looks at for one budget, in tokens.
+
+    Parameters
+    ----------
+    free_tokens
+        Left of this epoch's grant.
+    ungranted_tokens
+        Paid and in no epoch's hands.
+    needed_tokens
+        Asked for by requests that wait right now.
+    """
+
+    free_tokens: int
+    ungranted_tokens: int
+    needed_tokens: int
+    rate_tokens_per_s: float
+    largest_tokens: int
+    data_centres: int
+    witnessed: bool
+
+
+def target_tokens(policy: EscrowPolicy, view: EscrowView) -> int:
+    """Return how much the epoch should hold free."""
+    target = view.rate_tokens_per_s * policy.ride_through_s
+    if not view.witnessed:
+        target = target * policy.unwitnessed_percent / 100
+    # Room for a handful of the largest requests, lest a quiet budget asks for each one.
+    return int(max(target, 4 * view.largest_tokens))
+
+
+def ask_tokens(policy: EscrowPolicy, view: EscrowView) -> int:
+    """Return how many tokens to ask the log for; 0 when there is no need yet."""
+    target = target_tokens(policy, view)
+    short = view.needed_tokens - view.free_tokens
+    if short <= 0 and view.free_tokens * 100 >= target * policy.refill_below_percent:
+        return 0
+    share = view.ungranted_tokens * policy.end_share_percent // (100 * view.data_centres)
+    wanted = min(target - view.free_tokens, share)
+    # What waits now is asked for in full: the fold grants no more than there is.
+    return max(wanted, short, 0)
+
+
+def surplus_tokens(policy: EscrowPolicy, view: EscrowView, unmet_tokens: int) -> int:
+    """Return how many free tokens to give back for another data centre's unmet ask.
+
+    Notes
+    -----
+    Half of what is free after the demand of the next seconds, and no more than is asked: two
+    data centres that give back at once leave each other with something.
+    """
+    soon_tokens = max(int(view.rate_tokens_per_s * _KEEP_S), view.needed_tokens)
+    spare = (view.free_tokens - soon_tokens) // 2
+    return max(0, min(spare, unmet_tokens))
+
+
+#: Seconds of own demand that are kept when another data centre asks.
+_KEEP_S = 2.0
--- /dev/null
+++ b/mothstand/core/leadership.py
@@ -0,0 +1,109 @@
+"""When an instance should open a ledger epoch, and with which witness.
+
+Every instance of a data centre works this out for itself from the fold and its own beliefs. Two
+that disagree both append; the fold accepts one.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..types import NO_EPOCH
+from .membership import Membership, rank_for_shard
+from .records import EpochOpened, RecordId
+
+if TYPE_CHECKING:
+    from ..types import Epoch, Member
+    from .ledger_fold import EpochState, LedgerFold
+
+
+@dataclass(frozen=True, slots=True)
+class EpochPlan:
+    """An epoch that this instance should open.
+
+    Parameters
+    ----------
+    reason
+        For the audit trail.
+    """
+
+    prior_epoch: Epoch
+    holder: Member
+    witness: Member | None
+    reason: str
+
+    def record(self, record_id: RecordId, fold: LedgerFold, membership: Membership) -> EpochOpened:
+        """Return the plan as a log record."""
+        return EpochOpened(
+            record_id=record_id,
+            shard=fold.shard,
+            data_centre=membership.data_centre,
+            holder=self.holder,
+            witness=self.witness,
+            prior_epoch=self.prior_epoch,
+        )
+
+
+def plan_epoch(fold: LedgerFold, membership: Membership, now_s: float) -> EpochPlan | None:
+    """Return the epoch that this instance should open now, or None.
+
+    Notes
+    -----
+    - No epoch, a closed one, or a holder that is gone: the first live instance in rendezvous
+      order opens one, but the old witness goes first, since it can seal and close the old epoch.
+    - This instance holds an epoch whose witness is missing or gone, and another is alive: it
+      opens the next epoch with that one. The witness of an open epoch never changes: a holder
+      that picked a new one could spend what the old one has sealed and returned.
+    """
+    alive = membership.alive_here(now_s)
+    state = fold.current_epoch(membership.data_centre)
+    order = rank_for_shard(alive, membership.data_centre, fold.shard)
+    if state is None:
+        return _lead_if_first(order, alive, membership, NO_EPOCH, "no epoch yet")
+    if not state.closed and membership.is_staying(state.holder, now_s):
+        return _replace_witness(state, order, alive, membership, now_s)
+    reason = "holder closed it" if state.closed else "holder is silent or leaving"
+    order = _witness_first(order, state, membership, now_s)
+    return _lead_if_first(order, alive, membership, state.epoch, reason)
+
+
+def _witness_first(
+    order: list[str], state: EpochState, membership: Membership, now_s: float
+) -> list[str]:
+    witness = state.witness
+    if witness is None or witness.name not in order or not membership.is_alive(witness, now_s):
+        return order
+    return [witness.name, *(name for name in order if name != witness.name)]
+
+
+def _lead_if_first(
+    order: list[str],
+    alive: dict[str, Member],
+    membership: Membership,
+    prior: Epoch,
+    reason: str,
+) -> EpochPlan | None:
+    if not order or order[0] != membership.me.name:
+        return None
+    witness = alive[order[1]] if len(order) > 1 else None
+    return EpochPlan(prior, membership.me, witness, reason)
+
+
+def _replace_witness(
+    state: EpochState,
+    order: list[str],
+    alive: dict[str, Member],
+    membership: Membership,
+    now_s: float,
+) -> EpochPlan | None:
+    if state.holder != membership.me:
+        return None
+    if state.witness is not None and membership.is_staying(state.witness, now_s):
+        return None
+    others = [name for name in order if name != membership.me.name]
+    if others:
+        return EpochPlan(state.epoch, membership.me, alive[others[0]], "new witness")
+    if state.witness is not None:
+        return EpochPlan(state.epoch, membership.me, None, "witness is silent")
+    return None
--- /dev/null
+++ b/mothstand/core/ledger_fold.py
@@ -0,0 +1,330 @@
+"""The fold of one ledger shard's stream: what is paid, granted, spent and closed.
+
+The fold is the only authority on escrow. For every budget it keeps
+
+    sum over epochs of consumed(epoch)  <=  paid
+
+where an open epoch consumes its whole grant and a closed one what its two sides vouch for. A
+holder can spend only what an accepted record granted, so whatever any process believes of any
+other, spend stays below paid.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ..types import NO_EPOCH, BudgetName, DataCentre, Epoch, Member, Shard
+from .records import (
+    ACCEPTED,
+    BudgetPaid,
+    BudgetSpend,
+    EpochClosed,
+    EpochOpened,
+    EscrowReturned,
+    GrantAsk,
+    GrantAsked,
+    LedgerRecord,
+    Outcome,
+    RecordId,
+    Side,
+    refused,
+)
+
+
+@dataclass(slots=True)
+class Grant:
+    """One budget's escrow in one epoch, in tokens.
+
+    Parameters
+    ----------
+    granted_tokens
+        Sum of the accepted asks.
+    allowance_tokens
+        Part of it that the holder may spend without its witness.
+    promotion_tokens
+        Part of it that the witness may spend by itself after sealing.
+    returned_tokens
+        Given back while the epoch was open; the sides count it as spent.
+    reported_tokens
+        Settled spend as of the last ask; a lower bound.
+    holder, witness
+        Spend that a side vouched for on closing, or None.
+    """
+
+    granted_tokens: int = 0
+    allowance_tokens: int = 0
+    promotion_tokens: int = 0
+    returned_tokens: int = 0
+    reported_tokens: int = 0
+    holder: BudgetSpend | None = None
+    witness: BudgetSpend | None = None
+
+    def consumed_tokens(self, *, holder_closed: bool, witness_closed: bool) -> int:
+        """Return what the epoch may have spent, as an upper bound, less what it returned.
+
+        Parameters
+        ----------
+        holder_closed, witness_closed
+            Whether the side closed; a closed side that does not name the budget spent none of it.
+
+        Notes
+        -----
+        Each side's total bounds the witnessed spend from above, so the smaller one holds. What
+        only one side can know is counted whole while that side is silent: the witness's promotion
+        share, the holder's allowance.
+        """
+        if not holder_closed and not witness_closed:
+            return self.granted_tokens - self.returned_tokens
+        holder = self.holder or _NOTHING_SPENT
+        witness = self.witness or _NOTHING_SPENT
+        if not witness_closed:
+            spent = holder.witnessed_tokens + holder.own_tokens + self.promotion_tokens
+        elif not holder_closed:
+            spent = witness.witnessed_tokens + witness.own_tokens + self.allowance_tokens
+        else:
+            spent = min(holder.witnessed_tokens, witness.witnessed_tokens)
+            spent += holder.own_tokens + witness.own_tokens
+        return min(self.granted_tokens, spent) - self.returned_tokens
+
+
+_NOTHING_SPENT = BudgetSpend(budget=BudgetName(""), witnessed_tokens=0, own_tokens=0)
+
+
+@dataclass(slots=True)
+class EpochState:
+    """One epoch as the log tells it."""
+
+    epoch: Epoch
+    data_centre: DataCentre
+    holder: Member
+    witness: Member | None
+    prior_epoch: Epoch
+    grants: dict[BudgetName, Grant] = field(default_factory=dict)
+    holder_closed: bool = False
+    witness_closed: bool = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether either side has closed it: no grant is added any more."""
+        return self.holder_closed or self.witness_closed
+
+    @property
+    def settled(self) -> bool:
+        """Whether every side that exists has closed it, so that nothing is held back."""
+        return self.holder_closed and (self.witness_closed or self.witness is None)
+
+    def consumed_tokens(self, budget: BudgetName) -> int:
+        """Return the upper bound of what the epoch spent of a budget."""
+        grant = self.grants.get(budget)
+        if grant is None:
+            return 0
+        # An epoch without a witness has nobody else to hear.
+        alone = self.witness is None and self.holder_closed
+        return grant.consumed_tokens(
+            holder_closed=self.holder_closed, witness_closed=self.witness_closed or alone
+        )
+
+
+@dataclass(slots=True)
+class Unmet:
+    """Escrow that a data centre asked for and did not get."""
+
+    data_centre: DataCentre
+    tokens: int
+
+
+class LedgerFold:
+    """The state of one ledger shard.
+
+    Parameters
+    ----------
+    shard
+        The shard whose stream is folded; an epoch record of another shard is refused.
+    """
+
+    def __init__(self, shard: Shard) -> None:
+        self.shard = shard
+        self.offset = 0
+        self.paid_tokens: dict[BudgetName, int] = {}
+        self.epochs: dict[Epoch, EpochState] = {}
+        self.current: dict[DataCentre, Epoch] = {}
+        self.unmet: dict[BudgetName, dict[DataCentre, int]] = {}
+        self._consumed: dict[BudgetName, int] = {}
+        self._last_sequence: dict[str, int] = {}
+
+    def apply(self, offset: int, record: LedgerRecord) -> Outcome:
+        """Apply the record at `offset` and return what was decided about it.
+
+        Records must come in the order of the stream; several may share one offset.
+        """
+        self.offset = max(self.offset, offset)
+        if not self._is_new(record.record_id):
+            return refused("appended before, under the same record id")
+        match record:
+            case BudgetPaid():
+                return self._pay(record)
+            case EpochOpened():
+                return self._open(Epoch(offset), record)
+            case GrantAsked():
+                return self._grant(record)
+            case EscrowReturned():
+                return self._return(record)
+            case EpochClosed():
+                return self._close(record)
+
+    def current_epoch(self, data_centre: DataCentre) -> EpochState | None:
+        """Return the data centre's current epoch, or None before its first."""
+        epoch = self.current.get(data_centre)
+        return None if epoch is None else self.epochs[epoch]
+
+    def ungranted_tokens(self, budget: BudgetName) -> int:
+        """Return what is paid and in no epoch's hands."""
+        return self.paid_tokens.get(budget, 0) - self._consumed.get(budget, 0)
+
+    def reported_tokens(self, budget: BudgetName, *, without: Epoch = NO_EPOCH) -> int:
+        """Return a lower bound of what the epochs have spent of a budget.
+
+        Parameters
+        ----------
+        without
+            An epoch to leave out, whose account the caller has at hand.
+        """
+        total = 0
+        for state in self.epochs.values():
+            grant = state.grants.get(budget)
+            if grant is None or state.epoch == without:
+                continue
+            # Until both sides closed, the last report is the only lower bound.
+            total += state.consumed_tokens(budget) if state.settled else grant.reported_tokens
+        return total
+
+    def stranded_tokens(self, budget: BudgetName) -> int:
+        """Return what superseded epochs hold back and may never give: the written-off part."""
+        total = 0
+        for state in self.epochs.values():
+            grant = state.grants.get(budget)
+            if grant is None or self.current.get(state.data_centre) == state.epoch:
+                continue
+            if not state.settled:
+                total += state.consumed_tokens(budget) - grant.reported_tokens
+        return max(0, total)
+
+    def _is_new(self, record_id: RecordId) -> bool:
+        last = self._last_sequence.get(record_id.author, 0)
+        if record_id.sequence <= last:
+            return False
+        self._last_sequence[record_id.author] = record_id.sequence
+        return True
+
+    def _pay(self, record: BudgetPaid) -> Outcome:
+        paid = self.paid_tokens.get(record.budget, 0)
+        if record.paid_tokens <= paid:
+            return refused(f"paid_tokens {record.paid_tokens} is not above {paid}")
+        self.paid_tokens[record.budget] = record.paid_tokens
+        return ACCEPTED
+
+    def _open(self, epoch: Epoch, record: EpochOpened) -> Outcome:
+        if record.shard != self.shard:
+            return refused(f"shard {record.shard} is not shard {self.shard}")
+        current = self.current.get(record.data_centre, NO_EPOCH)
+        if record.prior_epoch != current:
+            return refused(f"prior epoch {record.prior_epoch} is not the current {current}")
+        if epoch in self.epochs:
+            return refused(f"epoch {epoch} was opened by another record of the same append")
+        self.epochs[epoch] = EpochState(
+            epoch=epoch,
+            data_centre=record.data_centre,
+            holder=record.holder,
+            witness=record.witness,
+            prior_epoch=record.prior_epoch,
+        )
+        self.current[record.data_centre] = epoch
+        return ACCEPTED
+
+    def _grant(self, record: GrantAsked) -> Outcome:
+        state = self.epochs.get(record.epoch)
+        if state is None or self.current.get(state.data_centre) != record.epoch:
+            return refused(f"epoch {record.epoch} is not current")
+        if state.closed:
+            return refused(f"epoch {record.epoch} is closed")
+        for ask in record.asks:
+            self._grant_one(state, ask)
+        return ACCEPTED
+
+    def _grant_one(self, state: EpochState, ask: GrantAsk) -> None:
+        grant = state.grants.setdefault(ask.budget, Grant())
+        grant.reported_tokens = max(grant.reported_tokens, ask.spent_tokens)
+        wanted = max(0, ask.tokens)
+        given = min(wanted, max(0, self.ungranted_tokens(ask.budget)))
+        grant.granted_tokens += given
+        allowance = min(given, max(0, ask.allowance_tokens))
+        grant.allowance_tokens += allowance
+        grant.promotion_tokens += min(given - allowance, max(0, ask.promotion_tokens))
+        self._consumed[ask.budget] = self._consumed.get(ask.budget, 0) + given
+        self._note_unmet(ask.budget, state.data_centre, wanted - given)
+
+    def _note_unmet(self, budget: BudgetName, data_centre: DataCentre, tokens: int) -> None:
+        waiting = self.unmet.setdefault(budget, {})
+        waiting.pop(data_centre, None)
+        if tokens > 0:
+            waiting[data_centre] = tokens
+        if not waiting:
+            del self.unmet[budget]
+
+    def _return(self, record: EscrowReturned) -> Outcome:
+        state = self.epochs.get(record.epoch)
+        if state is None or state.closed:
+            # A side that closed counted these tokens as spent; giving them back now would count
+            # them twice.
+            return refused(f"epoch {record.epoch} is closed or unknown")
+        grant = state.grants.get(record.budget)
+        held = 0 if grant is None else grant.granted_tokens - grant.returned_tokens
+        if grant is None or not 0 < record.tokens <= held:
+            return refused(f"returned tokens {record.tokens} are not within the {held} held")
+        grant.returned_tokens += record.tokens
+        self._consumed[record.budget] -= record.tokens
+        return ACCEPTED
+
+    def _close(self, record: EpochClosed) -> Outcome:
+        state = self.epochs.get(record.epoch)
+        if state is None:
+            return refused(f"epoch {record.epoch} is unknown")
+        speaker = state.holder if record.side is Side.HOLDER else state.witness
+        if speaker is None or speaker.incarnation != record.record_id.author:
+            # A process restarted at the same address remembers nothing and would vouch for
+            # "nothing spent".
+            return refused(f"author is not the epoch's {record.side.value}")
+        before = {budget: state.consumed_tokens(budget) for budget in state.grants}
+        self._take_spends(state, record)
+        for budget, consumed in before.items():
+            self._consumed[budget] += state.consumed_tokens(budget) - consumed
+        return ACCEPTED
+
+    def _take_spends(self, state: EpochState, record: EpochClosed) -> None:
+        if record.side is Side.HOLDER:
+            first = not state.holder_closed
+            state.holder_closed = True
+        else:
+            first = not state.witness_closed
+            state.witness_closed = True
+        for spend in record.spends:
+            grant = state.grants.get(spend.budget)
+            if grant is None:
+                continue
+            said = grant.holder if record.side is Side.HOLDER else grant.witness
+            kept = spend if first or said is None else _lower(said, spend)
+            if not first and said is None:
+                continue
+            if record.side is Side.HOLDER:
+                grant.holder = kept
+            else:
+                grant.witness = kept
+
+
+def _lower(said: BudgetSpend, now: BudgetSpend) -> BudgetSpend:
+    """Return the smaller of two reports of one side; settling only ever lowers a closed side."""
+    return BudgetSpend(
+        budget=said.budget,
+        witnessed_tokens=min(said.witnessed_tokens, now.witnessed_tokens),
+        own_tokens=min(said.own_tokens, now.own_tokens),
+    )
--- /dev/null
+++ b/mothstand/entry/__init__.py
@@ -0,0 +1,1 @@
+"""What callers and operators reach over HTTP, and the composition of one instance."""
--- /dev/null
+++ b/mothstand/entry/app.py
@@ -0,0 +1,322 @@
+"""The ASGI application of one instance: routes, admission, keys, refusals."""
+
+from __future__ import annotations
+
+import hashlib
+import uuid
+from typing import TYPE_CHECKING, Protocol
+
+import anyio
+import httpx
+from starlette.applications import Starlette
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import JSONResponse, PlainTextResponse
+from starlette.routing import Route
+
+from ..errors import ErrorKind, Refusal, RefusedError
+from ..events import Event, emit
+from .answers import refusal_body, refusal_headers, send_refusal
+from .budgeted import KnownKeyError
+from .chat import ChatRun
+from .context import Caller, CallerRequest
+from .metrics import record_s
+from .services import ServiceRun
+from .sinks import AnswerSink, CallerSink, KeepingSink
+
+if TYPE_CHECKING:
+    from starlette.responses import Response
+    from starlette.types import ASGIApp, Receive, Scope, Send
+
+    from ..ledger.calls import KnownKey
+    from .context import EntryContext
+    from .intents import IntentClaims
+
+#: Says that another instance passed the request on, so that it is not passed on again.
+FORWARDED_HEADER = "x-mothstand-forwarded"
+_MOST_KEY_CHARACTERS = 255
+
+
+class Run(Protocol):
+    """A parsed request that can be run."""
+
+    async def run(self, sink: AnswerSink) -> None:
+        """Run it."""
+
+
+class Endpoint:
+    """Common course of a caller's request: admit, read, identify, run or join, answer."""
+
+    def __init__(self, context: EntryContext, claims: IntentClaims) -> None:
+        self._context = context
+        self._claims = claims
+        self._forward = httpx.AsyncClient(timeout=httpx.Timeout(60.0, connect=1.0), trust_env=False)
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request; every way out is an answer."""
+        request = Request(scope, receive)
+        activity = self._context.activity
+        activity.running += 1
+        started_s = self._context.clock.monotonic_s()
+        sink = CallerSink(send)
+        try:
+            self._admit()
+            taken = await self._take(request)
+            await self._serve(request, taken, sink, send)
+        except RefusedError as error:
+            await self._refuse(sink, send, error.refusal)
+        except ClientDisconnect:
+            self._context.metrics.counts["disconnected"] += 1
+        except Exception as error:
+            emit(Event.INTERNAL_ERROR, error=repr(error))
+            await self._refuse(sink, send, Refusal(ErrorKind.INTERNAL))
+        finally:
+            activity.running -= 1
+            elapsed_s = self._context.clock.monotonic_s() - started_s
+            record_s(self._context.metrics.whole_us, elapsed_s)
+
+    def make_run(self, request: Request, taken: CallerRequest) -> Run:
+        """Return the parsed request.
+
+        Raises
+        ------
+        RefusedError
+            If it cannot be read or is not allowed.
+        """
+        raise NotImplementedError
+
+    def _admit(self) -> None:
+        if self._context.activity.stopping:
+            raise RefusedError(Refusal(ErrorKind.STOPPING))
+        if self._context.config().offset == 0:
+            raise RefusedError(Refusal(ErrorKind.NOT_READY))
+
+    async def _take(self, request: Request) -> CallerRequest:
+        caller = self._context.authenticate(request.headers.get("authorization", ""))
+        body = await self._read_body(request)
+        key = request.headers.get("idempotency-key", "")
+        if len(key) > _MOST_KEY_CHARACTERS:
+            raise RefusedError(
+                Refusal(
+                    ErrorKind.MALFORMED_REQUEST,
+                    f"Idempotency-Key has {len(key)} characters of at most {_MOST_KEY_CHARACTERS}",
+                )
+            )
+        return CallerRequest(
+            caller=caller,
+            body=body,
+            request_id=self._request_id(caller, key, request.url.path),
+            keyed=bool(key),
+            forwarded=FORWARDED_HEADER in request.headers,
+        )
+
+    def _request_id(self, caller: Caller, key: str, path: str) -> str:
+        if not key:
+            return f"{caller.workspace.name}/{uuid.uuid4().hex}"
+        digest = hashlib.sha256(f"{path}\n{key}".encode()).hexdigest()[:32]
+        return f"{caller.workspace.name}/key-{digest}"
+
+    async def _read_body(self, request: Request) -> bytes:
+        most = self._context.config().config.max_body_bytes
+        body = bytearray()
+        async for piece in request.stream():
+            body += piece
+            if len(body) > most:
+                raise RefusedError(Refusal(ErrorKind.BODY_TOO_LARGE, f"more than {most} bytes"))
+        return bytes(body)
+
+    async def _serve(
+        self, request: Request, taken: CallerRequest, sink: AnswerSink, send: Send
+    ) -> None:
+        if not taken.keyed:
+            run = self.make_run(request, taken)
+            await _until_disconnect(request, run, sink)
+            return
+        kept = self._context.answers.find(taken.request_id)
+        if kept is not None:
+            if kept.body_digest != taken.body_digest:
+                raise RefusedError(Refusal(ErrorKind.KEY_REUSED))
+            await kept.follow(send)
+            return
+        await self._serve_keyed(request, taken, send)
+
+    async def _serve_keyed(self, request: Request, taken: CallerRequest, send: Send) -> None:
+        """Run apart from the caller's connection, so that a retry can join the answer."""
+        run = self.make_run(request, taken)
+        kept = self._context.answers.open(taken.request_id, taken.body_digest)
+        known: list[KnownKey] = []
+
+        async def produce() -> None:
+            keeping = KeepingSink(kept)
+            try:
+                await run.run(keeping)
+            except KnownKeyError as error:
+                known.append(error.known)
+                self._context.answers.drop(taken.request_id)
+                await keeping.end()
+            except RefusedError as error:
+                # Not kept: the same key may be tried again, except where it may have run.
+                self._context.answers.drop(taken.request_id)
+                await self._keep_refusal(keeping, error.refusal)
+            except Exception as error:
+                emit(Event.INTERNAL_ERROR, error=repr(error))
+                self._context.answers.drop(taken.request_id)
+                await self._keep_refusal(keeping, Refusal(ErrorKind.INTERNAL))
+            if not kept.status:
+                kept.status = ANSWERED_ELSEWHERE
+                kept.announce()
+
+        self._context.spawn(produce())
+        while not kept.status:
+            await kept.wait()
+        if kept.status == ANSWERED_ELSEWHERE:
+            await self._join_elsewhere(request, taken, known[0] if known else None, send)
+            return
+        await kept.follow(send)
+
+    async def _keep_refusal(self, sink: AnswerSink, refusal: Refusal) -> None:
+        self._count_refusal(refusal)
+        if sink.started:
+            await sink.end()
+            return
+        await sink.send_whole(refusal.row.status, refusal_headers(refusal), refusal_body(refusal))
+
+    async def _join_elsewhere(
+        self, request: Request, taken: CallerRequest, known: KnownKey | None, send: Send
+    ) -> None:
+        """Pass a retry on to the instance that runs or ran its key."""
+        address = "" if known is None else self._context.owner_of(known)
+        here = self._context.membership.me.callers_address
+        if known is None or not address or address == here or taken.forwarded:
+            raise RefusedError(_not_joinable(known))
+        headers = {
+            name: request.headers[name]
+            for name in ("authorization", "idempotency-key", "content-type")
+            if name in request.headers
+        }
+        headers[FORWARDED_HEADER] = "1"
+        sink = CallerSink(send)
+        url = f"http://{address}{request.url.path}"
+        try:
+            async with self._forward.stream(
+                "POST", url, content=taken.body, headers=headers
+            ) as response:
+                passed = {
+                    name: value
+                    for name, value in response.headers.items()
+                    if name in _PASSED_HEADERS
+                }
+                await sink.start(response.status_code, passed)
+                async for piece in response.aiter_raw():
+                    await sink.send(piece)
+                await sink.end()
+        except httpx.HTTPError as error:
+            if sink.started:
+                raise
+            raise RefusedError(_not_joinable(known)) from error
+
+    async def _refuse(self, sink: AnswerSink, send: Send, refusal: Refusal) -> None:
+        self._count_refusal(refusal)
+        if not sink.started:
+            await send_refusal(send, refusal)
+
+    def _count_refusal(self, refusal: Refusal) -> None:
+        self._context.metrics.counts[f"refused_{refusal.kind.value}"] += 1
+        emit(Event.REQUEST_REFUSED, kind=refusal.kind.value, detail=refusal.detail)
+
+
+#: Pseudo status of a kept answer that is another instance's to give.
+ANSWERED_ELSEWHERE = -1
+
+_PASSED_HEADERS = frozenset(
+    {"content-type", "content-length", "x-request-id", "retry-after", "x-should-retry"}
+)
+
+
+def _not_joinable(known: KnownKey | None) -> Refusal:
+    if known is None or not known.finished:
+        return Refusal(ErrorKind.KEY_RUNNING)
+    return Refusal(ErrorKind.ANSWER_NOT_KEPT)
+
+
+async def _until_disconnect(request: Request, run: Run, sink: AnswerSink) -> None:
+    """Run a request; cancel it, down to the upstream's connection, when its caller goes away."""
+    refused: RefusedError | None = None
+    async with anyio.create_task_group() as tasks:
+
+        async def watch() -> None:
+            while True:
+                message = await request.receive()
+                if message["type"] == "http.disconnect":
+                    tasks.cancel_scope.cancel()
+
+        tasks.start_soon(watch)
+        try:
+            await run.run(sink)
+        except RefusedError as error:
+            refused = error
+        tasks.cancel_scope.cancel()
+    if refused is not None:
+        raise refused
+
+
+class ChatEndpoint(Endpoint):
+    """``POST /v1/chat/completions``."""
+
+    def make_run(self, request: Request, taken: CallerRequest) -> Run:
+        """Return the parsed chat completion."""
+        return ChatRun(self._context, taken)
+
+
+class ServiceEndpoint(Endpoint):
+    """``POST /services/NAME/PATH``."""
+
+    def make_run(self, request: Request, taken: CallerRequest) -> Run:
+        """Return the call."""
+        path = "/" + request.path_params["path"]
+        return ServiceRun(self._context, self._claims, taken, request.path_params["service"], path)
+
+
+def make_app(context: EntryContext, claims: IntentClaims) -> ASGIApp:
+    """Return the application of one instance."""
+
+    async def health(_: Request) -> Response:
+        ready = context.config().offset > 0 and not context.activity.stopping
+        body = {
+            "ready": ready,
+            "stopping": context.activity.stopping,
+            "running": context.activity.running,
+            "config_offset": context.config().offset,
+            "instance": context.membership.me.name,
+            "data_centre": context.membership.data_centre,
+        }
+        return JSONResponse(body, status_code=200 if ready else 503)
+
+    async def metrics(_: Request) -> Response:
+        return PlainTextResponse(context.metrics.text())
+
+    async def models(_: Request) -> Response:
+        names = sorted(
+            {name for u in context.config().config.upstreams.values() for name in u.serves}
+        )
+        return JSONResponse(
+            {"object": "list", "data": [{"id": n, "object": "model"} for n in names]}
+        )
+
+    async def unknown(scope: Scope, receive: Receive, send: Send) -> None:
+        await send_refusal(send, Refusal(ErrorKind.UNKNOWN_PATH, scope.get("path", "")))
+
+    app = Starlette(
+        routes=[
+            Route("/v1/chat/completions", endpoint=ChatEndpoint(context, claims), methods=["POST"]),
+            Route(
+                "/services/{service}/{path:path}",
+                endpoint=ServiceEndpoint(context, claims),
+                methods=["POST"],
+            ),
+            Route("/v1/models", endpoint=models, methods=["GET"]),
+            Route("/health", endpoint=health, methods=["GET"]),
+            Route("/metrics", endpoint=metrics, methods=["GET"]),
+        ]
+    )
+    app.router.default = unknown
+    return app
--- /dev/null
+++ b/mothstand/entry/budgeted.py
@@ -0,0 +1,155 @@
+"""Runs one request inside a reservation and bills it once, however it ends."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Success
+
+from ..errors import ErrorKind, Refusal, RefusedError
+from ..events import Event, emit
+from ..ledger.calls import KnownKey, Refused, Ticket
+from .metrics import record_s
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from ..core.config import Upstream
+    from ..core.routing import RouteCall
+    from .context import CallerRequest, EntryContext
+
+#: Upstreams that one request tries at most: retries must not multiply an overload.
+MOST_ATTEMPTS = 3
+
+
+class KnownKeyError(Exception):
+    """The request's key has come before."""
+
+    def __init__(self, known: KnownKey) -> None:
+        super().__init__(known.owner)
+        self.known = known
+
+
+@dataclass(slots=True)
+class Charge:
+    """A reservation in use; `used_tokens` is what is billed when it ends."""
+
+    ticket: Ticket
+    bound_tokens: int
+    used_tokens: int = 0
+
+
+class Budgeted:
+    """Context of a request's run: reserves on entry, bills and settles on exit.
+
+    Parameters
+    ----------
+    bound_tokens
+        Upper bound of the request's usage.
+
+    Raises
+    ------
+    RefusedError
+        On entry, if the budget does not cover the request.
+    KnownKeyError
+        On entry, if the request's key has come before.
+    """
+
+    def __init__(self, context: EntryContext, request: CallerRequest, bound_tokens: int) -> None:
+        self._context = context
+        self._request = request
+        self._bound_tokens = bound_tokens
+        self._charge: Charge | None = None
+
+    async def __aenter__(self) -> Charge:
+        """Reserve."""
+        started_s = self._context.clock.monotonic_s()
+        reply = await self._context.ledger.reserve(
+            self._request.caller.key.budget,
+            self._request.request_id,
+            self._bound_tokens,
+            keyed=self._request.keyed,
+        )
+        elapsed_s = self._context.clock.monotonic_s() - started_s
+        record_s(self._context.metrics.reserve_us, elapsed_s)
+        if isinstance(reply, Refused):
+            raise RefusedError(Refusal(reply.kind, reply.detail))
+        if isinstance(reply, KnownKey):
+            raise KnownKeyError(reply)
+        self._charge = Charge(reply, self._bound_tokens)
+        return self._charge
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Bill and settle, without waiting: the caller's answer does not depend on it."""
+        assert self._charge is not None, "entered"
+        used = min(self._charge.used_tokens, self._charge.bound_tokens)
+        self._context.metrics.counts["billed_tokens"] += used
+        settle = self._context.ledger.settle(
+            self._charge.ticket, self._request.caller.key.budget, self._request.request_id, used
+        )
+        self._context.spawn(settle)
+
+
+def choose_upstream(context: EntryContext, request: CallerRequest, call: RouteCall) -> Upstream:
+    """Return the upstream for a request.
+
+    Raises
+    ------
+    RefusedError
+        If none can be used or all are full.
+    """
+    state = context.config()
+    chosen = context.router.choose(
+        call,
+        state.config,
+        sharers=context.sharers(),
+        now_utc=context.clock.now(),
+        now_s=context.clock.monotonic_s(),
+    )
+    match chosen:
+        case Success(upstream):
+            return upstream
+        case Failure(refusal):
+            raise RefusedError(refusal)
+        case _:
+            raise AssertionError(chosen)
+
+
+class Attempt:
+    """One try of a request at one upstream: counts it in flight, and its failure."""
+
+    def __init__(self, context: EntryContext, upstream: Upstream) -> None:
+        self._context = context
+        self._upstream = upstream
+        self.failed = False
+
+    def __enter__(self) -> Attempt:
+        """Count the request."""
+        self._context.router.started(self._upstream.name)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Count its end."""
+        now_s = self._context.clock.monotonic_s()
+        self._context.router.ended(self._upstream.name, failed=self.failed, now_s=now_s)
+
+    def fail(self, error: Exception) -> None:
+        """Count a failure of the upstream."""
+        self.failed = True
+        emit(Event.UPSTREAM_FAILED, upstream=self._upstream.name, error=str(error))
+
+
+def given_up(error: Exception, attempts: int) -> RefusedError:
+    """Return the refusal after the last attempt at upstreams that could not be reached."""
+    return RefusedError(Refusal(ErrorKind.NO_UPSTREAM, f"{attempts} tried; the last: {error}"))
--- /dev/null
+++ b/mothstand/entry/chat.py
@@ -0,0 +1,243 @@
+"""Chat completions: one request, whole or streamed, through one model engine."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import xxhash
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from ..core.routing import RouteCall
+from ..core.stream_check import BrokenStreamError, StreamCheck, read_usage
+from ..errors import ErrorKind, Refusal, RefusedError
+from ..events import Event, emit
+from ..upstreams.client import MayHaveRunError, NotSentError
+from .answers import REQUEST_ID_HEADER, refusal_body, refusal_event, refusal_headers
+from .budgeted import MOST_ATTEMPTS, Attempt, Budgeted, Charge, choose_upstream, given_up
+
+if TYPE_CHECKING:
+    import httpx
+
+    from ..core.config import FleetConfig, Upstream
+    from .context import CallerRequest, EntryContext
+    from .sinks import AnswerSink
+
+ENGINE_PATH = "/v1/chat/completions"
+
+#: Characters of the prompt that name its prefix: a system prompt or style guide is longer.
+_PREFIX_CHARACTERS = 256
+#: What the chat template adds to each message, as an upper bound.
+_TOKENS_PER_MESSAGE = 16
+
+
+class _TextPart(BaseModel):
+    """A part of a message; only text has a bound on its tokens."""
+
+    model_config = ConfigDict(extra="allow")
+    type: str = Field(pattern="^text$")
+    text: str
+
+
+class _Message(BaseModel):
+    model_config = ConfigDict(extra="allow")
+    role: str
+    content: str | list[_TextPart] | None = None
+
+
+class _StreamOptions(BaseModel):
+    model_config = ConfigDict(extra="allow")
+    include_usage: bool = False
+
+
+class ChatBody(BaseModel):
+    """What is read of a caller's body; the rest is passed on as it is."""
+
+    model_config = ConfigDict(extra="allow")
+    model: str
+    messages: list[_Message] = Field(min_length=1)
+    stream: bool = False
+    stream_options: _StreamOptions | None = None
+    max_tokens: int | None = Field(default=None, gt=0, le=1_000_000)
+    max_completion_tokens: int | None = Field(default=None, gt=0, le=1_000_000)
+    n: int = Field(default=1, ge=1, le=1)
+
+    @property
+    def prefix(self) -> str:
+        """What requests that share a cached prompt prefix have in common."""
+        first = self.messages[0].content
+        text = first if isinstance(first, str) else "".join(p.text for p in first or [])
+        return xxhash.xxh3_64_hexdigest(f"{self.model}|{text[:_PREFIX_CHARACTERS]}".encode())
+
+
+class ChatRun:
+    """One chat completion from its parsed body to its answer."""
+
+    def __init__(self, context: EntryContext, request: CallerRequest) -> None:
+        self._context = context
+        self._request = request
+        self._config: FleetConfig = context.config().config
+        self._body = self._parse(request.body)
+        self._max_tokens = (
+            self._body.max_completion_tokens
+            or self._body.max_tokens
+            or self._config.default_max_tokens
+        )
+        self._check_model()
+
+    @property
+    def bound_tokens(self) -> int:
+        """Upper bound of the usage: no tokenizer makes more tokens than there are bytes."""
+        prompt = len(self._request.body) + _TOKENS_PER_MESSAGE * len(self._body.messages)
+        return prompt + self._config.prompt_overhead_tokens + self._max_tokens
+
+    async def run(self, sink: AnswerSink) -> None:
+        """Reserve, dispatch and answer.
+
+        Raises
+        ------
+        RefusedError
+            Only while nothing of an answer has been sent.
+        """
+        # Asked before the reservation: a request that no upstream takes holds no tokens.
+        choose_upstream(self._context, self._request, self._route(frozenset()))
+        async with Budgeted(self._context, self._request, self.bound_tokens) as charge:
+            await self._dispatch(charge, sink)
+
+    def _parse(self, body: bytes) -> ChatBody:
+        try:
+            return ChatBody.model_validate_json(body)
+        except ValidationError as error:
+            fault = error.errors()[0]
+            where = ".".join(str(part) for part in fault["loc"]) or "body"
+            raise RefusedError(
+                Refusal(ErrorKind.MALFORMED_REQUEST, f"{where}: {fault['msg']}")
+            ) from error
+
+    def _check_model(self) -> None:
+        model = self._body.model
+        allowed = self._request.caller.workspace.models
+        if allowed and model not in allowed:
+            raise RefusedError(Refusal(ErrorKind.MODEL_NOT_ALLOWED, f"model: {model!r}"))
+        if not any(model in upstream.serves for upstream in self._config.upstreams.values()):
+            raise RefusedError(Refusal(ErrorKind.UNKNOWN_MODEL, f"model: {model!r}"))
+
+    def _route(self, tried: frozenset[str]) -> RouteCall:
+        return RouteCall(
+            serves=self._body.model,
+            prefix=self._body.prefix,
+            priority=self._request.caller.workspace.priority,
+            tried=tried,
+        )
+
+    async def _dispatch(self, charge: Charge, sink: AnswerSink) -> None:
+        tried: frozenset[str] = frozenset()
+        error: Exception | None = None
+        for attempt_number in range(1, MOST_ATTEMPTS + 1):
+            try:
+                upstream = choose_upstream(self._context, self._request, self._route(tried))
+            except RefusedError as refused:
+                raise given_up(error, len(tried)) if error else refused from error
+            try:
+                await self._attempt(upstream, attempt_number, charge, sink)
+                return
+            except (NotSentError, MayHaveRunError) as failure:
+                # A completion may be run again: nothing of it has reached the caller, and only
+                # one run's usage is billed.
+                error = failure
+                tried |= {upstream.name}
+        raise given_up(error or NotSentError("none"), len(tried))
+
+    async def _attempt(
+        self, upstream: Upstream, number: int, charge: Charge, sink: AnswerSink
+    ) -> None:
+        headers = {
+            "content-type": "application/json",
+            REQUEST_ID_HEADER: f"{self._request.request_id}/{number}",
+        }
+        with Attempt(self._context, upstream) as attempt:
+            try:
+                sending = self._context.upstreams.send(
+                    upstream, ENGINE_PATH, self._engine_body(), headers=headers
+                )
+                async with sending as response:
+                    await self._take(response, charge, sink)
+            except (NotSentError, MayHaveRunError) as error:
+                attempt.fail(error)
+                if not sink.started:
+                    raise
+                await self._break_off(sink, str(error))
+            except BrokenStreamError as error:
+                attempt.fail(error)
+                await self._break_off(sink, str(error))
+
+    def _engine_body(self) -> bytes:
+        value: dict[str, Any] = json.loads(self._request.body)
+        value.pop("max_completion_tokens", None)
+        value["max_tokens"] = self._max_tokens
+        if self._body.stream:
+            # Usage with each event: what a cut stream has cost is known at any moment.
+            value["stream_options"] = {"include_usage": True, "continuous_usage_stats": True}
+        return json.dumps(value, ensure_ascii=False).encode()
+
+    async def _take(self, response: httpx.Response, charge: Charge, sink: AnswerSink) -> None:
+        if response.status_code >= 500:
+            raise MayHaveRunError(f"status {response.status_code}")
+        if response.status_code == 429:
+            raise NotSentError("the engine is full and says so")
+        if response.status_code != 200:
+            body = await response.aread()
+            detail = body[:200].decode(errors="replace")
+            raise RefusedError(Refusal(ErrorKind.UPSTREAM_REFUSED, detail))
+        if self._body.stream:
+            await self._take_stream(response, charge, sink)
+        else:
+            await self._take_whole(response, charge, sink)
+
+    async def _take_whole(self, response: httpx.Response, charge: Charge, sink: AnswerSink) -> None:
+        body = await response.aread()
+        try:
+            usage = read_usage(json.loads(body))
+        except ValueError as error:
+            raise MayHaveRunError("the engine's answer is not JSON") from error
+        # An engine that reports no usage is billed for at the bound: less could be untrue.
+        charge.used_tokens = usage.total_tokens if usage else charge.bound_tokens
+        self._note_first_byte()
+        await sink.send_whole(200, self._answer_headers("application/json"), body)
+
+    async def _take_stream(
+        self, response: httpx.Response, charge: Charge, sink: AnswerSink
+    ) -> None:
+        options = self._body.stream_options
+        check = StreamCheck(wants_usage=bool(options and options.include_usage))
+        async for data in response.aiter_raw():
+            kept = check.feed(data)
+            if check.usage is not None:
+                charge.used_tokens = check.usage.total_tokens
+            if kept:
+                if not sink.started:
+                    self._note_first_byte()
+                    await sink.start(200, self._answer_headers("text/event-stream"))
+                await sink.send(kept)
+            if charge.used_tokens > charge.bound_tokens:
+                raise BrokenStreamError("the engine went past the request's max_tokens")
+        check.finish()
+        if check.usage is None:
+            charge.used_tokens = charge.bound_tokens
+        await sink.end()
+
+    def _answer_headers(self, content_type: str) -> dict[str, str]:
+        return {"content-type": content_type, REQUEST_ID_HEADER: self._request.request_id}
+
+    def _note_first_byte(self) -> None:
+        self._context.metrics.counts["answers"] += 1
+
+    async def _break_off(self, sink: AnswerSink, detail: str) -> None:
+        """End an answer that cannot be completed as what it is, never as if it were whole."""
+        refusal = Refusal(ErrorKind.ANSWER_BROKEN, detail)
+        emit(Event.ANSWER_BROKEN, request_id=self._request.request_id, detail=detail)
+        if sink.started:
+            await sink.send(refusal_event(refusal))
+            await sink.end()
+            return
+        await sink.send_whole(refusal.row.status, refusal_headers(refusal), refusal_body(refusal))
--- /dev/null
+++ b/mothstand/entry/heartbeats.py
@@ -0,0 +1,117 @@
+"""Keeps membership current: the platform's list and direct heartbeats."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ..core.membership import PeerState
+from ..events import Event, emit
+from ..ledger.calls import PeerError
+from ..platform.instances import InstanceList, ListError
+from ..types import DataCentre
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..clock import Clock
+    from ..core.membership import Membership
+    from ..core.routing import Router
+    from ..peers.client import GrpcPeers
+    from ..settings.instance import TimingSection
+
+_LIST_EVERY_S = 1.0
+
+
+class Heartbeats:
+    """Reads the list and probes peers.
+
+    Parameters
+    ----------
+    on_config_offset
+        Called with a peer's address and the offset of its configuration.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        router: Router,
+        listing: InstanceList,
+        peers: GrpcPeers,
+        clock: Clock,
+        timing: TimingSection,
+        on_config_offset: Callable[[str, int], None],
+    ) -> None:
+        self.probed = False
+        self._membership = membership
+        self._router = router
+        self._listing = listing
+        self._peers = peers
+        self._clock = clock
+        self._timing = timing
+        self._on_config_offset = on_config_offset
+        self._suspected: set[str] = set()
+
+    async def run_list(self) -> None:
+        """Read the platform's list again and again, until cancelled."""
+        while True:
+            await self.read_list()
+            await self._clock.sleep(_LIST_EVERY_S)
+
+    async def read_list(self) -> None:
+        """Read the platform's list once; what was known stays while it is out."""
+        try:
+            listed = await self._listing.read()
+        except ListError:
+            return
+        self._router.leaving = frozenset(i.name for i in listed if i.leaving)
+        self._membership.listed(
+            (
+                PeerState(
+                    name=i.name,
+                    address=i.address,
+                    data_centre=DataCentre(i.data_centre),
+                    seen_at_s=0.0,
+                    leaving=i.leaving,
+                )
+                for i in listed
+                if i.address
+            ),
+            self._clock.monotonic_s(),
+        )
+
+    async def run_probes(self) -> None:
+        """Probe all peers at an even pace, until cancelled."""
+        while True:
+            peers = list(self._membership.peers.values())
+            # The pace is bounded by a rate, so that a large data centre costs each instance no
+            # more than a small one; suspicion then takes longer.
+            interval_s = max(self._timing.heartbeat_s, len(peers) / self._timing.probes_per_s)
+            async with anyio.create_task_group() as tasks:
+                for peer in peers:
+                    tasks.start_soon(self._probe, peer)
+                tasks.start_soon(self._clock.sleep, interval_s)
+            self.probed = True
+
+    async def _probe(self, peer: PeerState) -> None:
+        try:
+            result = await self._peers.probe(
+                peer.address, self._membership.me, timeout_s=self._timing.suspect_after_s / 2
+            )
+        except PeerError:
+            self._note_silence(peer)
+            return
+        now_s = self._clock.monotonic_s()
+        new = self._membership.answered(result.member, leaving=result.leaving, now_s=now_s)
+        if new:
+            self._suspected.discard(peer.name)
+            emit(Event.PEER_SEEN, peer=peer.name, incarnation=result.member.incarnation)
+        self._on_config_offset(peer.address, result.config_offset)
+
+    def _note_silence(self, peer: PeerState) -> None:
+        if peer.member is None or peer.name in self._suspected:
+            return
+        if not self._membership.is_alive(peer.member, self._clock.monotonic_s()):
+            self._suspected.add(peer.name)
+            emit(Event.PEER_SUSPECTED, peer=peer.name, incarnation=peer.member.incarnation)
--- /dev/null
+++ b/mothstand/entry/instance.py
@@ -0,0 +1,308 @@
+"""One instance: composes the parts, runs them on one loop, and stops without cutting a stream."""
+
+from __future__ import annotations
+
+import os
+import signal
+import uuid
+from typing import TYPE_CHECKING, Any
+
+import anyio
+from hypercorn.asyncio import serve
+from hypercorn.config import Config as HypercornConfig
+
+from ..core.membership import Membership
+from ..core.records import ConfigPublished, IntentRecord, LedgerRecord
+from ..core.routing import Router
+from ..events import Event, emit
+from ..ledger.service import LedgerService
+from ..ledger.state import ShardContext
+from ..peers.client import GrpcPeers
+from ..peers.server import PeerService, make_server
+from ..platform.instances import HttpInstanceList
+from ..platform.log import HttpLog
+from ..platform.reader import LogReader
+from ..platform.writer import LogWriter
+from ..settings.instance import Address, InstanceSettings
+from ..streams import BILLS_STREAM, CONFIG_STREAM, INTENTS_STREAM, ledger_stream
+from ..types import Member
+from ..upstreams.client import UpstreamClient
+from .app import make_app
+from .configuration import Configuration
+from .context import EntryContext
+from .heartbeats import Heartbeats
+from .intents import IntentClaims
+from .metrics import Metrics
+from .sinks import AnswerStore
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Coroutine
+
+    from anyio.abc import TaskGroup
+
+    from ..clock import Clock
+    from ..types import Shard
+
+_TICK_S = 0.1
+_INTENTS_APPEND_S = 0.005
+_DRAIN_CHECK_S = 0.05
+#: Time at a stop for the successors' epochs and the last appends to reach the log.
+_HAND_OVER_S = 5.0
+_RESTART_TASK_S = 0.5
+_CLOSE_S = 0.5
+
+
+class Instance:
+    """One entry instance of the fleet.
+
+    Parameters
+    ----------
+    settings
+        What it is told at start.
+    """
+
+    def __init__(self, settings: InstanceSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        name = settings.instance.name
+        self.me = Member(
+            name=name,
+            incarnation=f"{name}:{uuid.uuid4().hex[:12]}",
+            address=settings.listen.peers,
+            callers_address=settings.listen.callers,
+        )
+        timing = settings.timing
+        self._log = HttpLog.from_settings(settings)
+        self._peers = GrpcPeers(settings.secrets.fleet_key)
+        self._upstreams = UpstreamClient(timing)
+        self._router = Router(settings.data_centre)
+        self._membership = Membership(self.me, settings.data_centre, timing.suspect_after_s)
+        self._configuration = Configuration(self._on_config)
+        self._writers: list[LogWriter[Any]] = []
+        self._fetching: set[str] = set()
+        self._tasks: TaskGroup | None = None
+        self._ledger = LedgerService(
+            settings.instance.ledger_shards,
+            self._shard_context(),
+            self._make_ledger_writer,
+            self._make_writer(BILLS_STREAM, timing.bills_append_s),
+        )
+        self._claims = IntentClaims(
+            self.me, self._make_writer(INTENTS_STREAM, _INTENTS_APPEND_S), clock
+        )
+        self._listing = HttpInstanceList(
+            settings.platform.address, caller=name, timeout_s=timing.log_timeout_s
+        )
+        self._heartbeats = Heartbeats(
+            self._membership,
+            self._router,
+            self._listing,
+            self._peers,
+            clock,
+            timing,
+            self._on_peer_config,
+        )
+        self._config_reader = LogReader(self._log, CONFIG_STREAM, self._apply_config, clock=clock)
+        self._readers = self._make_readers()
+        self._context = EntryContext(
+            config=lambda: self._configuration.state,
+            ledger=self._ledger,
+            membership=self._membership,
+            router=self._router,
+            upstreams=self._upstreams,
+            clock=clock,
+            metrics=Metrics(),
+            answers=AnswerStore(),
+            spawn=self._spawn,
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then drain and return."""
+        server = make_server(
+            PeerService(self._ledger, self._membership, lambda: self._configuration.state),
+            self._settings.secrets,
+        )
+        listen = Address.parse(self._settings.listen.peers)
+        await server.start(listen.host, listen.port)
+        stop_serving = anyio.Event()
+        served = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            for loop in self._loops():
+                tasks.start_soon(self._keep_running, loop)
+            tasks.start_soon(self._serve_callers, stop_serving, served)
+            emit(
+                Event.INSTANCE_STARTED,
+                incarnation=self.me.incarnation,
+                callers=self.me.callers_address,
+                peers=self.me.address,
+                pid=os.getpid(),
+            )
+            await _wait_for_signal()
+            await self._drain()
+            stop_serving.set()
+            await served.wait()
+            tasks.cancel_scope.cancel()
+        server.close()
+        await server.wait_closed()
+        self._peers.close()
+        await self._upstreams.aclose()
+        await self._log.aclose()
+        await self._listing.aclose()
+        emit(Event.INSTANCE_STOPPED, incarnation=self.me.incarnation)
+
+    # -- composition --------------------------------------------------------------------------
+
+    def _shard_context(self) -> ShardContext:
+        return ShardContext(
+            membership=self._membership,
+            calls=self._peers,
+            clock=self._clock,
+            timing=self._settings.timing,
+            config=lambda: self._configuration.state.config,
+            log_silent_s=self._log_silent_s,
+            data_centres=self._count_data_centres,
+        )
+
+    def _make_writer(self, stream: str, least_interval_s: float) -> LogWriter[Any]:
+        writer: LogWriter[Any] = LogWriter(
+            self._log,
+            stream,
+            author=self.me.incarnation,
+            clock=self._clock,
+            least_interval_s=least_interval_s,
+        )
+        self._writers.append(writer)
+        return writer
+
+    def _make_ledger_writer(self, shard: Shard) -> LogWriter[LedgerRecord]:
+        return self._make_writer(ledger_stream(shard), self._settings.timing.ledger_append_s)
+
+    def _make_readers(self) -> list[LogReader]:
+        readers = [self._config_reader]
+        readers.append(LogReader(self._log, INTENTS_STREAM, self._apply_intent, clock=self._clock))
+        for shard, node in self._ledger.shards.items():
+            apply: Callable[[int, Any], None] = node.on_record
+            readers.append(
+                LogReader(self._log, ledger_stream(shard), _ledger_only(apply), clock=self._clock)
+            )
+        return readers
+
+    def _loops(self) -> list[Callable[[], Awaitable[None]]]:
+        return [
+            *(reader.run for reader in self._readers),
+            *(writer.run for writer in self._writers),
+            self._heartbeats.run_list,
+            self._heartbeats.run_probes,
+            self._ledger.run,
+            self._run_ticks,
+        ]
+
+    # -- what the parts call back ---------------------------------------------------------------
+
+    def _apply_config(self, offset: int, record: object) -> None:
+        if isinstance(record, ConfigPublished):
+            self._configuration.on_record(offset, record)
+
+    def _apply_intent(self, offset: int, record: object) -> None:
+        if isinstance(record, IntentRecord):
+            self._claims.on_record(offset, record)
+
+    def _on_config(self) -> None:
+        self._ledger.on_config()
+
+    def _on_peer_config(self, address: str, offset: int) -> None:
+        """Fetch a newer configuration of a peer, as after a start while the platform is out."""
+        behind = offset > self._configuration.state.offset
+        if behind and self._log_silent_s() > 0 and address not in self._fetching:
+            self._fetching.add(address)
+            self._spawn(self._fetch_config(address))
+
+    async def _fetch_config(self, address: str) -> None:
+        try:
+            await self._configuration.fetch(self._peers, address)
+        finally:
+            self._fetching.discard(address)
+
+    def _log_silent_s(self) -> float:
+        since = self._config_reader.unreachable_since_s
+        return 0.0 if since is None else self._clock.monotonic_s() - since
+
+    def _count_data_centres(self) -> int:
+        upstreams = self._configuration.state.config.upstreams.values()
+        return max(1, len({upstream.data_centre for upstream in upstreams}))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        assert self._tasks is not None, "run() comes first"
+        self._tasks.start_soon(_run_coroutine, work)
+
+    # -- loops ------------------------------------------------------------------------------------
+
+    async def _run_ticks(self) -> None:
+        while not self._ready_to_lead():
+            await self._clock.sleep(_TICK_S)
+        while True:
+            self._ledger.tick()
+            self._context.answers.expire(self._clock.monotonic_s())
+            await self._clock.sleep(_TICK_S)
+
+    def _ready_to_lead(self) -> bool:
+        """Whether peers were probed and the streams read, so that epochs are not opened blindly."""
+        return self._heartbeats.probed and all(reader.caught_up for reader in self._readers)
+
+    async def _keep_running(self, loop: Callable[[], Awaitable[None]]) -> None:
+        """Run a background loop; a fault in one must not end the instance and all its streams."""
+        while True:
+            try:
+                await loop()
+            except Exception as error:
+                emit(Event.TASK_FAILED, task=str(loop), error=repr(error))
+                await self._clock.sleep(_RESTART_TASK_S)
+
+    async def _serve_callers(self, stop: anyio.Event, served: anyio.Event) -> None:
+        config = HypercornConfig()
+        config.bind = [self._settings.listen.callers]
+        config.accesslog = None
+        config.errorlog = None
+        # Requests were drained before `stop`: what is left are idle connections.
+        config.graceful_timeout = _CLOSE_S
+        config.keep_alive_timeout = 75.0
+        app = make_app(self._context, self._claims)
+        await serve(app, config, shutdown_trigger=stop.wait)  # type: ignore[arg-type]
+        served.set()
+
+    async def _drain(self) -> None:
+        """Stop gracefully: no new work, running answers end, epochs and bills go to the log."""
+        self._context.activity.stopping = True
+        self._membership.leaving = True
+        emit(Event.INSTANCE_STOPPING, running=self._context.activity.running)
+        with anyio.move_on_after(self._settings.timing.drain_s):
+            while self._context.activity.running or self._ledger.unsettled:
+                await self._clock.sleep(_DRAIN_CHECK_S)
+        with anyio.move_on_after(_HAND_OVER_S):
+            while self._ledger.leads_any(self._others_here()) or self._pending_appends():
+                await self._clock.sleep(_DRAIN_CHECK_S)
+
+    def _others_here(self) -> bool:
+        return bool(self._membership.alive_here(self._clock.monotonic_s()))
+
+    def _pending_appends(self) -> int:
+        return sum(writer.pending for writer in self._writers)
+
+
+def _ledger_only(apply: Callable[[int, Any], None]) -> Callable[[int, Any], None]:
+    def apply_ledger(offset: int, record: object) -> None:
+        if isinstance(record, LedgerRecord):
+            apply(offset, record)
+
+    return apply_ledger
+
+
+async def _run_coroutine(work: Coroutine[Any, Any, None]) -> None:
+    await work
+
+
+async def _wait_for_signal() -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
--- /dev/null
+++ b/mothstand/entry/intents.py
@@ -0,0 +1,110 @@
+"""Claims in the log: a keyed call that must not be repeated is dispatched by one instance only."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ..core.intents import RELEASED, Intent, IntentFold
+from ..core.records import IntentRecord, RunEnded, RunIntended
+from ..errors import ErrorKind, Refusal, RefusedError
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+    from ..platform.writer import LogWriter
+    from ..types import Member
+
+#: Longest wait for a claim to come back from the log.
+CLAIM_WAIT_S = 2.0
+
+
+class IntentClaims:
+    """Claims keys in the ``intents`` stream and reads back who won.
+
+    Parameters
+    ----------
+    writer
+        Appends to the stream.
+    """
+
+    def __init__(self, me: Member, writer: LogWriter[IntentRecord], clock: Clock) -> None:
+        self.fold = IntentFold()
+        self._me = me
+        self._writer = writer
+        self._clock = clock
+        self._claiming: set[str] = set()
+        self._given_up: set[str] = set()
+        self._progress = anyio.Event()
+
+    def on_record(self, offset: int, record: IntentRecord) -> None:
+        """Apply one record of the stream."""
+        self.fold.apply(offset, record)
+        if record.request_key in self._given_up and isinstance(record, RunIntended):
+            self._given_up.discard(record.request_key)
+            self._release(record.request_key)
+        self._progress.set()
+        self._progress = anyio.Event()
+
+    async def claim(self, request_key: str, body_digest: str) -> Intent:
+        """Return who holds the key's only run.
+
+        Only if `is_mine` says so of the returned claim may the request be dispatched.
+
+        Raises
+        ------
+        RefusedError
+            ``PLATFORM_UNREACHABLE`` when the log does not bring the claim back in time; nothing
+            was dispatched then, and nothing will be under this claim.
+        """
+        known = self.fold.find(request_key)
+        if known is not None:
+            return known
+        if request_key in self._claiming or request_key in self._given_up:
+            raise RefusedError(Refusal(ErrorKind.KEY_RUNNING, "it is being started here"))
+        self._claiming.add(request_key)
+        try:
+            return await self._claim(request_key, body_digest)
+        finally:
+            self._claiming.discard(request_key)
+
+    def is_mine(self, intent: Intent) -> bool:
+        """Return whether this process holds the claim."""
+        return intent.owner == self._me and intent.status is None
+
+    def end(self, request_key: str, status: int) -> None:
+        """Say in the log how the run ended."""
+        self._writer.submit(
+            lambda record_id: RunEnded(record_id=record_id, request_key=request_key, status=status)
+        )
+
+    def release(self, request_key: str) -> None:
+        """Free the key: nothing of the request has left this process."""
+        self._release(request_key)
+
+    def _release(self, request_key: str) -> None:
+        intent = self.fold.find(request_key)
+        if intent is not None and intent.owner == self._me:
+            self.end(request_key, RELEASED)
+
+    async def _claim(self, request_key: str, body_digest: str) -> Intent:
+        self._writer.submit(
+            lambda record_id: RunIntended(
+                record_id=record_id,
+                request_key=request_key,
+                body_digest=body_digest,
+                owner=self._me,
+            )
+        )
+        deadline_s = self._clock.monotonic_s() + CLAIM_WAIT_S
+        while (left_s := deadline_s - self._clock.monotonic_s()) > 0:
+            progress = self._progress
+            intent = self.fold.find(request_key)
+            if intent is not None:
+                return intent
+            with anyio.move_on_after(left_s):
+                await progress.wait()
+        # The claim may still reach the log. It is released when it comes back, and until then
+        # this process refuses the key, so that nobody can dispatch under it.
+        self._given_up.add(request_key)
+        raise RefusedError(Refusal(ErrorKind.PLATFORM_UNREACHABLE))
--- /dev/null
+++ b/mothstand/entry/services.py
@@ -0,0 +1,158 @@
+"""Calls to plain services: a flat price, and at most one run where a call may not be repeated."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..core.routing import RouteCall
+from ..errors import ErrorKind, Refusal, RefusedError
+from ..ledger.calls import KnownKey
+from ..upstreams.client import MayHaveRunError, NotSentError
+from .answers import REQUEST_ID_HEADER
+from .budgeted import (
+    MOST_ATTEMPTS,
+    Attempt,
+    Budgeted,
+    Charge,
+    KnownKeyError,
+    choose_upstream,
+    given_up,
+)
+
+if TYPE_CHECKING:
+    from ..core.config import Service, Upstream
+    from .context import CallerRequest, EntryContext
+    from .intents import IntentClaims
+    from .sinks import AnswerSink
+
+#: Largest answer of a plain service that is taken.
+MAX_ANSWER_BYTES = 10_000_000
+
+
+class ServiceRun:
+    """One call to a plain service.
+
+    Parameters
+    ----------
+    name
+        The service's name.
+    path
+        Path at the service, with its leading slash.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        claims: IntentClaims,
+        request: CallerRequest,
+        name: str,
+        path: str,
+    ) -> None:
+        self._context = context
+        self._claims = claims
+        self._request = request
+        self._path = path
+        service = context.config().config.services.get(name)
+        if service is None:
+            raise RefusedError(Refusal(ErrorKind.UNKNOWN_SERVICE, f"service: {name!r}"))
+        self._service: Service = service
+
+    @property
+    def _once(self) -> bool:
+        return not self._service.idempotent
+
+    async def run(self, sink: AnswerSink) -> None:
+        """Reserve, claim where needed, dispatch and answer.
+
+        Raises
+        ------
+        RefusedError
+            Only while nothing of an answer has been sent.
+        """
+        choose_upstream(self._context, self._request, self._route(frozenset()))
+        if self._once and self._request.keyed:
+            self._check_claimed()
+        price = self._service.tokens_per_call
+        async with Budgeted(self._context, self._request, price) as charge:
+            if not (self._once and self._request.keyed):
+                await self._dispatch(charge, sink)
+                return
+            await self._dispatch_claimed(charge, sink)
+
+    def _check_claimed(self) -> None:
+        """Refuse early, before any reservation, what is known to have been claimed."""
+        intent = self._claims.fold.find(self._request.request_id)
+        if intent is None:
+            return
+        if intent.body_digest != self._request.body_digest:
+            raise RefusedError(Refusal(ErrorKind.KEY_REUSED))
+        raise KnownKeyError(KnownKey(intent.owner.incarnation, intent.status is not None))
+
+    async def _dispatch_claimed(self, charge: Charge, sink: AnswerSink) -> None:
+        key = self._request.request_id
+        intent = await self._claims.claim(key, self._request.body_digest)
+        if not self._claims.is_mine(intent):
+            raise KnownKeyError(KnownKey(intent.owner.incarnation, intent.status is not None))
+        try:
+            status = await self._dispatch(charge, sink)
+        except RefusedError as refused:
+            if refused.refusal.kind is ErrorKind.OUTCOME_UNKNOWN:
+                self._claims.end(key, refused.refusal.row.status)
+            else:
+                self._claims.release(key)
+            raise
+        self._claims.end(key, status)
+
+    def _route(self, tried: frozenset[str]) -> RouteCall:
+        return RouteCall(
+            serves=self._service.name,
+            prefix=self._request.request_id,
+            priority=self._request.caller.workspace.priority,
+            tried=tried,
+        )
+
+    async def _dispatch(self, charge: Charge, sink: AnswerSink) -> int:
+        tried: frozenset[str] = frozenset()
+        error: Exception | None = None
+        for _ in range(MOST_ATTEMPTS):
+            try:
+                upstream = choose_upstream(self._context, self._request, self._route(tried))
+            except RefusedError as refused:
+                raise given_up(error, len(tried)) if error else refused from error
+            try:
+                return await self._attempt(upstream, charge, sink)
+            except NotSentError as failure:
+                error = failure
+            except MayHaveRunError as failure:
+                if self._once:
+                    # The call may have had its effect, so it is billed.
+                    charge.used_tokens = charge.bound_tokens
+                    raise RefusedError(
+                        Refusal(ErrorKind.OUTCOME_UNKNOWN, str(failure))
+                    ) from failure
+                error = failure
+            tried |= {upstream.name}
+        raise given_up(error or NotSentError("none"), len(tried))
+
+    async def _attempt(self, upstream: Upstream, charge: Charge, sink: AnswerSink) -> int:
+        headers = {REQUEST_ID_HEADER: self._request.request_id}
+        if self._request.keyed:
+            headers["idempotency-key"] = self._request.request_id
+        with Attempt(self._context, upstream) as attempt:
+            try:
+                sending = self._context.upstreams.send(
+                    upstream, self._path, self._request.body, headers=headers, once=self._once
+                )
+                async with sending as response:
+                    if response.status_code in (429, 503):
+                        raise NotSentError("the service says that it did not run the call")
+                    body = await response.aread()
+                    kind = response.headers.get("content-type", "application/octet-stream")
+                    status = response.status_code
+            except (NotSentError, MayHaveRunError) as error:
+                attempt.fail(error)
+                raise
+        charge.used_tokens = charge.bound_tokens
+        answer_headers = {"content-type": kind, REQUEST_ID_HEADER: self._request.request_id}
+        await sink.send_whole(status, answer_headers, body)
+        return status
--- /dev/null
+++ b/mothstand/errors.py
@@ -0,0 +1,167 @@
+"""The closed list of error kinds and the table from kind to answer.
+
+Every refusal that a caller can see is one of these kinds. The run state is part of the table, so
+that a refusal cannot be sent without saying what is true of the request. ``docs/ERRORS.md`` shows
+the same table and a test compares the two.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class RunState(Enum):
+    """What is known of a refused request's effect at the upstream."""
+
+    NOT_RUN = "not run"
+    MAY_HAVE_RUN = "may have run"
+    RAN = "ran"
+
+
+class ErrorKind(Enum):
+    """The closed list of error kinds."""
+
+    UNAUTHORIZED = "unauthorized"
+    MODEL_NOT_ALLOWED = "model_not_allowed"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_PATH = "unknown_path"
+    MALFORMED_REQUEST = "malformed_request"
+    BODY_TOO_LARGE = "body_too_large"
+    KEY_REUSED = "key_reused"
+    KEY_RUNNING = "key_running"
+    ANSWER_NOT_KEPT = "answer_not_kept"
+    BUDGET_EXHAUSTED = "budget_exhausted"
+    BUDGET_RESERVED = "budget_reserved"
+    BUDGET_OUT_OF_REACH = "budget_out_of_reach"
+    LEDGER_UNAVAILABLE = "ledger_unavailable"
+    PLATFORM_UNREACHABLE = "platform_unreachable"
+    NO_UPSTREAM = "no_upstream"
+    OVERLOADED = "overloaded"
+    NOT_READY = "not_ready"
+    STOPPING = "stopping"
+    UPSTREAM_REFUSED = "upstream_refused"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ANSWER_BROKEN = "answer_broken"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerRow:
+    """How one error kind is answered.
+
+    Parameters
+    ----------
+    status
+        HTTP status code.
+    run_state
+        What the answer says of the request's effect.
+    retry_after_s
+        Seconds after which to come back; None when coming back does not help.
+    text
+        What happened and what to do, for a person.
+    """
+
+    status: int
+    run_state: RunState
+    retry_after_s: int | None
+    text: str
+
+
+_NOT = RunState.NOT_RUN
+_MAY = RunState.MAY_HAVE_RUN
+_RAN = RunState.RAN
+
+ANSWERS: dict[ErrorKind, AnswerRow] = {
+    ErrorKind.UNAUTHORIZED: AnswerRow(
+        401, _NOT, None, "No workspace has this key. Send 'Authorization: Bearer KEY'."
+    ),
+    ErrorKind.MODEL_NOT_ALLOWED: AnswerRow(
+        403, _NOT, None, "The workspace may not use this model. Ask its operator."
+    ),
+    ErrorKind.UNKNOWN_MODEL: AnswerRow(404, _NOT, None, "No upstream serves this model."),
+    ErrorKind.UNKNOWN_SERVICE: AnswerRow(404, _NOT, None, "No service has this name."),
+    ErrorKind.UNKNOWN_PATH: AnswerRow(404, _NOT, None, "There is nothing at this path."),
+    ErrorKind.MALFORMED_REQUEST: AnswerRow(400, _NOT, None, "The request cannot be read."),
+    ErrorKind.BODY_TOO_LARGE: AnswerRow(413, _NOT, None, "The body is too large."),
+    ErrorKind.KEY_REUSED: AnswerRow(
+        422, _NOT, None, "This Idempotency-Key belongs to another body. Use a new key."
+    ),
+    ErrorKind.KEY_RUNNING: AnswerRow(
+        409, _MAY, 1, "The request of this Idempotency-Key runs already, at another instance."
+    ),
+    ErrorKind.ANSWER_NOT_KEPT: AnswerRow(
+        410, _RAN, None, "The request of this Idempotency-Key ran; its answer is not kept."
+    ),
+    ErrorKind.BUDGET_EXHAUSTED: AnswerRow(
+        402, _NOT, None, "The prepaid budget cannot cover the request. Top it up."
+    ),
+    ErrorKind.BUDGET_RESERVED: AnswerRow(
+        429, _NOT, 2, "Running requests hold the rest of the budget; some of it will come back."
+    ),
+    ErrorKind.BUDGET_OUT_OF_REACH: AnswerRow(
+        503, _NOT, 5, "The budget's rest is held where this data centre cannot get it just now."
+    ),
+    ErrorKind.LEDGER_UNAVAILABLE: AnswerRow(
+        503, _NOT, 1, "The budget's leaseholder is being replaced."
+    ),
+    ErrorKind.PLATFORM_UNREACHABLE: AnswerRow(
+        503, _NOT, 5, "A request that may run once only needs the platform's log, which is out."
+    ),
+    ErrorKind.NO_UPSTREAM: AnswerRow(503, _NOT, 5, "No upstream for this can be reached."),
+    ErrorKind.OVERLOADED: AnswerRow(429, _NOT, 1, "All upstreams for this are at their limit."),
+    ErrorKind.NOT_READY: AnswerRow(503, _NOT, 1, "The instance has no configuration yet."),
+    ErrorKind.STOPPING: AnswerRow(503, _NOT, 1, "The instance is stopping."),
+    ErrorKind.UPSTREAM_REFUSED: AnswerRow(
+        502, _NOT, None, "The upstream refused the request and says that it did not run it."
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: AnswerRow(
+        502, _MAY, None, "The upstream got the request and gave no whole answer."
+    ),
+    ErrorKind.ANSWER_BROKEN: AnswerRow(
+        502, _MAY, None, "The answer broke off and could not be resumed."
+    ),
+    ErrorKind.INTERNAL: AnswerRow(500, _MAY, None, "The instance failed."),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A refused request.
+
+    Parameters
+    ----------
+    kind
+        The row of the answer table.
+    detail
+        The value at fault and what to do about it, added to the row's text.
+    retry_after_s
+        Overrides the row's seconds where the refuser knows better.
+    """
+
+    kind: ErrorKind
+    detail: str = ""
+    retry_after_s: int | None = None
+
+    @property
+    def row(self) -> AnswerRow:
+        """The row of the answer table."""
+        return ANSWERS[self.kind]
+
+    @property
+    def come_back_s(self) -> int | None:
+        """Seconds after which to come back, or None."""
+        return self.row.retry_after_s if self.retry_after_s is None else self.retry_after_s
+
+
+class RefusedError(Exception):
+    """Carries a `Refusal` out of I/O code, where a result value would be lost in a stream."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(f"{refusal.kind.value}: {refusal.detail}")
+        self.refusal = refusal
+
+
+class SettingsError(ValueError):
+    """Settings that cannot be used; the message quotes the value and says what to write."""
--- /dev/null
+++ b/mothstand/events.py
@@ -0,0 +1,64 @@
+"""Numbered log events; ``docs/EVENTS.md`` is their catalogue and a test compares the two."""
+
+from __future__ import annotations
+
+import json
+from enum import Enum
+from typing import Any
+
+from absl import logging
+
+
+class Event(Enum):
+    """The closed list of events: number, absl level, meaning."""
+
+    INSTANCE_STARTED = (1001, logging.INFO, "The instance listens for callers and peers.")
+    INSTANCE_STOPPING = (1002, logging.INFO, "The instance takes no new work and drains.")
+    INSTANCE_STOPPED = (1003, logging.INFO, "The instance has stopped.")
+    TASK_FAILED = (1004, logging.ERROR, "A background task failed and is started again.")
+    CONFIG_IN_FORCE = (2001, logging.INFO, "A published configuration is in force here.")
+    CONFIG_REFUSED = (2002, logging.WARNING, "A published configuration lost or was not valid.")
+    PEER_SUSPECTED = (3001, logging.WARNING, "A peer has not answered for the suspicion time.")
+    PEER_SEEN = (3002, logging.INFO, "A peer answered for the first time or again.")
+    EPOCH_OPENED = (4001, logging.INFO, "A leaseholder epoch was opened for a ledger shard.")
+    EPOCH_LOST = (4002, logging.WARNING, "This instance no longer leads a ledger shard.")
+    EPOCH_CLOSED = (4003, logging.INFO, "One side of an epoch reported its spend and closed it.")
+    EPOCH_SEALED = (4004, logging.WARNING, "The witness sealed an epoch.")
+    WITNESS_PROMOTED = (4005, logging.WARNING, "The witness spends a sealed epoch's share itself.")
+    WITNESS_LOST = (4006, logging.WARNING, "The leaseholder cannot reach its witness.")
+    GRANT_UNMET = (4007, logging.WARNING, "The log granted less escrow than was asked.")
+    ESCROW_RETURNED = (4008, logging.INFO, "Unused escrow went back for another data centre.")
+    LOG_UNREACHABLE = (5001, logging.WARNING, "The platform's log does not answer.")
+    LOG_REACHABLE = (5002, logging.INFO, "The platform's log answers again.")
+    RECORD_SKIPPED = (5003, logging.ERROR, "A log record cannot be read; every reader skips it.")
+    UPSTREAM_FAILED = (6001, logging.WARNING, "An upstream failed a request.")
+    ANSWER_BROKEN = (6002, logging.WARNING, "An answer broke off and was ended as an error.")
+    REQUEST_REFUSED = (7001, logging.INFO, "A request was refused.")
+    SETTLE_PENDING = (7002, logging.WARNING, "A settlement could not be handed over yet.")
+    INTERNAL_ERROR = (9001, logging.ERROR, "A request hit a fault of this program.")
+
+    @property
+    def number(self) -> int:
+        """The event's number."""
+        return int(self.value[0])
+
+    @property
+    def level(self) -> int:
+        """The event's absl level."""
+        return int(self.value[1])
+
+    @property
+    def meaning(self) -> str:
+        """What the event says, for the catalogue."""
+        return str(self.value[2])
+
+
+def emit(event: Event, /, **fields: Any) -> None:
+    """Write one event as a line: number, name, then its fields as JSON."""
+    logging.log(
+        event.level,
+        "MS%d %s %s",
+        event.number,
+        event.name.lower(),
+        json.dumps(fields, default=str, sort_keys=True),
+    )
--- /dev/null
+++ b/mothstand/ledger/calls.py
@@ -0,0 +1,97 @@
+"""What the ledger says to peers and gets back, and the interface that carries it."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..core.accounts import MirrorAnswer, MirrorBatch
+    from ..errors import ErrorKind
+    from ..types import BudgetName, Epoch, Member, Shard
+
+
+class PeerError(Exception):
+    """A peer did not answer in time, or not usefully; what was asked may have taken effect."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReserveCall:
+    """A request for tokens.
+
+    Parameters
+    ----------
+    owner
+        Incarnation of the instance that will run the request.
+    keyed
+        Whether `request_id` comes from the caller's idempotency key, so that it may come again.
+    """
+
+    shard: Shard
+    request_id: str
+    budget: BudgetName
+    bound_tokens: int
+    owner: str
+    keyed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Names a reservation: its epoch, its number there, and the two processes that know it."""
+
+    shard: Shard
+    epoch: Epoch
+    number: int
+    holder: str
+    witness: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The ledger does not cover the request."""
+
+    kind: ErrorKind
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class NotHolder:
+    """Another process leads the shard; `hint` is its address, or empty when unknown."""
+
+    hint: str
+
+
+@dataclass(frozen=True, slots=True)
+class KnownKey:
+    """The request's key has come before; `owner` is the incarnation that runs or ran it."""
+
+    owner: str
+    finished: bool
+
+
+ReserveReply = Ticket | Refused | NotHolder | KnownKey
+
+
+class PeerCalls(ABC):
+    """Calls to other instances of the fleet; all raise `PeerError` when there is no answer."""
+
+    @abstractmethod
+    async def mirror(
+        self, witness: Member, shard: Shard, batch: MirrorBatch, *, timeout_s: float
+    ) -> MirrorAnswer:
+        """Ask the witness to acknowledge a batch."""
+
+    @abstractmethod
+    async def reserve(self, address: str, call: ReserveCall, *, timeout_s: float) -> ReserveReply:
+        """Ask the instance at `address` for a reservation."""
+
+    @abstractmethod
+    async def settle(
+        self, address: str, ticket: Ticket, used_tokens: int, request_id: str, *, timeout_s: float
+    ) -> bool:
+        """Hand over a usage; return whether the instance took it."""
+
+    @abstractmethod
+    async def posted(self, address: str, tickets: tuple[Ticket, ...], *, timeout_s: float) -> None:
+        """Say that the bills of these reservations are in the log."""
--- /dev/null
+++ b/mothstand/ledger/escrow_agent.py
@@ -0,0 +1,194 @@
+"""Asks the log for escrow of one shard and gives some back when another data centre needs it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..core.accounts import HolderAccount, Lane
+from ..core.escrow import Demand, EscrowView, ask_tokens, surplus_tokens
+from ..core.ledger_fold import EpochState, Grant
+from ..core.records import BudgetPaid, EscrowReturned, GrantAsk, GrantAsked, LedgerRecord, RecordId
+from ..events import Event, emit
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..platform.writer import LogWriter
+    from ..types import BudgetName, Epoch
+    from .state import ShardState
+
+
+class EscrowAgent:
+    """Applies the escrow policy to the epochs that this instance leads.
+
+    Parameters
+    ----------
+    want_mirror
+        Called when there is something new to tell the witness.
+    """
+
+    def __init__(
+        self,
+        state: ShardState,
+        writer: LogWriter[LedgerRecord],
+        want_mirror: Callable[[], None],
+    ) -> None:
+        self._state = state
+        self._writer = writer
+        self._want_mirror = want_mirror
+        self._demands: dict[BudgetName, Demand] = {}
+        self._asked: dict[BudgetName, RecordId] = {}
+        self._paid_submitted: dict[BudgetName, int] = {}
+        self._returning: dict[tuple[Epoch, int], tuple[BudgetName, int]] = {}
+
+    def add_demand(self, budget: BudgetName, tokens: int) -> None:
+        """Count a reservation towards the budget's demand."""
+        self._demand(budget).add(tokens, self._state.context.clock.monotonic_s())
+
+    def on_epoch(self) -> None:
+        """Forget what was asked for in an earlier epoch."""
+        self._asked.clear()
+
+    def on_grant(self, record: GrantAsked) -> None:
+        """Note that an ask was decided, whatever the decision."""
+        self._asked = {b: asked for b, asked in self._asked.items() if asked != record.record_id}
+
+    def pay(self, budgets: dict[BudgetName, int]) -> None:
+        """Bring the configuration's paid totals into the shard's stream.
+
+        Any instance may, at any time: the totals are cumulative, so a second one changes nothing.
+        """
+        for name, paid in budgets.items():
+            fold_paid = self._state.fold.paid_tokens.get(name, 0)
+            if paid <= max(fold_paid, self._paid_submitted.get(name, 0)):
+                continue
+            self._paid_submitted[name] = paid
+            self._writer.submit(_paid_record(name, paid))
+
+    def ask(self) -> None:
+        """Ask for escrow of every budget that runs low."""
+        leading = self._state.leading()
+        if leading is None:
+            return
+        epoch = leading[0].epoch
+        asks = [ask for budget in self._demands if (ask := self._ask_one(leading, budget))]
+        if not asks:
+            return
+        record = self._writer.submit(
+            lambda record_id: GrantAsked(record_id=record_id, epoch=epoch, asks=tuple(asks))
+        )
+        self._asked.update({ask.budget: record.record_id for ask in asks})
+
+    def give_back(self) -> None:
+        """Return what another data centre asked for in vain and this one can spare."""
+        leading = self._state.leading()
+        if leading is None:
+            return
+        here = self._state.context.membership.data_centre
+        for budget, waiting in list(self._state.fold.unmet.items()):
+            unmet = sum(tokens for dc, tokens in waiting.items() if dc != here)
+            if unmet > 0 and here not in waiting and budget in leading[0].grants:
+                self._give_back_one(leading, budget, unmet)
+
+    def on_acknowledged(self, epoch: Epoch, number: int) -> None:
+        """Take the witness's word that a reservation stands; if it was for a return, return it."""
+        returning = self._returning.pop((epoch, number), None)
+        if returning is not None:
+            self._submit_return(epoch, *returning)
+
+    def held_by_others(self, budget: BudgetName) -> bool:
+        """Return whether another data centre's open epoch holds escrow of the budget."""
+        here = self._state.context.membership.data_centre
+        fold = self._state.fold
+        return any(
+            budget in fold.epochs[epoch].grants
+            for data_centre, epoch in fold.current.items()
+            if data_centre != here
+        )
+
+    def _ask_one(
+        self, leading: tuple[EpochState, HolderAccount], budget: BudgetName
+    ) -> GrantAsk | None:
+        if budget in self._asked:
+            return None
+        view = self._view(leading, budget)
+        if view.ungranted_tokens <= 0 and (
+            view.needed_tokens <= view.free_tokens or not self.held_by_others(budget)
+        ):
+            # Nothing to get, and nobody whom an unmet ask would move to give back.
+            return None
+        policy = self._state.context.config().escrow
+        tokens = ask_tokens(policy, view)
+        if tokens <= 0:
+            return None
+        account = leading[1]
+        spent = sum(account.spent_tokens(budget, lane) for lane in Lane)
+        share = tokens if account.witnessed else 0
+        return GrantAsk(
+            budget=budget,
+            tokens=tokens,
+            spent_tokens=spent - account.open_tokens(budget),
+            allowance_tokens=share * policy.allowance_percent // 100,
+            promotion_tokens=share * policy.promotion_percent // 100,
+        )
+
+    def _view(self, leading: tuple[EpochState, HolderAccount], budget: BudgetName) -> EscrowView:
+        epoch_state, account = leading
+        context = self._state.context
+        demand = self._demand(budget)
+        return EscrowView(
+            free_tokens=account.free_tokens(
+                budget, epoch_state.grants.get(budget, Grant()), account.main_lane
+            ),
+            ungranted_tokens=self._state.fold.ungranted_tokens(budget),
+            needed_tokens=self._state.needed_tokens.get(budget, 0),
+            rate_tokens_per_s=demand.rate_tokens_per_s(context.clock.monotonic_s()),
+            largest_tokens=demand.largest_tokens,
+            data_centres=context.data_centres(),
+            witnessed=account.witnessed,
+        )
+
+    def _demand(self, budget: BudgetName) -> Demand:
+        demand = self._demands.get(budget)
+        if demand is None:
+            demand = Demand(self._state.context.config().escrow.demand_window_s)
+            self._demands[budget] = demand
+        return demand
+
+    def _give_back_one(
+        self, leading: tuple[EpochState, HolderAccount], budget: BudgetName, unmet_tokens: int
+    ) -> None:
+        epoch_state, account = leading
+        view = self._view(leading, budget)
+        policy = self._state.context.config().escrow
+        pending = sum(t for b, t in self._returning.values() if b == budget)
+        tokens = surplus_tokens(policy, view, unmet_tokens - view.ungranted_tokens - pending)
+        if tokens <= 0:
+            return
+        # Reserved for good before the log hears of it: from here on nobody can spend it here.
+        taken = account.reserve(
+            f"return/{budget}",
+            budget,
+            tokens,
+            grant=epoch_state.grants[budget],
+            lane=account.main_lane,
+        )
+        if taken is None:
+            return
+        if account.witnessed:
+            self._returning[epoch_state.epoch, taken.number] = (budget, tokens)
+            self._want_mirror()
+        else:
+            self._submit_return(epoch_state.epoch, budget, tokens)
+
+    def _submit_return(self, epoch: Epoch, budget: BudgetName, tokens: int) -> None:
+        self._writer.submit(
+            lambda record_id: EscrowReturned(
+                record_id=record_id, epoch=epoch, budget=budget, tokens=tokens
+            )
+        )
+        emit(Event.ESCROW_RETURNED, shard=self._state.shard, budget=budget, tokens=tokens)
+
+
+def _paid_record(name: BudgetName, paid_tokens: int) -> Callable[[RecordId], BudgetPaid]:
+    return lambda record_id: BudgetPaid(record_id=record_id, budget=name, paid_tokens=paid_tokens)
--- /dev/null
+++ b/mothstand/ledger/reserver.py
@@ -0,0 +1,323 @@
+"""Reserves and settles tokens in the epochs that this instance leads or has promoted itself to."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ..core.accounts import HolderAccount, Lane, MirrorAnswer, MirrorBatch, Reservation
+from ..core.ledger_fold import EpochState, Grant
+from ..errors import ErrorKind
+from ..events import Event, emit
+from .calls import KnownKey, NotHolder, PeerError, Refused, ReserveCall, ReserveReply, Ticket
+
+if TYPE_CHECKING:
+    from ..types import Epoch
+    from .escrow_agent import EscrowAgent
+    from .state import ShardState
+
+_MIRROR_RETRY_S = 0.05
+
+
+@dataclass(slots=True)
+class _Waiting:
+    """A witnessed reservation that waits for its acknowledgement."""
+
+    done: anyio.Event = field(default_factory=anyio.Event)
+    acknowledged: bool = False
+
+
+class Reserver:
+    """Serves reservations of one shard.
+
+    Parameters
+    ----------
+    ask_now
+        Called when a request waits for escrow.
+    """
+
+    def __init__(self, state: ShardState) -> None:
+        self._state = state
+        self._agent: EscrowAgent | None = None
+        self._waiting: dict[tuple[Epoch, int], _Waiting] = {}
+        self._mirror_wanted = anyio.Event()
+        self.witness_reachable = True
+
+    def attach(self, agent: EscrowAgent) -> None:
+        """Take the agent that asks for escrow; the two need each other."""
+        self._agent = agent
+
+    @property
+    def agent(self) -> EscrowAgent:
+        """The agent that asks for escrow."""
+        assert self._agent is not None, "attach() comes first"
+        return self._agent
+
+    def want_mirror(self) -> None:
+        """Wake the mirror loop."""
+        self._mirror_wanted.set()
+
+    async def reserve(self, call: ReserveCall) -> ReserveReply:
+        """Reserve the request's upper bound, or say why not."""
+        state = self._state
+        if call.keyed:
+            known = self._find_key(call)
+            if known is not None:
+                return known
+        if state.leading() is None:
+            return self._reserve_promoted(call)
+        if call.keyed:
+            # Before the first await, so that a second request of the same key finds it.
+            state.requests.start(call.request_id, call.owner)
+        reply = await self._reserve_leading(call)
+        if call.keyed and not isinstance(reply, Ticket):
+            state.requests.forget(call.request_id)
+        return reply
+
+    def settle(self, ticket: Ticket, used_tokens: int, request_id: str) -> bool:
+        """Settle a reservation; return False if this instance cannot, now or ever."""
+        state = self._state
+        holder = state.holders.get(ticket.epoch)
+        witness = state.witnesses.get(ticket.epoch)
+        if holder is not None and ticket.number > 0:
+            holder.settle(ticket.number, used_tokens)
+            if holder.witnessed:
+                self.want_mirror()
+        elif witness is not None and witness.sealed:
+            witness.settle(ticket.number, used_tokens)
+        else:
+            # An unsealed witness hears of settlements from its holder, in order.
+            return False
+        state.requests.finish(request_id, state.context.clock.monotonic_s())
+        state.announce()
+        return True
+
+    def posted(self, ticket: Ticket) -> None:
+        """Note that the bill of a reservation is in the log."""
+        holder = self._state.holders.get(ticket.epoch)
+        witness = self._state.witnesses.get(ticket.epoch)
+        if holder is not None and ticket.number > 0:
+            holder.posted(ticket.number)
+            self.want_mirror()
+        elif witness is not None and witness.sealed:
+            witness.posted(ticket.number)
+
+    def mirror(self, batch: MirrorBatch) -> MirrorAnswer | None:
+        """Answer a holder as its witness; None says "not me"."""
+        witness = self._state.witnesses.get(batch.epoch)
+        if witness is None:
+            # A process restarted at the witness's address has no account of the epoch. Answering
+            # "nothing spent" would free what its former life acknowledged.
+            return None
+        grants = self._state.fold.epochs[batch.epoch].grants
+        return witness.mirror(batch, grants)
+
+    async def run_mirror(self) -> None:
+        """Send batches to the witness of the led epoch, one at a time, until cancelled."""
+        while True:
+            await self._mirror_wanted.wait()
+            leading = self._state.leading()
+            batch = None if leading is None else leading[1].take_batch()
+            if leading is None or batch is None or leading[0].witness is None:
+                self._mirror_wanted = anyio.Event()
+                self._release_lost()
+                continue
+            await self._send(leading[0], leading[1], batch)
+
+    async def _send(
+        self, epoch_state: EpochState, account: HolderAccount, batch: MirrorBatch
+    ) -> None:
+        context = self._state.context
+        assert epoch_state.witness is not None
+        try:
+            answer = await context.calls.mirror(
+                epoch_state.witness,
+                self._state.shard,
+                batch,
+                timeout_s=context.timing.mirror_timeout_s,
+            )
+        except PeerError as error:
+            self._note_witness(reachable=False, detail=str(error))
+            self._release(batch, frozenset())
+            await context.clock.sleep(_MIRROR_RETRY_S)
+            return
+        self._note_witness(reachable=True, detail="")
+        usable = account.batch_acked(batch.number, answer)
+        self._release(batch, frozenset(r.number for r in usable))
+        for reservation in usable:
+            self.agent.on_acknowledged(batch.epoch, reservation.number)
+        if answer.sealed:
+            emit(Event.EPOCH_LOST, shard=self._state.shard, epoch=batch.epoch)
+            self._release_lost()
+
+    def _note_witness(self, *, reachable: bool, detail: str) -> None:
+        if self.witness_reachable and not reachable:
+            emit(Event.WITNESS_LOST, shard=self._state.shard, detail=detail)
+        self.witness_reachable = reachable
+
+    def _release(self, batch: MirrorBatch, usable: frozenset[int]) -> None:
+        for reservation in batch.reservations:
+            waiting = self._waiting.pop((batch.epoch, reservation.number), None)
+            if waiting is not None:
+                waiting.acknowledged = reservation.number in usable
+                waiting.done.set()
+
+    def _release_lost(self) -> None:
+        """Let go of requests that wait in an epoch which this instance leads no more."""
+        leading = self._state.leading()
+        current = None if leading is None else leading[0].epoch
+        for key in [key for key in self._waiting if key[0] != current]:
+            self._waiting.pop(key).done.set()
+
+    def _find_key(self, call: ReserveCall) -> ReserveReply | None:
+        state = self._state
+        now_s = state.context.clock.monotonic_s()
+        known = state.requests.find(call.request_id, now_s)
+        if known is None:
+            return None
+        running = known.finished_at_s is None
+        if running and state.context.membership.find(known.owner, now_s) is None:
+            return self._take_over(call)
+        return KnownKey(owner=known.owner, finished=not running)
+
+    def _take_over(self, call: ReserveCall) -> ReserveReply | None:
+        """Hand the reservation of a request whose owner died to the retry: one bill for both."""
+        for epoch, account in [*self._state.holders.items(), *self._state.witnesses.items()]:
+            for reservation in account.open.values():
+                if reservation.request_id == call.request_id:
+                    reservation.owner = call.owner
+                    self._state.requests.start(call.request_id, call.owner)
+                    return self._ticket(self._state.fold.epochs[epoch], reservation)
+        return None
+
+    def _ticket(self, epoch_state: EpochState, reservation: Reservation) -> Ticket:
+        witness = epoch_state.witness
+        return Ticket(
+            shard=self._state.shard,
+            epoch=epoch_state.epoch,
+            number=reservation.number,
+            holder=epoch_state.holder.address,
+            witness=witness.address if witness else "",
+        )
+
+    def _reserve_promoted(self, call: ReserveCall) -> ReserveReply:
+        promoted = self._state.promoted()
+        if promoted is None:
+            return NotHolder(self._hint())
+        epoch_state, account = promoted
+        grant = epoch_state.grants.get(call.budget, Grant())
+        taken = account.reserve_own(
+            call.request_id, call.budget, call.bound_tokens, grant=grant, owner=call.owner
+        )
+        if taken is None:
+            return Refused(
+                ErrorKind.BUDGET_OUT_OF_REACH,
+                "the platform is out and the leaseholder is gone; "
+                f"{account.free_own_tokens(call.budget, grant)} tokens can be spent here",
+            )
+        if call.keyed:
+            self._state.requests.start(call.request_id, call.owner)
+        return self._ticket(epoch_state, taken)
+
+    def _hint(self) -> str:
+        current = self._state.current()
+        if current is None or current.closed:
+            return ""
+        return current.holder.address
+
+    async def _reserve_leading(self, call: ReserveCall) -> ReserveReply:
+        state = self._state
+        self.agent.add_demand(call.budget, call.bound_tokens)
+        deadline_s = state.context.clock.monotonic_s() + state.context.timing.grant_wait_s
+        while True:
+            leading = state.leading()
+            if leading is None:
+                return NotHolder(self._hint())
+            ticket = await self._try_reserve(leading, call)
+            if ticket is not None:
+                self.agent.ask()
+                return ticket
+            refused = self._shortage(call, waited=False)
+            left_s = deadline_s - state.context.clock.monotonic_s()
+            if refused is not None:
+                return refused
+            if left_s <= 0:
+                return self._shortage(call, waited=True) or Refused(ErrorKind.LEDGER_UNAVAILABLE)
+            await self._wait_for_escrow(call, left_s)
+
+    async def _try_reserve(
+        self, leading: tuple[EpochState, HolderAccount], call: ReserveCall
+    ) -> Ticket | None:
+        epoch_state, account = leading
+        grant = epoch_state.grants.get(call.budget, Grant())
+        lanes = [Lane.OWN]
+        if account.witnessed and self.witness_reachable:
+            lanes = [Lane.WITNESSED, Lane.OWN]
+        for lane in lanes:
+            taken = account.reserve(
+                call.request_id,
+                call.budget,
+                call.bound_tokens,
+                grant=grant,
+                lane=lane,
+                owner=call.owner,
+            )
+            if taken is None:
+                if lane is Lane.WITNESSED:
+                    # No room is no reason to spend the allowance, which is for a lost witness.
+                    return None
+                continue
+            if lane is Lane.OWN or await self._acknowledged(epoch_state.epoch, taken):
+                return self._ticket(epoch_state, taken)
+            account.settle(taken.number, 0)
+        return None
+
+    async def _acknowledged(self, epoch: Epoch, taken: Reservation) -> bool:
+        waiting = _Waiting()
+        self._waiting[epoch, taken.number] = waiting
+        self.want_mirror()
+        with anyio.move_on_after(2 * self._state.context.timing.mirror_timeout_s):
+            await waiting.done.wait()
+        self._waiting.pop((epoch, taken.number), None)
+        return waiting.acknowledged
+
+    async def _wait_for_escrow(self, call: ReserveCall, left_s: float) -> None:
+        needed = self._state.needed_tokens
+        needed[call.budget] = needed.get(call.budget, 0) + call.bound_tokens
+        try:
+            progress = self._state.progress
+            self.agent.ask()
+            with anyio.move_on_after(min(left_s, 0.1)):
+                await progress.wait()
+        finally:
+            needed[call.budget] -= call.bound_tokens
+
+    def _shortage(self, call: ReserveCall, *, waited: bool) -> Refused | None:
+        """Return why the budget does not cover the call, or None when waiting may help."""
+        leading = self._state.leading()
+        if leading is None:
+            return None
+        epoch_state, account = leading
+        fold = self._state.fold
+        paid = max(fold.paid_tokens.get(call.budget, 0), self._configured(call))
+        settled = sum(account.spent_tokens(call.budget, lane) for lane in Lane)
+        opened = account.open_tokens(call.budget)
+        returned = epoch_state.grants.get(call.budget, Grant()).returned_tokens
+        others = fold.reported_tokens(call.budget, without=epoch_state.epoch)
+        left = paid - others - (settled - opened)
+        numbers = f"needs up to {call.bound_tokens} tokens, {left} of {paid} are unspent"
+        if call.bound_tokens > left:
+            return Refused(ErrorKind.BUDGET_EXHAUSTED, numbers)
+        if self._state.context.log_is_out:
+            return Refused(ErrorKind.BUDGET_OUT_OF_REACH, f"{numbers}; the platform is out")
+        if not waited:
+            return None
+        if opened - returned > 0:
+            return Refused(ErrorKind.BUDGET_RESERVED, f"{numbers}, {opened} reserved here")
+        return Refused(ErrorKind.BUDGET_OUT_OF_REACH, numbers)
+
+    def _configured(self, call: ReserveCall) -> int:
+        budget = self._state.context.config().budgets.get(call.budget)
+        return 0 if budget is None else budget.paid_tokens
--- /dev/null
+++ b/mothstand/ledger/service.py
@@ -0,0 +1,277 @@
+"""The ledger as one instance sees it: finds the leaseholder, reserves, settles, bills."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ..core.membership import rank_for_shard, shard_of
+from ..core.records import BillLine, BillsPosted, LedgerRecord
+from ..errors import ErrorKind
+from ..events import Event, emit
+from ..types import Shard
+from .calls import KnownKey, NotHolder, PeerError, Refused, ReserveCall, Ticket
+from .shard import ShardNode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..core.accounts import MirrorAnswer, MirrorBatch
+    from ..platform.writer import LogWriter
+    from ..types import BudgetName
+    from .calls import ReserveReply
+    from .state import ShardContext
+
+#: Time for a takeover to finish while a request waits: suspicion plus the new epoch's append.
+_FIND_HOLDER_S = 3.0
+_FIND_AGAIN_S = 0.1
+_SETTLE_RETRY_S = 0.25
+_SETTLE_TRIES = 240
+
+
+@dataclass(frozen=True, slots=True)
+class _Posting:
+    """A bill on its way to the log, and the reservation it settles."""
+
+    line: BillLine
+    ticket: Ticket
+
+
+class LedgerService:
+    """All shards at one instance.
+
+    Parameters
+    ----------
+    shard_count
+        The fleet's number of ledger shards.
+    make_writer
+        Returns the writer of a shard's stream.
+    bills
+        Appends to the bills stream.
+    """
+
+    def __init__(
+        self,
+        shard_count: int,
+        context: ShardContext,
+        make_writer: Callable[[Shard], LogWriter[LedgerRecord]],
+        bills: LogWriter[BillsPosted],
+    ) -> None:
+        self.shard_count = shard_count
+        self._context = context
+        self._bills = bills
+        self._postings: list[_Posting] = []
+        self._unsettled = 0
+        self._paid: dict[Shard, dict[BudgetName, int]] = {}
+        bills.on_appended(self._on_bills_appended)
+        self._in_log: list[Ticket] = []
+        self._ticket_of: dict[str, Ticket] = {}
+        self.shards = {
+            Shard(number): ShardNode(
+                Shard(number), make_writer(Shard(number)), context, self._bill_for_dead
+            )
+            for number in range(shard_count)
+        }
+
+    # -- what peers ask of this instance -----------------------------------------------------
+
+    async def reserve_here(self, call: ReserveCall) -> ReserveReply:
+        """Reserve if this instance leads the shard."""
+        return await self.shards[call.shard].reserver.reserve(call)
+
+    def settle_here(self, ticket: Ticket, used_tokens: int, request_id: str) -> bool:
+        """Settle if this instance knows the epoch and may."""
+        return self.shards[ticket.shard].reserver.settle(ticket, used_tokens, request_id)
+
+    def posted_here(self, ticket: Ticket) -> None:
+        """Note that a bill is in the log."""
+        self.shards[ticket.shard].reserver.posted(ticket)
+
+    def mirror_here(self, shard: Shard, batch: MirrorBatch) -> MirrorAnswer | None:
+        """Acknowledge a batch as a witness; None says "not me"."""
+        return self.shards[shard].reserver.mirror(batch)
+
+    # -- what this instance's requests ask of the ledger --------------------------------------
+
+    async def reserve(
+        self, budget: BudgetName, request_id: str, bound_tokens: int, *, keyed: bool
+    ) -> Ticket | Refused | KnownKey:
+        """Reserve a request's upper bound at the budget's leaseholder.
+
+        Returns
+        -------
+        Ticket | Refused | KnownKey
+            A reservation, the reason why there is none, or who runs the request already.
+        """
+        call = ReserveCall(
+            shard=Shard(shard_of(budget, self.shard_count)),
+            request_id=request_id,
+            budget=budget,
+            bound_tokens=bound_tokens,
+            owner=self._context.membership.me.incarnation,
+            keyed=keyed,
+        )
+        clock = self._context.clock
+        deadline_s = clock.monotonic_s() + _FIND_HOLDER_S
+        while True:
+            reply = await self._reserve_once(call)
+            if not isinstance(reply, NotHolder):
+                return reply
+            if clock.monotonic_s() >= deadline_s:
+                return Refused(ErrorKind.LEDGER_UNAVAILABLE, f"shard {call.shard} has no holder")
+            await clock.sleep(_FIND_AGAIN_S)
+
+    async def settle(
+        self, ticket: Ticket, budget: BudgetName, request_id: str, used_tokens: int
+    ) -> None:
+        """Bill a request and settle its reservation; retries until a side of the epoch took it.
+
+        The bill is queued for the log before anything is awaited, so a caller that goes away
+        cannot lose it.
+        """
+        if used_tokens > 0:
+            self._ticket_of[request_id] = ticket
+            self._bill(BillLine(request_id, budget, used_tokens))
+        self._unsettled += 1
+        try:
+            await self._settle_until_taken(ticket, request_id, used_tokens)
+        finally:
+            self._unsettled -= 1
+
+    @property
+    def unsettled(self) -> int:
+        """Number of settlements that no side has taken yet."""
+        return self._unsettled
+
+    def leads_any(self, others: bool) -> bool:
+        """Hand over at a stop; return whether this instance still leads a shard.
+
+        Parameters
+        ----------
+        others
+            Whether another instance can take over. If not, the epochs are closed here, so that
+            their rest goes back to the log.
+        """
+        leading = [node for node in self.shards.values() if node.state.leading() is not None]
+        if not others:
+            for node in leading:
+                node.close()
+        return bool(leading) and others
+
+    # -- background work ----------------------------------------------------------------------
+
+    def on_config(self) -> None:
+        """Sort the configured budgets by shard, once for each configuration."""
+        paid: dict[Shard, dict[BudgetName, int]] = {}
+        for name, budget in self._context.config().budgets.items():
+            shard = Shard(shard_of(name, self.shard_count))
+            paid.setdefault(shard, {})[name] = budget.paid_tokens
+        self._paid = paid
+
+    def tick(self) -> None:
+        """Let every shard do what is due."""
+        for shard, node in self.shards.items():
+            node.tick(self._paid.get(shard, {}))
+
+    async def run(self) -> None:
+        """Mirror and confirm bills until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            for node in self.shards.values():
+                tasks.start_soon(node.reserver.run_mirror)
+            tasks.start_soon(self._run_posted)
+
+    async def _run_posted(self) -> None:
+        while True:
+            await self._context.clock.sleep(self._context.timing.bills_append_s)
+            in_log, self._in_log = self._in_log, []
+            by_holder: dict[str, list[Ticket]] = {}
+            for ticket in in_log:
+                by_holder.setdefault(ticket.holder, []).append(ticket)
+            for address, tickets in by_holder.items():
+                await self._say_posted(address, tuple(tickets))
+
+    async def _say_posted(self, address: str, tickets: tuple[Ticket, ...]) -> None:
+        if address == self._context.membership.me.address:
+            for ticket in tickets:
+                self.posted_here(ticket)
+            return
+        try:
+            await self._context.calls.posted(address, tickets, timeout_s=1.0)
+        except PeerError:
+            # Then the holder may post the bills again for a dead instance; the second is dropped.
+            return
+
+    def _bill(self, line: BillLine) -> None:
+        self._bills.submit(lambda record_id: BillsPosted(record_id=record_id, lines=(line,)))
+
+    def _bill_for_dead(self, line: BillLine) -> None:
+        self._bill(line)
+
+    def _on_bills_appended(self, records: tuple[BillsPosted, ...]) -> None:
+        for record in records:
+            for line in record.lines:
+                ticket = self._ticket_of.pop(line.request_id, None)
+                if ticket is not None:
+                    self._in_log.append(ticket)
+
+    async def _reserve_once(self, call: ReserveCall) -> ReserveReply:
+        asked: set[str] = set()
+        queue = self._likely_holders(call.shard)
+        while queue:
+            address = queue.pop(0)
+            if not address or address in asked:
+                continue
+            asked.add(address)
+            reply = await self._reserve_at(address, call)
+            if not isinstance(reply, NotHolder):
+                return reply
+            queue.insert(0, reply.hint)
+        return NotHolder("")
+
+    def _likely_holders(self, shard: Shard) -> list[str]:
+        """Return addresses to try: the epoch's two as the log names them, then by rendezvous."""
+        current = self.shards[shard].state.current()
+        named = []
+        if current is not None:
+            named.append(current.holder.address)
+            if current.witness is not None:
+                named.append(current.witness.address)
+        membership = self._context.membership
+        alive = membership.alive_here(self._context.clock.monotonic_s())
+        order = rank_for_shard(alive, membership.data_centre, shard)
+        return [*named, *(alive[name].address for name in order)]
+
+    async def _reserve_at(self, address: str, call: ReserveCall) -> ReserveReply:
+        if address == self._context.membership.me.address:
+            return await self.reserve_here(call)
+        timing = self._context.timing
+        timeout_s = timing.grant_wait_s + 4 * timing.mirror_timeout_s
+        try:
+            return await self._context.calls.reserve(address, call, timeout_s=timeout_s)
+        except PeerError:
+            # It may have reserved all the same: those tokens stay reserved until the epoch ends,
+            # or for a keyed request until its retry.
+            return NotHolder("")
+
+    async def _settle_until_taken(self, ticket: Ticket, request_id: str, used_tokens: int) -> None:
+        for attempt in range(_SETTLE_TRIES):
+            for address in (ticket.holder, ticket.witness):
+                if address and await self._settle_at(address, ticket, request_id, used_tokens):
+                    return
+            if attempt == 0:
+                emit(Event.SETTLE_PENDING, request_id=request_id, epoch=ticket.epoch)
+            await self._context.clock.sleep(_SETTLE_RETRY_S)
+
+    async def _settle_at(
+        self, address: str, ticket: Ticket, request_id: str, used_tokens: int
+    ) -> bool:
+        if address == self._context.membership.me.address:
+            return self.settle_here(ticket, used_tokens, request_id)
+        try:
+            return await self._context.calls.settle(
+                address, ticket, used_tokens, request_id, timeout_s=1.0
+            )
+        except PeerError:
+            return False
--- /dev/null
+++ b/mothstand/ledger/shard.py
@@ -0,0 +1,241 @@
+"""One ledger shard at one instance: reads its stream, leads or witnesses its epochs.
+
+The thinking is in ``core``. It all runs on one loop, so state changes between two awaits are
+atomic.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..core.accounts import HolderAccount, SettledRequest, WitnessAccount
+from ..core.leadership import plan_epoch
+from ..core.records import (
+    BillLine,
+    BudgetSpend,
+    EpochClosed,
+    EpochOpened,
+    GrantAsked,
+    LedgerRecord,
+    RecordId,
+    Side,
+)
+from ..events import Event, emit
+from ..types import Epoch
+from .escrow_agent import EscrowAgent
+from .reserver import Reserver
+from .state import ShardState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..core.ledger_fold import EpochState
+    from ..platform.writer import LogWriter
+    from ..types import BudgetName, Shard
+    from .state import ShardContext
+
+#: Seconds that the reservation of a dead instance's request is kept for the caller's retry; then
+#: it is billed at its upper bound.
+ORPHAN_HOLD_S = 120.0
+
+
+class ShardNode:
+    """One ledger shard at one instance.
+
+    Parameters
+    ----------
+    writer
+        Appends to the shard's stream.
+    bill
+        Takes a bill line for the bills stream; used for requests whose instance died.
+    """
+
+    def __init__(
+        self,
+        shard: Shard,
+        writer: LogWriter[LedgerRecord],
+        context: ShardContext,
+        bill: Callable[[BillLine], None],
+    ) -> None:
+        self.state = ShardState(shard, context)
+        self.reserver = Reserver(self.state)
+        self.agent = EscrowAgent(self.state, writer, self.reserver.want_mirror)
+        self.reserver.attach(self.agent)
+        self._writer = writer
+        self._context = context
+        self._bill = bill
+        self._opening: RecordId | None = None
+        self._reported: dict[tuple[Epoch, Side], tuple[BudgetSpend, ...]] = {}
+        self._orphaned_at_s: dict[str, float] = {}
+
+    def on_record(self, offset: int, record: LedgerRecord) -> None:
+        """Apply one record of the shard's stream."""
+        before = self.state.current()
+        outcome = self.state.fold.apply(offset, record)
+        if record.record_id == self._opening:
+            self._opening = None
+        if isinstance(record, GrantAsked):
+            self.agent.on_grant(record)
+        if outcome.accepted and isinstance(record, EpochOpened):
+            self._on_epoch(Epoch(offset), before)
+        self.agent.give_back()
+        self.state.announce()
+
+    def tick(self, paid_tokens: dict[BudgetName, int]) -> None:
+        """Do what is due: open an epoch, promote, ask for escrow, bill for the dead.
+
+        Parameters
+        ----------
+        paid_tokens
+            The configured paid totals of this shard's budgets.
+        """
+        now_s = self._context.clock.monotonic_s()
+        self._open_if_due(now_s)
+        self._promote_if_due(now_s)
+        if self.state.leading() is not None:
+            self.agent.pay(paid_tokens)
+            self.agent.ask()
+            self.agent.give_back()
+        self._bill_for_the_dead(now_s)
+        self._report_late_settlements()
+        self.state.requests.expire(now_s)
+
+    def close(self) -> None:
+        """Close the led epoch without a successor, at a stop."""
+        leading = self.state.leading()
+        if leading is not None:
+            leading[1].lost = True
+            self._report_closed(leading[0].epoch)
+
+    def _on_epoch(self, epoch: Epoch, before: EpochState | None) -> None:
+        opened = self.state.fold.epochs[epoch]
+        membership = self._context.membership
+        if opened.data_centre != membership.data_centre:
+            return
+        if opened.holder == membership.me:
+            self.state.holders[epoch] = HolderAccount(epoch, witnessed=opened.witness is not None)
+            self.reserver.witness_reachable = True
+            self.agent.on_epoch()
+            emit(
+                Event.EPOCH_OPENED,
+                shard=self.state.shard,
+                epoch=epoch,
+                prior_epoch=opened.prior_epoch,
+                witness=opened.witness.name if opened.witness else None,
+            )
+        if opened.witness == membership.me:
+            self.state.witnesses[epoch] = WitnessAccount(epoch)
+        if before is not None:
+            self._leave_epoch(before.epoch)
+
+    def _leave_epoch(self, epoch: Epoch) -> None:
+        """Spend nothing more in a superseded epoch and close this instance's side of it."""
+        holder = self.state.holders.get(epoch)
+        if holder is not None:
+            holder.lost = True
+            emit(Event.EPOCH_LOST, shard=self.state.shard, epoch=epoch)
+        witness = self.state.witnesses.get(epoch)
+        if witness is not None:
+            witness.seal()
+            witness.stop_own()
+            self._adopt_requests(witness)
+            emit(Event.EPOCH_SEALED, shard=self.state.shard, epoch=epoch)
+        self._report_closed(epoch)
+        self.reserver.want_mirror()
+
+    def _adopt_requests(self, witness: WitnessAccount) -> None:
+        """Know the keys of the lost leaseholder's requests, so that retries do not run twice."""
+        now_s = self._context.clock.monotonic_s()
+        for reservation in witness.open.values():
+            self.state.requests.start(reservation.request_id, reservation.owner)
+        for settled in witness.unposted.values():
+            self.state.requests.start(settled.reservation.request_id, settled.reservation.owner)
+            self.state.requests.finish(settled.reservation.request_id, now_s)
+
+    def _report_closed(self, epoch: Epoch) -> None:
+        """Tell the log what this instance vouches for, if it has changed since it last did."""
+        for side, account in self._sides(epoch):
+            spends = account.spends()
+            if self._reported.get((epoch, side)) == spends:
+                continue
+            self._reported[epoch, side] = spends
+            self._writer.submit(_closed_record(epoch, side, spends))
+            emit(Event.EPOCH_CLOSED, shard=self.state.shard, epoch=epoch, side=side.value)
+
+    def _sides(self, epoch: Epoch) -> list[tuple[Side, HolderAccount | WitnessAccount]]:
+        sides: list[tuple[Side, HolderAccount | WitnessAccount]] = []
+        if epoch in self.state.holders:
+            sides.append((Side.HOLDER, self.state.holders[epoch]))
+        if epoch in self.state.witnesses:
+            sides.append((Side.WITNESS, self.state.witnesses[epoch]))
+        return sides
+
+    def _report_late_settlements(self) -> None:
+        """Lower the closed sides of epochs whose last reservations were settled since."""
+        current = self.state.current()
+        for epoch in {*self.state.holders, *self.state.witnesses}:
+            if current is None or epoch == current.epoch:
+                continue
+            if not any(account.open for _, account in self._sides(epoch)):
+                self._report_closed(epoch)
+
+    def _open_if_due(self, now_s: float) -> None:
+        if self._opening is not None or self._context.log_silent_s() > 0:
+            return
+        plan = plan_epoch(self.state.fold, self._context.membership, now_s)
+        if plan is None:
+            return
+        record = self._writer.submit(
+            lambda record_id: plan.record(record_id, self.state.fold, self._context.membership)
+        )
+        self._opening = record.record_id
+
+    def _promote_if_due(self, now_s: float) -> None:
+        """Spend the promotion share of a silent holder's epoch while the log is out."""
+        current = self.state.current()
+        if current is None or not self._context.log_is_out:
+            return
+        witness = self.state.witnesses.get(current.epoch)
+        if witness is None or witness.sealed:
+            return
+        if self._context.membership.is_alive(current.holder, now_s):
+            return
+        witness.promote()
+        self._adopt_requests(witness)
+        emit(Event.WITNESS_PROMOTED, shard=self.state.shard, epoch=current.epoch)
+
+    def _bill_for_the_dead(self, now_s: float) -> None:
+        """Post the bills of instances that died before they could."""
+        for _, account in self._billable():
+            for number, settled in list(account.unposted.items()):
+                if self._is_dead(settled.reservation.owner, now_s, for_s=0.0):
+                    self._bill(_bill_line(settled))
+                    account.posted(number)
+            for number, reservation in list(account.open.items()):
+                if self._is_dead(reservation.owner, now_s, for_s=ORPHAN_HOLD_S):
+                    account.settle(number, reservation.bound_tokens)
+                    line = _bill_line(SettledRequest(reservation, reservation.bound_tokens))
+                    self._bill(BillLine(line.request_id, line.budget, line.tokens, estimated=True))
+                    account.posted(number)
+
+    def _billable(self) -> list[tuple[Epoch, HolderAccount | WitnessAccount]]:
+        """Return the accounts that speak for their epoch: no witness does before it seals."""
+        sealed = [(e, w) for e, w in self.state.witnesses.items() if w.sealed]
+        return [*self.state.holders.items(), *sealed]
+
+    def _is_dead(self, owner: str, now_s: float, *, for_s: float) -> bool:
+        # Reservations for a return of escrow have no owner and are never settled.
+        if not owner or self._context.membership.find(owner, now_s) is not None:
+            self._orphaned_at_s.pop(owner, None)
+            return False
+        return now_s - self._orphaned_at_s.setdefault(owner, now_s) >= for_s
+
+
+def _closed_record(
+    epoch: Epoch, side: Side, spends: tuple[BudgetSpend, ...]
+) -> Callable[[RecordId], EpochClosed]:
+    return lambda record_id: EpochClosed(record_id=record_id, epoch=epoch, side=side, spends=spends)
+
+
+def _bill_line(settled: SettledRequest) -> BillLine:
+    return BillLine(settled.reservation.request_id, settled.reservation.budget, settled.used_tokens)
--- /dev/null
+++ b/mothstand/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What the operators' commands do: publish, status, audit."""
--- /dev/null
+++ b/mothstand/operators/log_view.py
@@ -0,0 +1,86 @@
+"""Reads whole streams of the log, as an operator's command sees them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..core.bills import BillFold
+from ..core.config import ConfigFold
+from ..core.ledger_fold import LedgerFold
+from ..core.records import BillsPosted, ConfigPublished, LedgerRecord, Outcome, Record
+from ..platform.codec import decode
+from ..settings.folder import validate_sections
+from ..streams import BILLS_STREAM, CONFIG_STREAM, ledger_stream
+from ..types import Shard
+
+if TYPE_CHECKING:
+    from ..platform.log import LogClient
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerEntry:
+    """One ledger record and what the fold decided about it."""
+
+    shard: Shard
+    offset: int
+    record: LedgerRecord
+    outcome: Outcome
+
+
+@dataclass(slots=True)
+class LogView:
+    """The folds of all streams at one moment."""
+
+    config: ConfigFold = field(default_factory=lambda: ConfigFold(validate_sections))
+    ledgers: dict[Shard, LedgerFold] = field(default_factory=dict)
+    ledger_entries: list[LedgerEntry] = field(default_factory=list)
+    bills: BillFold = field(default_factory=BillFold)
+
+
+async def read_stream(log: LogClient, stream: str) -> list[tuple[int, Record]]:
+    """Return all kept records of a stream, with their offsets.
+
+    Raises
+    ------
+    LogError
+        If the log does not answer.
+    """
+    records: list[tuple[int, Record]] = []
+    position = 1
+    while True:
+        page = await log.read(stream, position, wait_s=0.0)
+        for offset, payload in page.records:
+            try:
+                batch = decode(payload.encode())
+            except ValueError:
+                continue
+            records.extend((offset, record) for record in batch)
+        if not page.records:
+            return records
+        position = page.next_offset
+
+
+async def read_config(log: LogClient) -> ConfigFold:
+    """Return the fold of the ``config`` stream."""
+    fold = ConfigFold(validate_sections)
+    for offset, record in await read_stream(log, CONFIG_STREAM):
+        if isinstance(record, ConfigPublished):
+            fold.apply(offset, record)
+    return fold
+
+
+async def read_all(log: LogClient, shard_count: int) -> LogView:
+    """Return the folds of all streams."""
+    view = LogView(config=await read_config(log))
+    for number in range(shard_count):
+        shard = Shard(number)
+        fold = view.ledgers[shard] = LedgerFold(shard)
+        for offset, record in await read_stream(log, ledger_stream(shard)):
+            if isinstance(record, LedgerRecord):
+                outcome = fold.apply(offset, record)
+                view.ledger_entries.append(LedgerEntry(shard, offset, record, outcome))
+    for offset, record in await read_stream(log, BILLS_STREAM):
+        if isinstance(record, BillsPosted):
+            view.bills.apply(offset, record)
+    return view
--- /dev/null
+++ b/mothstand/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between entry instances: messages, server and client."""
--- /dev/null
+++ b/mothstand/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings in INI files and their validated models."""
--- /dev/null
+++ b/mothstand/settings/folder.py
@@ -0,0 +1,241 @@
+"""The operators' folder: INI files merged in the order of their names, validated whole."""
+
+from __future__ import annotations
+
+import re
+from datetime import UTC, datetime
+from typing import TYPE_CHECKING, Annotated
+
+from pydantic import BeforeValidator, Field
+
+from ..core.config import (
+    Budget,
+    CallerKey,
+    FleetConfig,
+    PlannedStop,
+    Sections,
+    Service,
+    Upstream,
+    UpstreamKind,
+    Workspace,
+)
+from ..core.escrow import EscrowPolicy
+from ..errors import SettingsError
+from ..types import BudgetName, DataCentre
+from .ini import SectionModel, read_file, read_section
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+
+
+def _words(value: object) -> object:
+    return tuple(value.replace(",", " ").split()) if isinstance(value, str) else value
+
+
+Words = Annotated[tuple[str, ...], BeforeValidator(_words)]
+Percent = Annotated[int, Field(ge=0, le=100, description="a whole number from 0 to 100")]
+
+
+class PolicySection(SectionModel):
+    """``[policy]``: the deployment's weightings."""
+
+    ride_through_s: float = Field(
+        3600.0, gt=0, description="seconds of demand that a grant should cover, above 0"
+    )
+    refill_below_percent: Percent = 50
+    end_share_percent: Percent = 50
+    allowance_percent: Percent = 2
+    promotion_percent: Percent = 25
+    unwitnessed_percent: Percent = 10
+    demand_window_s: float = Field(60.0, gt=0, description="seconds above 0")
+    prompt_overhead_tokens: int = Field(64, ge=0, description="tokens the chat template adds")
+    max_body_bytes: int = Field(1_000_000, gt=0, description="bytes above 0")
+    default_max_tokens: int = Field(512, gt=0, description="tokens above 0")
+    answer_kept_s: float = Field(600.0, ge=0, description="seconds, 0 or more")
+
+
+class WorkspaceSection(SectionModel):
+    """``[workspace NAME]``."""
+
+    priority: int = Field(0, description="a whole number; higher goes first")
+    models: Words = Field((), description="names of models, apart by spaces; empty allows all")
+
+
+class KeySection(SectionModel):
+    """``[key NAME]``: a caller's key, as its digest."""
+
+    workspace: str = Field(description="the name of a [workspace NAME] section")
+    budget: str = Field(description="the name of a [budget NAME] section")
+    sha256: str = Field(
+        pattern=r"^[0-9a-f]{64}$",
+        description="the key's SHA-256 in 64 hexadecimal digits, as 'mothstand hash KEY' prints",
+    )
+
+
+class BudgetSection(SectionModel):
+    """``[budget NAME]``."""
+
+    workspace: str = Field(description="the name of a [workspace NAME] section")
+    paid_tokens: int = Field(ge=0, description="all tokens ever paid for, a running total")
+
+
+class ServiceSection(SectionModel):
+    """``[service NAME]``."""
+
+    tokens_per_call: int = Field(ge=0, description="what one call costs, in tokens")
+    idempotent: bool = Field(description="yes if a call may be repeated, else no")
+
+
+class UpstreamSection(SectionModel):
+    """``[upstream NAME]``."""
+
+    kind: UpstreamKind = Field(description="engine or service")
+    address: str = Field(pattern=r"^[0-9.]+:[0-9]+$", description="IP:PORT")
+    data_centre: str = Field(description="the name of its data centre")
+    serves: Words = Field(min_length=1, description="models (engine) or the service's name")
+    slots: int = Field(8, gt=0, description="how many requests it runs at once, above 0")
+
+
+class StopSection(SectionModel):
+    """``[stop UPSTREAM]``: a planned stop."""
+
+    at_utc: datetime = Field(description="a UTC time as 2026-12-24T03:00:00Z")
+
+
+_MODELS: dict[str, type[SectionModel]] = {
+    "policy": PolicySection,
+    "workspace": WorkspaceSection,
+    "key": KeySection,
+    "budget": BudgetSection,
+    "service": ServiceSection,
+    "upstream": UpstreamSection,
+    "stop": StopSection,
+}
+
+
+def read_folder(folder: Path) -> Sections:
+    """Return the merged sections of the folder's ``*.ini`` files.
+
+    A later file's keys replace an earlier one's, section by section.
+
+    Raises
+    ------
+    SettingsError
+        If the folder holds no INI file, or one that cannot be read or is not valid.
+    """
+    files = sorted(folder.glob("*.ini"))
+    if not files:
+        raise SettingsError(f"{folder.name}: holds no *.ini file; write at least one")
+    merged: Sections = {}
+    source: dict[str, str] = {}
+    for path in files:
+        for section, values in read_file(path).items():
+            merged.setdefault(section, {}).update(values)
+            source[section] = path.name
+    validate_sections(merged, source=source)
+    return merged
+
+
+def validate_sections(sections: Sections, *, source: dict[str, str] | None = None) -> FleetConfig:
+    """Return the sections as a validated configuration.
+
+    Parameters
+    ----------
+    source
+        File of each section, for the errors.
+
+    Raises
+    ------
+    SettingsError
+        Naming file, section, key, bad value and what to write.
+    """
+    models: dict[str, dict[str, SectionModel]] = {kind: {} for kind in _MODELS}
+    for header, values in sections.items():
+        kind, _, name = header.partition(" ")
+        where = (source or {}).get(header, "configuration")
+        _check_header(header, kind, name, where)
+        models[kind][name] = read_section(_MODELS[kind], values, section=header, source=where)
+    config = _build(models)
+    _check_references(config, source or {})
+    return config
+
+
+def _check_header(header: str, kind: str, name: str, where: str) -> None:
+    if kind not in _MODELS:
+        raise SettingsError(f"{where}: [{header}] is unknown; write one of {', '.join(_MODELS)}")
+    if kind == "policy":
+        if name:
+            raise SettingsError(f"{where}: [{header}]: write [policy], without a name")
+    elif not _NAME.fullmatch(name):
+        raise SettingsError(
+            f"{where}: [{header}]: the name {name!r} must be 1 to 63 of a-z 0-9 . _ -"
+        )
+
+
+def _build(models: dict[str, dict[str, SectionModel]]) -> FleetConfig:
+    # model_dump of a validated model gives just the keyword arguments of its data class.
+    policy = models["policy"].get("", PolicySection.model_validate({})).model_dump()
+    escrow = {name: policy.pop(name) for name in EscrowPolicy.__dataclass_fields__}
+    keys = {
+        str(section.model_dump()["sha256"]): CallerKey(name=name, **section.model_dump())
+        for name, section in models["key"].items()
+    }
+    return FleetConfig(
+        workspaces={n: Workspace(name=n, **s.model_dump()) for n, s in models["workspace"].items()},
+        keys_by_sha256=keys,
+        budgets={
+            BudgetName(n): Budget(name=BudgetName(n), **s.model_dump())
+            for n, s in models["budget"].items()
+        },
+        services={n: Service(name=n, **s.model_dump()) for n, s in models["service"].items()},
+        upstreams={n: Upstream(name=n, **s.model_dump()) for n, s in models["upstream"].items()},
+        stops={n: _stop(n, s) for n, s in models["stop"].items() if isinstance(s, StopSection)},
+        escrow=EscrowPolicy(**escrow),
+        **policy,
+    )
+
+
+def _stop(name: str, section: StopSection) -> PlannedStop:
+    at_utc = section.at_utc
+    if at_utc.tzinfo is None:
+        at_utc = at_utc.replace(tzinfo=UTC)
+    return PlannedStop(upstream=name, at_utc=at_utc)
+
+
+def _check_references(config: FleetConfig, source: dict[str, str]) -> None:
+    for key in config.keys_by_sha256.values():
+        header = f"key {key.name}"
+        _check_known(key.workspace, config.workspaces, header, "workspace", source)
+        _check_known(key.budget, config.budgets, header, "budget", source)
+        if config.budgets[key.budget].workspace != key.workspace:
+            raise SettingsError(
+                f"{source.get(header, 'configuration')}: [{header}] budget = {key.budget!r}"
+                f" belongs to workspace {config.budgets[key.budget].workspace!r};"
+                " write a budget of the key's own workspace"
+            )
+    for budget in config.budgets.values():
+        header = f"budget {budget.name}"
+        _check_known(budget.workspace, config.workspaces, header, "workspace", source)
+    for stop in config.stops.values():
+        _check_known(stop.upstream, config.upstreams, f"stop {stop.upstream}", "name", source)
+    for upstream in config.upstreams.values():
+        if upstream.kind is UpstreamKind.SERVICE:
+            for name in upstream.serves:
+                header = f"upstream {upstream.name}"
+                _check_known(name, config.services, header, "serves", source)
+
+
+def _check_known(value: str, known: object, header: str, key: str, source: dict[str, str]) -> None:
+    if isinstance(known, dict) and value not in known:
+        names = ", ".join(sorted(known)[:5]) or "none yet"
+        raise SettingsError(
+            f"{source.get(header, 'configuration')}: [{header}] {key} = {value!r} is not declared;"
+            f" write one of: {names}"
+        )
+
+
+def data_centres(config: FleetConfig) -> set[DataCentre]:
+    """Return the data centres that the configuration names."""
+    return {DataCentre(upstream.data_centre) for upstream in config.upstreams.values()}
--- /dev/null
+++ b/mothstand/settings/ini.py
@@ -0,0 +1,70 @@
+"""Reading INI files into sections, with errors that name file, section and key."""
+
+from __future__ import annotations
+
+from configparser import ConfigParser, Error
+from typing import TYPE_CHECKING, TypeVar
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from ..errors import SettingsError
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+class SectionModel(BaseModel):
+    """Base of the models of sections: unknown keys are errors."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+_Model = TypeVar("_Model", bound=SectionModel)
+
+
+def read_file(path: Path) -> dict[str, dict[str, str]]:
+    """Return the sections of one INI file.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read or parsed.
+    """
+    parser = ConfigParser(interpolation=None, strict=True)
+    try:
+        parser.read_string(path.read_text(encoding="utf-8"), source=path.name)
+    except (OSError, UnicodeDecodeError, Error) as error:
+        raise SettingsError(f"{path.name}: {error}; write an INI file in UTF-8") from error
+    return {name: dict(parser[name]) for name in parser.sections()}
+
+
+def read_section(
+    model: type[_Model], values: dict[str, str], *, section: str, source: str
+) -> _Model:
+    """Return a section's values as its validated model.
+
+    Raises
+    ------
+    SettingsError
+        Naming source, section, key, bad value and what to write.
+    """
+    try:
+        return model.model_validate(values)
+    except ValidationError as error:
+        raise SettingsError(_explain(error, model, section, source)) from error
+
+
+def _explain(error: ValidationError, model: type[_Model], section: str, source: str) -> str:
+    sentences = []
+    for fault in error.errors():
+        key = str(fault["loc"][0]) if fault["loc"] else "(section)"
+        known = model.model_fields.get(key)
+        if fault["type"] == "extra_forbidden":
+            hint = f"remove it; known keys are {', '.join(model.model_fields)}"
+        elif known is not None and known.description:
+            hint = f"write {known.description}"
+        else:
+            hint = fault["msg"]
+        value = "missing" if fault["type"] == "missing" else repr(fault["input"])
+        sentences.append(f"{source}: [{section}] {key} = {value}: {fault['msg']}; {hint}")
+    return "\n".join(sentences)
--- /dev/null
+++ b/mothstand/standins/engine.py
@@ -0,0 +1,238 @@
+"""Stand-in of a model engine: chat completions, whole and streamed, from a made-up model.
+
+Run as ``python -m mothstand.standins.engine --address IP:PORT --name NAME``. The answer to a prompt
+is a function of the prompt, so tests know what is right. Usage counts words of the prompt and
+tokens made. For tests it serves ``GET /journal`` (every request that arrived, and what became of
+it) and ``POST /faults``.
+"""
+
+from __future__ import annotations
+
+import json
+import zlib
+from collections import OrderedDict
+from dataclasses import asdict, dataclass
+from typing import TYPE_CHECKING, Any, Literal
+
+import anyio
+import fire
+from pydantic import BaseModel
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from .serving import run_app
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+    from starlette.types import Receive, Scope, Send
+
+_PREFIX_WORDS = 16
+_CACHED_PREFIXES = 8
+
+
+class EngineFaults(BaseModel):
+    """How the engine fails.
+
+    Parameters
+    ----------
+    mode
+        ``refuse`` answers 503; ``truncate`` ends streams early without a marker; ``cross`` sends
+        an event of another answer; ``silent_usage`` reports no usage.
+    """
+
+    mode: Literal["ok", "refuse", "truncate", "cross", "silent_usage"] = "ok"
+    token_delay_s: float | None = None
+
+
+@dataclass(slots=True)
+class JournalEntry:
+    """One request as the engine saw it."""
+
+    request_id: str
+    prompt_tokens: int
+    completion_tokens: int = 0
+    state: str = "running"
+    cached: bool = False
+
+
+def answer_tokens(prompt: str, count: int) -> list[str]:
+    """Return the `count` tokens that the model makes of a prompt."""
+    seed = zlib.crc32(prompt.encode())
+    return [f"w{(seed + 7919 * position) % 10007} " for position in range(count)]
+
+
+def _prompt(value: dict[str, Any]) -> str:
+    return "\n".join(str(message.get("content", "")) for message in value["messages"])
+
+
+class EngineStandIn:
+    """One engine.
+
+    Parameters
+    ----------
+    token_delay_s
+        Time between two tokens of a stream.
+    prefill_s
+        Time to the first token on a prefix that is not cached.
+    slots
+        Requests that run at once; more wait.
+    """
+
+    def __init__(
+        self, name: str, token_delay_s: float, prefill_s: float, slots: int, chunk_tokens: int
+    ) -> None:
+        self._name = name
+        self._token_delay_s = token_delay_s
+        self._prefill_s = prefill_s
+        self._chunk_tokens = chunk_tokens
+        self._slots = anyio.Semaphore(slots)
+        self._prefixes: OrderedDict[str, None] = OrderedDict()
+        self._journal: list[JournalEntry] = []
+        self._faults = EngineFaults()
+        self._answers = 0
+
+    async def complete(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve a chat completion."""
+        from starlette.requests import Request as _Request
+
+        request = _Request(scope, receive)
+        value = await request.json()
+        if self._faults.mode == "refuse":
+            await JSONResponse({"error": "full"}, status_code=503)(scope, receive, send)
+            return
+        prompt = _prompt(value)
+        entry = JournalEntry(request.headers.get("x-request-id", ""), len(prompt.split()))
+        self._journal.append(entry)
+        count = min(int(value.get("max_tokens", 16)), 16 + zlib.crc32(prompt.encode()) % 48)
+        if "tokens_wanted" in value:
+            count = min(int(value["max_tokens"]), int(value["tokens_wanted"]))
+        tokens = answer_tokens(prompt, count)
+        async with anyio.create_task_group() as tasks:
+
+            async def watch() -> None:
+                while (await receive())["type"] != "http.disconnect":
+                    pass
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(watch)
+            async with self._slots:
+                await self._prefill(prompt, entry)
+                if value.get("stream"):
+                    await self._stream(value, tokens, entry, send)
+                else:
+                    await self._whole(value, tokens, entry, send)
+            tasks.cancel_scope.cancel()
+        if entry.state == "running":
+            entry.state = "cancelled"
+
+    async def journal(self, _: Request) -> Response:
+        """Return every request that arrived."""
+        return JSONResponse([asdict(entry) for entry in self._journal])
+
+    async def set_faults(self, request: Request) -> Response:
+        """Fail from now on as ordered."""
+        self._faults = EngineFaults.model_validate_json(await request.body())
+        return JSONResponse({})
+
+    def app(self) -> Starlette:
+        """Return the application."""
+        app = Starlette(
+            routes=[
+                Route("/journal", self.journal, methods=["GET"]),
+                Route("/faults", self.set_faults, methods=["POST"]),
+            ]
+        )
+        app.router.default = self.complete
+        return app
+
+    async def _prefill(self, prompt: str, entry: JournalEntry) -> None:
+        prefix = " ".join(prompt.split()[:_PREFIX_WORDS])
+        entry.cached = prefix in self._prefixes
+        self._prefixes[prefix] = None
+        self._prefixes.move_to_end(prefix)
+        while len(self._prefixes) > _CACHED_PREFIXES:
+            self._prefixes.popitem(last=False)
+        if not entry.cached and self._prefill_s:
+            await anyio.sleep(self._prefill_s)
+
+    async def _whole(
+        self, value: dict[str, Any], tokens: list[str], entry: JournalEntry, send: Send
+    ) -> None:
+        if self._token_delay_s:
+            await anyio.sleep(self._token_delay_s * len(tokens))
+        entry.completion_tokens = len(tokens)
+        entry.state = "finished"
+        body: dict[str, Any] = self._head(value, "chat.completion")
+        message = {"role": "assistant", "content": "".join(tokens)}
+        body["choices"] = [{"index": 0, "message": message, "finish_reason": "stop"}]
+        if self._faults.mode != "silent_usage":
+            body["usage"] = self._usage(entry)
+        response = JSONResponse(body)
+        headers = response.raw_headers
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": response.body})
+
+    async def _stream(
+        self, value: dict[str, Any], tokens: list[str], entry: JournalEntry, send: Send
+    ) -> None:
+        headers = [(b"content-type", b"text/event-stream")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        head = self._head(value, "chat.completion.chunk")
+        delay_s = self._faults.token_delay_s
+        delay_s = self._token_delay_s if delay_s is None else delay_s
+        for start in range(0, len(tokens), self._chunk_tokens):
+            piece = tokens[start : start + self._chunk_tokens]
+            entry.completion_tokens += len(piece)
+            if self._faults.mode == "truncate" and start > len(tokens) // 2:
+                entry.state = "truncated"
+                await send({"type": "http.response.body", "body": b""})
+                return
+            chunk_head = head
+            if self._faults.mode == "cross" and start > len(tokens) // 2:
+                chunk_head = {**head, "id": "chatcmpl-of-another"}
+            delta = {"content": "".join(piece)}
+            choices = [{"index": 0, "delta": delta, "finish_reason": None}]
+            await self._send_event(send, {**chunk_head, "choices": choices}, entry)
+            if delay_s:
+                await anyio.sleep(delay_s * len(piece))
+        finish = [{"index": 0, "delta": {}, "finish_reason": "stop"}]
+        await self._send_event(send, {**head, "choices": finish}, entry)
+        await self._send_event(send, {**head, "choices": []}, entry)
+        entry.state = "finished"
+        await send({"type": "http.response.body", "body": b"data: [DONE]\n\n"})
+
+    async def _send_event(self, send: Send, event: dict[str, Any], entry: JournalEntry) -> None:
+        if self._faults.mode != "silent_usage":
+            event["usage"] = self._usage(entry)
+        data = b"data: " + json.dumps(event).encode() + b"\n\n"
+        await send({"type": "http.response.body", "body": data, "more_body": True})
+
+    def _head(self, value: dict[str, Any], kind: str) -> dict[str, Any]:
+        self._answers += 1
+        answer_id = f"chatcmpl-{self._name}-{self._answers}"
+        return {"id": answer_id, "object": kind, "created": 0, "model": value["model"]}
+
+    def _usage(self, entry: JournalEntry) -> dict[str, int]:
+        return {
+            "prompt_tokens": entry.prompt_tokens,
+            "completion_tokens": entry.completion_tokens,
+            "total_tokens": entry.prompt_tokens + entry.completion_tokens,
+        }
+
+
+def main(
+    address: str,
+    name: str,
+    token_delay_s: float = 0.002,
+    prefill_s: float = 0.01,
+    slots: int = 16,
+    chunk_tokens: int = 1,
+) -> None:
+    """Serve the stand-in at ``IP:PORT``."""
+    engine = EngineStandIn(name, token_delay_s, prefill_s, slots, chunk_tokens)
+    run_app(engine.app(), address)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/mothstand/standins/service.py
@@ -0,0 +1,92 @@
+"""Stand-in of a plain service, whose calls have an effect that must not be doubled.
+
+Run as ``python -m mothstand.standins.service --address IP:PORT --name NAME``. Each call is one
+effect, whatever its key: the stand-in does not deduplicate. ``GET /journal`` lists the effects,
+``POST /faults`` makes it fail.
+"""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass
+from typing import TYPE_CHECKING, Literal
+
+import anyio
+import fire
+from pydantic import BaseModel
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from .serving import run_app
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+
+
+class ServiceFaults(BaseModel):
+    """How the service fails; ``lose`` has the effect and then breaks the connection."""
+
+    mode: Literal["ok", "refuse", "lose"] = "ok"
+    delay_s: float = 0.0
+
+
+class LostAnswerError(Exception):
+    """Breaks the connection in place of an answer."""
+
+
+@dataclass(slots=True)
+class Effect:
+    """One effect."""
+
+    request_id: str
+    body: str
+
+
+class ServiceStandIn:
+    """One plain service."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._effects: list[Effect] = []
+        self._faults = ServiceFaults()
+
+    async def call(self, request: Request) -> Response:
+        """Have one effect and answer its number."""
+        body = (await request.body()).decode(errors="replace")
+        if self._faults.mode == "refuse":
+            return JSONResponse({"error": "not run"}, status_code=503)
+        self._effects.append(Effect(request.headers.get("x-request-id", ""), body))
+        number = len(self._effects)
+        if self._faults.delay_s:
+            await anyio.sleep(self._faults.delay_s)
+        if self._faults.mode == "lose":
+            raise LostAnswerError
+        return JSONResponse({"service": self._name, "effect": number, "echo": body})
+
+    async def journal(self, _: Request) -> Response:
+        """Return the effects."""
+        return JSONResponse([asdict(effect) for effect in self._effects])
+
+    async def set_faults(self, request: Request) -> Response:
+        """Fail from now on as ordered."""
+        self._faults = ServiceFaults.model_validate_json(await request.body())
+        return JSONResponse({})
+
+    def app(self) -> Starlette:
+        """Return the application."""
+        return Starlette(
+            routes=[
+                Route("/journal", self.journal, methods=["GET"]),
+                Route("/faults", self.set_faults, methods=["POST"]),
+                Route("/{path:path}", self.call, methods=["POST"]),
+            ]
+        )
+
+
+def main(address: str, name: str) -> None:
+    """Serve the stand-in at ``IP:PORT``."""
+    run_app(ServiceStandIn(name).app(), address)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/mothstand/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Public assertions, fakes and checkers for tests of the fleet."""
--- /dev/null
+++ b/mothstand/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package."""
--- /dev/null
+++ b/mothstand/tests/conftest.py
@@ -0,0 +1,45 @@
+"""Fixtures: fleets of real processes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from ..testing.examples import write_folder
+from ..testing.fleet import Fleet, wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+
+@pytest.fixture
+def empty_fleet(tmp_path: Path) -> Iterator[Fleet]:
+    """Return a fleet with a platform stand-in only."""
+    with Fleet(tmp_path) as fleet:
+        fleet.start_platform()
+        yield fleet
+
+
+@pytest.fixture
+def pair(empty_fleet: Fleet, tmp_path: Path) -> Fleet:
+    """Return two instances in one data centre, with an engine and services, configured."""
+    fleet = empty_fleet
+    fleet.start_engine("llm-a", "sto-a")
+    fleet.start_engine("llm-b", "sto-a")
+    fleet.start_service("formatter-a", "sto-a")
+    fleet.start_service("renewer-a", "sto-a")
+    fleet.start_instance("sto-a-1", "sto-a")
+    fleet.start_instance("sto-a-2", "sto-a")
+    published = fleet.publish(write_folder(tmp_path / "folder", fleet))
+    assert published.returncode == 0, published.stderr
+    fleet.wait_ready("sto-a-1", "sto-a-2")
+    wait_until(lambda: _all_witnessed(fleet), "no witnessed epochs")
+    return fleet
+
+
+def _all_witnessed(fleet: Fleet) -> bool:
+    status = fleet.run_command("status", f"--settings={fleet.operator_settings()}").stdout
+    lines = [line for line in status.splitlines() if line.startswith("shard ")]
+    return len(lines) == fleet.shards and not any("witness none" in line for line in lines)
