--- /dev/null
+++ b/benchmarks/escrow.py
@@ -0,0 +1,179 @@
+"""Escrow policy under failure: overspend, false refusals, stranded tokens, appends.
+
+Run ``python -m benchmarks.escrow`` for the table at today's sizes, with ``--user`` for the other
+user and ``--scale 100`` for a hundred times the load. Every row runs the ledger, the same without
+witnesses ("write-off") and an even split, on the same arrivals. Counts only, in fake time: the same
+every run.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+import fire
+from absl import logging
+
+from mothstand.core.escrow import EscrowPolicy
+from mothstand.types import BudgetName
+
+from .world import PLACES, Demand, EvenSplitLedger, FleetLedger, Result, World
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .world import Ledger
+
+WARM_S = 300.0
+AFTER_S = 120.0
+HOUR_S = 3600.0
+
+#: Callers' demand of the two users, as one instance's share of their runners can carry it.
+USERS = {
+    "kallhanvisa": Demand(requests_per_s=30.0, budgets=10),
+    "doto": Demand(requests_per_s=12.0, budgets=10),
+}
+POLICIES = {
+    "kallhanvisa": EscrowPolicy(),
+    "doto": EscrowPolicy(allowance_percent=0, promotion_percent=25),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """One failure.
+
+    Parameters
+    ----------
+    budget_hours
+        How many hours of demand each budget covers; small ones end within the run.
+    """
+
+    name: str
+    act: Callable[[World], None]
+    budget_hours: float = 12.0
+
+
+def _steady(world: World) -> None:
+    world.run(AFTER_S)
+
+
+def _kill(who: str) -> Callable[[World], None]:
+    def act(world: World) -> None:
+        world.ledger.kill(PLACES[0], who)
+        world.run(AFTER_S)
+
+    return act
+
+
+def _cut(world: World) -> None:
+    world.ledger.cut(PLACES[0], off=True)
+    world.run(HOUR_S)
+    world.ledger.cut(PLACES[0], off=False)
+    world.run(AFTER_S)
+
+
+def _cut_and_kill(world: World) -> None:
+    world.ledger.cut(PLACES[0], off=True)
+    world.run(60.0)
+    world.ledger.kill(PLACES[0], "holder")
+    world.run(600.0)
+    world.ledger.cut(PLACES[0], off=False)
+    world.run(AFTER_S)
+
+
+SCENARIOS = (
+    Scenario("steady", _steady),
+    Scenario("kill holder", _kill("holder")),
+    Scenario("kill witness", _kill("witness")),
+    Scenario("kill both", _kill("both")),
+    Scenario("hour's cut", _cut),
+    Scenario("cut, then kill holder", _cut_and_kill),
+    Scenario("budgets end", _steady, budget_hours=0.1),
+    Scenario("budgets end, kill holder", _kill("holder"), budget_hours=0.1),
+)
+
+
+def paid_for(demand: Demand, hours: float) -> dict[BudgetName, int]:
+    """Return budgets that cover `hours` of the demand, the larger ones more."""
+    weights = [1 / rank for rank in range(1, demand.budgets + 1)]
+    total = demand.requests_per_s * demand.used_tokens * hours * HOUR_S
+    return {
+        BudgetName(f"budget-{i}"): int(total * weight / sum(weights))
+        for i, weight in enumerate(weights)
+    }
+
+
+def run_one(kind: str, scenario: Scenario, demand: Demand, policy: EscrowPolicy) -> Result:
+    """Run one scenario on one way to share budgets.
+
+    Parameters
+    ----------
+    kind
+        ``witnessed``, ``write-off`` or ``even split``.
+    """
+    paid = paid_for(demand, scenario.budget_hours)
+    warm = Result()
+    ledger: Ledger
+    if kind == "even split":
+        ledger = EvenSplitLedger(paid)
+    else:
+        ledger = FleetLedger(policy, paid, warm, witnessed=kind == "witnessed")
+    world = World(ledger, demand, paid, seed=1)
+    world.result = warm
+    world.run(WARM_S)
+    result = Result(overspent_tokens=warm.overspent_tokens)
+    world.result = result
+    if isinstance(ledger, FleetLedger):
+        ledger.result = result
+    scenario.act(world)
+    result.stranded_tokens = ledger.stranded_tokens()
+    return result
+
+
+def rows(user: str, scale: float, skew: float, only: str = "") -> list[tuple[str, str, Result]]:
+    """Return scenario, kind and result of every run of a user."""
+    base = USERS[user]
+    demand = Demand(
+        requests_per_s=base.requests_per_s * scale,
+        budgets=round(base.budgets * max(1.0, scale / 10)),
+        skew=skew,
+    )
+    found = []
+    for scenario in SCENARIOS:
+        if only and only != scenario.name:
+            continue
+        for kind in ("witnessed", "write-off", "even split"):
+            found.append((scenario.name, kind, run_one(kind, scenario, demand, POLICIES[user])))
+    return found
+
+
+def main(
+    user: str = "kallhanvisa", scale: float = 1.0, skew: float = 0.34, only: str = "", **policy: int
+) -> None:
+    """Print the table.
+
+    Parameters
+    ----------
+    only
+        Name of a scenario.
+    policy
+        Settings of the escrow policy to change.
+    """
+    logging.set_verbosity(logging.FATAL)
+    POLICIES[user] = replace(POLICIES[user], **policy)
+    print(f"{user}, x{scale:g}, {100 * skew:.0f}% of the demand in the data centre that fails")
+    print(
+        f"{'scenario':26} {'ledger':11} {'requests':>8} {'overspent':>9} {'false %':>8}"
+        f" {'stranded':>10} {'appends/1000':>12}"
+    )
+    for scenario, kind, result in rows(user, scale, skew, only):
+        print(
+            f"{scenario:26} {kind:11} {result.requests:8} {result.overspent_tokens:9}"
+            f" {result.false_percent:8.3f} {result.stranded_tokens:10}"
+            f" {result.appends_per_1000:12.2f}"
+        )
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/benchmarks/world.py
@@ -0,0 +1,496 @@
+"""Drives the real ledger (fold, accounts, policy, leadership) through fake time.
+
+Three data centres with two instances each share budgets. The log shows a record to its readers one
+step after its append; peers answer at once; a dead instance is suspected after a while and replaced
+later. Only what surrounds the decisions is made up: arrivals, durations, the log, liveness.
+"""
+
+from __future__ import annotations
+
+import random
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from mothstand.core.accounts import Lane
+from mothstand.core.config import Budget, FleetConfig, Upstream, UpstreamKind
+from mothstand.core.ledger_fold import Grant
+from mothstand.core.membership import shard_of
+from mothstand.ledger.calls import Ticket
+from mothstand.ledger.shard import ShardNode
+from mothstand.ledger.state import ShardContext
+from mothstand.settings.instance import TimingSection
+from mothstand.testing.fakes import FakeBeliefs, FakeClock, FakeWriter, NoPeers
+from mothstand.types import BudgetName, DataCentre, Epoch, Member, Shard
+
+if TYPE_CHECKING:
+    from mothstand.core.escrow import EscrowPolicy
+    from mothstand.core.records import LedgerRecord
+
+STEP_S = 0.25
+SUSPECT_AFTER_S = 1.0
+REPLACED_AFTER_S = 30.0
+WAIT_S = 1.5
+PLACES = (DataCentre("a"), DataCentre("b"), DataCentre("c"))
+SHARDS = 8
+BILL_GATHER_S = 60.0
+BILL_LINES = 250
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What callers ask for.
+
+    Parameters
+    ----------
+    requests_per_s
+        Of all data centres and budgets together.
+    skew
+        Share of the first data centre; the others halve the rest.
+    """
+
+    requests_per_s: float
+    budgets: int
+    skew: float = 1 / 3
+    bound_tokens: int = 700
+    used_tokens: int = 300
+    duration_s: float = 3.0
+
+
+@dataclass(slots=True)
+class Result:
+    """What one run counted."""
+
+    requests: int = 0
+    served: int = 0
+    true_refusals: int = 0
+    false_refusals: int = 0
+    stranded_tokens: int = 0
+    overspent_tokens: int = 0
+    ledger_appends: int = 0
+    bill_appends: int = 0
+
+    @property
+    def false_percent(self) -> float:
+        """False refusals as a share of all requests."""
+        return 100 * self.false_refusals / max(1, self.requests)
+
+    @property
+    def appends_per_1000(self) -> float:
+        """Appends for 1,000 served requests."""
+        return 1000 * (self.ledger_appends + self.bill_appends) / max(1, self.served)
+
+
+@dataclass(slots=True)
+class Request:
+    """One request; `number` is of its reservation once it has one."""
+
+    place: DataCentre
+    budget: BudgetName
+    bound_tokens: int
+    used_tokens: int
+    deadline_s: float
+    ends_s: float = 0.0
+    handle: object = None
+
+
+class Ledger(ABC):
+    """A way to share budgets between data centres."""
+
+    @abstractmethod
+    def step(self, now_s: float) -> None:
+        """Let time pass."""
+
+    @abstractmethod
+    def reserve(self, request: Request, now_s: float) -> bool:
+        """Reserve, or return whether there is nothing now."""
+
+    @abstractmethod
+    def settle(self, request: Request) -> None:
+        """End a request."""
+
+    @abstractmethod
+    def kill(self, place: DataCentre, who: str) -> None:
+        """Kill ``holder``, ``witness`` or ``both`` of a data centre, in all shards."""
+
+    @abstractmethod
+    def cut(self, place: DataCentre, *, off: bool) -> None:
+        """Cut a data centre off from the platform, or join it again."""
+
+    @abstractmethod
+    def stranded_tokens(self) -> int:
+        """Return what nobody can spend any more."""
+
+
+class World:
+    """Demand against a ledger, in fake time."""
+
+    def __init__(
+        self, ledger: Ledger, demand: Demand, paid: dict[BudgetName, int], seed: int
+    ) -> None:
+        self.ledger = ledger
+        self.demand = demand
+        self.result = Result()
+        self.now_s = 1000.0
+        self._rng = random.Random(seed)
+        self._left = dict(paid)
+        self._running: list[Request] = []
+        self._waiting: list[Request] = []
+        self._names = list(paid)
+        self._bills: dict[DataCentre, tuple[int, float]] = {}
+        # A few are large: the budgets' shares fall off as 1/rank.
+        self._weights = [1 / rank for rank in range(1, len(paid) + 1)]
+
+    def run(self, seconds: float) -> None:
+        """Let `seconds` pass."""
+        for _ in range(round(seconds / STEP_S)):
+            self.now_s += STEP_S
+            self.ledger.step(self.now_s)
+            self._end_requests()
+            waiting, self._waiting = self._waiting, []
+            for request in [*waiting, *self._arrivals()]:
+                self._try(request)
+
+    def _arrivals(self) -> list[Request]:
+        mean = self.demand.requests_per_s * STEP_S
+        count = int(mean) + (self._rng.random() < mean - int(mean))
+        skew = self.demand.skew
+        places = self._rng.choices(PLACES, (skew, (1 - skew) / 2, (1 - skew) / 2), k=count)
+        budgets = self._rng.choices(self._names, self._weights, k=count)
+        self.result.requests += count
+        return [self._request(p, b) for p, b in zip(places, budgets, strict=True)]
+
+    def _request(self, place: DataCentre, budget: BudgetName) -> Request:
+        bound = self._rng.randint(self.demand.bound_tokens // 2, self.demand.bound_tokens * 3 // 2)
+        used = min(bound, max(1, int(self._rng.expovariate(1 / self.demand.used_tokens))))
+        return Request(place, budget, bound, used, self.now_s + WAIT_S)
+
+    def _try(self, request: Request) -> None:
+        if self.ledger.reserve(request, self.now_s):
+            self._left[request.budget] -= request.bound_tokens
+            if self._left[request.budget] < 0:
+                self.result.overspent_tokens -= self._left[request.budget]
+            request.ends_s = self.now_s + self._rng.expovariate(1 / self.demand.duration_s)
+            self._running.append(request)
+            self.result.served += 1
+            self._bill(request)
+        elif self._left[request.budget] < request.bound_tokens:
+            self.result.true_refusals += 1
+        elif self.now_s < request.deadline_s:
+            self._waiting.append(request)
+        else:
+            self.result.false_refusals += 1
+
+    def _bill(self, request: Request) -> None:
+        """Count the bill towards its instance's next append, as `LogWriter` paces them."""
+        lines, since_s = self._bills.get(request.place, (0, self.now_s))
+        lines += 1
+        # Two instances share a data centre's requests.
+        if lines >= 2 * BILL_LINES or self.now_s - since_s >= BILL_GATHER_S:
+            self.result.bill_appends += 2
+            lines, since_s = 0, self.now_s
+        self._bills[request.place] = (lines, since_s)
+
+    def _end_requests(self) -> None:
+        running = []
+        for request in self._running:
+            if request.ends_s > self.now_s:
+                running.append(request)
+                continue
+            self.ledger.settle(request)
+            self._left[request.budget] += request.bound_tokens - request.used_tokens
+        self._running = running
+
+
+@dataclass(slots=True)
+class _Process:
+    """One instance of the fleet: its nodes, and what it believes."""
+
+    me: Member
+    place: DataCentre
+    beliefs: FakeBeliefs
+    clock: FakeClock
+    nodes: dict[Shard, ShardNode] = field(default_factory=dict)
+    writers: dict[Shard, FakeWriter[LedgerRecord]] = field(default_factory=dict)
+    read: dict[Shard, int] = field(default_factory=dict)
+    dead_at_s: float | None = None
+    log_silent_s: float = 0.0
+
+
+class _LoneBeliefs(FakeBeliefs):
+    """Sees the others alive but takes none for a witness."""
+
+    def alive_here(self, now_s: float) -> dict[str, Member]:
+        """Return this one, and the others only while this one is not the first."""
+        alive = super().alive_here(now_s)
+        first = min(alive)
+        return {self.me.name: self.me} if first == self.me.name else {first: alive[first]}
+
+
+class FleetLedger(Ledger):
+    """The product's ledger.
+
+    Parameters
+    ----------
+    witnessed
+        Whether epochs get witnesses; without, a kill writes the grant off.
+    """
+
+    def __init__(
+        self,
+        policy: EscrowPolicy,
+        paid: dict[BudgetName, int],
+        result: Result,
+        *,
+        witnessed: bool = True,
+    ) -> None:
+        budgets = {name: Budget(name, "w", tokens) for name, tokens in paid.items()}
+        upstreams = {
+            str(place): Upstream(place, UpstreamKind.ENGINE, "", place, ("m",), 1)
+            for place in PLACES
+        }
+        self.config = FleetConfig(budgets=budgets, upstreams=upstreams, escrow=policy)
+        self.result = result
+        self._witnessed = witnessed
+        self._now_s = 1000.0
+        self._logs: dict[Shard, list[LedgerRecord]] = {Shard(i): [] for i in range(SHARDS)}
+        self._cut: dict[DataCentre, float] = {}
+        self._paid: dict[Shard, dict[BudgetName, int]] = {Shard(i): {} for i in range(SHARDS)}
+        for name, tokens in paid.items():
+            self._paid[self._shard(name)][name] = tokens
+        self._started = 0
+        self.processes = {
+            f"{place}-{i}": self._start(f"{place}-{i}", place) for place in PLACES for i in (1, 2)
+        }
+
+    def step(self, now_s: float) -> None:
+        """Read, act and append, for every live instance."""
+        self._now_s = now_s
+        self._replace_dead(now_s)
+        self._believe(now_s)
+        for process in self._live():
+            process.clock.advance(STEP_S)
+            since = self._cut.get(process.place)
+            process.log_silent_s = 0.0 if since is None else now_s - since
+            for shard, node in process.nodes.items():
+                if since is None:
+                    self._read(process, shard)
+                node.tick(self._paid[shard])
+                self._mirror(node)
+        for process in self._live():
+            if process.place not in self._cut:
+                self._append(process)
+
+    def reserve(self, request: Request, now_s: float) -> bool:
+        """Reserve at the data centre's leaseholder, or its promoted witness."""
+        shard = self._shard(request.budget)
+        for process in self._live(request.place):
+            node = process.nodes[shard]
+            if node.state.leading() is not None:
+                return self._reserve_leading(node, request)
+            if node.state.promoted() is not None and self._reserve_promoted(node, request):
+                return True
+        return False
+
+    def settle(self, request: Request) -> None:
+        """Settle at whichever side takes it."""
+        ticket = request.handle
+        assert isinstance(ticket, Ticket)
+        for process in self._live(request.place):
+            reserver = process.nodes[ticket.shard].reserver
+            if reserver.settle(ticket, request.used_tokens, ""):
+                reserver.posted(ticket)
+                return
+
+    def kill(self, place: DataCentre, who: str) -> None:
+        """Kill the instance that leads (or witnesses) the most shards, or both."""
+        live = self._live(place)
+
+        def led(process: _Process) -> int:
+            return sum(node.state.leading() is not None for node in process.nodes.values())
+
+        live.sort(key=led, reverse=True)
+        victims = {"holder": live[:1], "witness": live[1:], "both": live}[who]
+        for process in victims:
+            process.dead_at_s = self._now_s
+
+    def cut(self, place: DataCentre, *, off: bool) -> None:
+        """Cut a data centre off from the platform, or join it again."""
+        if off:
+            self._cut[place] = self._now_s
+        else:
+            del self._cut[place]
+
+    def stranded_tokens(self) -> int:
+        """Return what superseded epochs hold back, as the log tells it."""
+        process = next(p for p in self._live() if p.place not in self._cut)
+        return sum(
+            process.nodes[self._shard(name)].state.fold.stranded_tokens(name)
+            for name in self.config.budgets
+        )
+
+    def _shard(self, budget: BudgetName) -> Shard:
+        return Shard(shard_of(budget, SHARDS))
+
+    def _live(self, place: DataCentre | None = None) -> list[_Process]:
+        return [
+            p
+            for p in self.processes.values()
+            if p.dead_at_s is None and (place is None or p.place == place)
+        ]
+
+    def _start(self, name: str, place: DataCentre) -> _Process:
+        self._started += 1
+        me = Member(name, f"{name}:{self._started}", name)
+        clock = FakeClock()
+        clock.advance(self._now_s - clock.monotonic_s())
+        beliefs = (FakeBeliefs if self._witnessed else _LoneBeliefs)(me, place)
+        process = _Process(me, place, beliefs, clock)
+        context = ShardContext(
+            membership=process.beliefs,
+            calls=NoPeers(),
+            clock=clock,
+            timing=TimingSection.model_validate({}),
+            config=lambda: self.config,
+            log_silent_s=lambda: process.log_silent_s,
+            data_centres=lambda: len(PLACES),
+        )
+        for number in range(SHARDS):
+            shard = Shard(number)
+            writer: FakeWriter[LedgerRecord] = FakeWriter(me.incarnation)
+            process.writers[shard] = writer
+            process.read[shard] = 0
+            process.nodes[shard] = ShardNode(shard, writer, context, lambda _line: None)  # type: ignore[arg-type]
+        return process
+
+    def _replace_dead(self, now_s: float) -> None:
+        for name, process in list(self.processes.items()):
+            if process.dead_at_s is not None and now_s - process.dead_at_s > REPLACED_AFTER_S:
+                self.processes[name] = self._start(name, process.place)
+
+    def _believe(self, now_s: float) -> None:
+        for process in self._live():
+            believed = {
+                p.me.name: p.me
+                for p in self.processes.values()
+                if p.place == process.place
+                and p is not process
+                and (p.dead_at_s is None or now_s - p.dead_at_s < SUSPECT_AFTER_S)
+            }
+            process.beliefs.believed_alive = believed
+
+    def _read(self, process: _Process, shard: Shard) -> None:
+        log = self._logs[shard]
+        while process.read[shard] < len(log):
+            process.read[shard] += 1
+            process.nodes[shard].on_record(process.read[shard], log[process.read[shard] - 1])
+
+    def _append(self, process: _Process) -> None:
+        for shard, writer in process.writers.items():
+            if writer.queue:
+                self._logs[shard].extend(writer.queue)
+                writer.queue.clear()
+                self.result.ledger_appends += 1
+
+    def _mirror(self, node: ShardNode) -> None:
+        leading = node.state.leading()
+        if leading is None or leading[0].witness is None:
+            return
+        state, account = leading
+        assert state.witness is not None
+        witness = self.processes[state.witness.name]
+        while (batch := account.take_batch()) is not None:
+            answer = None
+            if (
+                witness.dead_at_s is None
+                and state.epoch in witness.nodes[node.state.shard].state.witnesses
+            ):
+                answer = witness.nodes[node.state.shard].reserver.mirror(batch)
+            node.reserver.witness_reachable = answer is not None
+            if answer is None:
+                return
+            for taken in account.batch_acked(batch.number, answer):
+                node.agent.on_acknowledged(Epoch(batch.epoch), taken.number)
+
+    def _reserve_leading(self, node: ShardNode, request: Request) -> bool:
+        leading = node.state.leading()
+        assert leading is not None
+        state, account = leading
+        node.agent.add_demand(request.budget, request.bound_tokens)
+        grant = state.grants.get(request.budget, Grant())
+        lane = account.main_lane if node.reserver.witness_reachable else Lane.OWN
+        taken = account.reserve("", request.budget, request.bound_tokens, grant=grant, lane=lane)
+        if taken is not None and lane is Lane.WITNESSED:
+            self._mirror(node)
+            if taken.number not in account.open or not node.reserver.witness_reachable:
+                account.settle(taken.number, 0)
+                taken = None
+        needed = node.state.needed_tokens
+        if taken is None:
+            needed[request.budget] = request.bound_tokens
+            node.agent.ask()
+            return False
+        needed[request.budget] = 0
+        node.agent.ask()
+        request.handle = Ticket(node.state.shard, state.epoch, taken.number, "", "")
+        return True
+
+    def _reserve_promoted(self, node: ShardNode, request: Request) -> bool:
+        promoted = node.state.promoted()
+        assert promoted is not None
+        state, account = promoted
+        grant = state.grants.get(request.budget, Grant())
+        taken = account.reserve_own("", request.budget, request.bound_tokens, grant=grant)
+        if taken is None:
+            return False
+        request.handle = Ticket(node.state.shard, state.epoch, taken.number, "", "")
+        return True
+
+
+class EvenSplitLedger(Ledger):
+    """Baseline: each data centre gets an equal share of every budget, once and for all.
+
+    The share lives in one instance's memory; when that dies, it is written off.
+    """
+
+    def __init__(self, paid: dict[BudgetName, int]) -> None:
+        self._left = {
+            (place, name): tokens // len(PLACES)
+            for place in PLACES
+            for name, tokens in paid.items()
+        }
+        self._stranded = 0
+
+    def step(self, now_s: float) -> None:
+        """Do nothing: nothing moves."""
+
+    def reserve(self, request: Request, now_s: float) -> bool:
+        """Reserve from the data centre's share."""
+        key = (request.place, request.budget)
+        if self._left[key] < request.bound_tokens:
+            return False
+        self._left[key] -= request.bound_tokens
+        request.handle = key
+        return True
+
+    def settle(self, request: Request) -> None:
+        """Give back what was not used."""
+        key = (request.place, request.budget)
+        if self._left[key] >= 0 and request.handle == key:
+            self._left[key] += request.bound_tokens - request.used_tokens
+
+    def kill(self, place: DataCentre, who: str) -> None:
+        """Write the data centre's shares off when their holder dies."""
+        if who == "witness":
+            return
+        for key, left in self._left.items():
+            if key[0] == place:
+                self._stranded += left
+                self._left[key] = -1
+
+    def cut(self, place: DataCentre, *, off: bool) -> None:
+        """Do nothing: a share needs no platform."""
+
+    def stranded_tokens(self) -> int:
+        """Return what was written off."""
+        return self._stranded
--- a/mothstand/entry/instance.py
+++ b/mothstand/entry/instance.py
@@ -22,7 +22,7 @@
 from ..platform.instances import HttpInstanceList
 from ..platform.log import HttpLog
 from ..platform.reader import LogReader
-from ..platform.writer import LogWriter
+from ..platform.writer import LogWriter, Pace
 from ..settings.instance import Address, InstanceSettings
 from ..streams import BILLS_STREAM, CONFIG_STREAM, INTENTS_STREAM, ledger_stream
 from ..types import Member
@@ -44,7 +44,8 @@
     from ..types import Shard
 
 _TICK_S = 0.1
-_INTENTS_APPEND_S = 0.005
+_INTENTS_INTERVAL_S = 0.005
+_BILLS_INTERVAL_S = 0.2
 _DRAIN_CHECK_S = 0.05
 #: Time at a stop for the successors' epochs and the last appends to reach the log.
 _HAND_OVER_S = 5.0
@@ -85,10 +86,13 @@
             settings.instance.ledger_shards,
             self._shard_context(),
             self._make_ledger_writer,
-            self._make_writer(BILLS_STREAM, timing.bills_append_s),
+            self._make_writer(
+                BILLS_STREAM,
+                Pace(_BILLS_INTERVAL_S, timing.bills_append_s, timing.bills_append_lines),
+            ),
         )
         self._claims = IntentClaims(
-            self.me, self._make_writer(INTENTS_STREAM, _INTENTS_APPEND_S), clock
+            self.me, self._make_writer(INTENTS_STREAM, Pace(_INTENTS_INTERVAL_S)), clock
         )
         self._listing = HttpInstanceList(
             settings.platform.address, caller=name, timeout_s=timing.log_timeout_s
@@ -165,19 +169,19 @@
             data_centres=self._count_data_centres,
         )
 
-    def _make_writer(self, stream: str, least_interval_s: float) -> LogWriter[Any]:
+    def _make_writer(self, stream: str, pace: Pace) -> LogWriter[Any]:
         writer: LogWriter[Any] = LogWriter(
             self._log,
             stream,
             author=self.me.incarnation,
             clock=self._clock,
-            least_interval_s=least_interval_s,
+            pace=pace,
         )
         self._writers.append(writer)
         return writer
 
     def _make_ledger_writer(self, shard: Shard) -> LogWriter[LedgerRecord]:
-        return self._make_writer(ledger_stream(shard), self._settings.timing.ledger_append_s)
+        return self._make_writer(ledger_stream(shard), Pace(self._settings.timing.ledger_append_s))
 
     def _make_readers(self) -> list[LogReader]:
         readers = [self._config_reader]
@@ -284,6 +288,8 @@
         with anyio.move_on_after(self._settings.timing.drain_s):
             while self._context.activity.running or self._ledger.unsettled:
                 await self._clock.sleep(_DRAIN_CHECK_S)
+        for writer in self._writers:
+            writer.hurry()
         with anyio.move_on_after(_HAND_OVER_S):
             while self._ledger.leads_any(self._others_here()) or self._pending_appends():
                 await self._clock.sleep(_DRAIN_CHECK_S)
--- a/mothstand/ledger/reserver.py
+++ b/mothstand/ledger/reserver.py
@@ -239,12 +239,12 @@
             if ticket is not None:
                 self.agent.ask()
                 return ticket
-            refused = self._shortage(call, waited=False)
+            refused = self.shortage(call, waited=False)
             left_s = deadline_s - state.context.clock.monotonic_s()
             if refused is not None:
                 return refused
             if left_s <= 0:
-                return self._shortage(call, waited=True) or Refused(ErrorKind.LEDGER_UNAVAILABLE)
+                return self.shortage(call, waited=True) or Refused(ErrorKind.LEDGER_UNAVAILABLE)
             await self._wait_for_escrow(call, left_s)
 
     async def _try_reserve(
@@ -294,7 +294,7 @@
         finally:
             needed[call.budget] -= call.bound_tokens
 
-    def _shortage(self, call: ReserveCall, *, waited: bool) -> Refused | None:
+    def shortage(self, call: ReserveCall, *, waited: bool) -> Refused | None:
         """Return why the budget does not cover the call, or None when waiting may help."""
         leading = self._state.leading()
         if leading is None:
--- a/mothstand/ledger/service.py
+++ b/mothstand/ledger/service.py
@@ -27,6 +27,7 @@
 #: Time for a takeover to finish while a request waits: suspicion plus the new epoch's append.
 _FIND_HOLDER_S = 3.0
 _FIND_AGAIN_S = 0.1
+_POSTED_EVERY_S = 1.0
 _SETTLE_RETRY_S = 0.25
 _SETTLE_TRIES = 240
 
@@ -184,7 +185,7 @@
 
     async def _run_posted(self) -> None:
         while True:
-            await self._context.clock.sleep(self._context.timing.bills_append_s)
+            await self._context.clock.sleep(_POSTED_EVERY_S)
             in_log, self._in_log = self._in_log, []
             by_holder: dict[str, list[Ticket]] = {}
             for ticket in in_log:
--- a/mothstand/ledger/shard.py
+++ b/mothstand/ledger/shard.py
@@ -38,6 +38,9 @@
 #: it is billed at its upper bound.
 ORPHAN_HOLD_S = 120.0
 
+#: Seconds between two looks at requests whose instance may have died.
+SWEEP_EVERY_S = 2.0
+
 
 class ShardNode:
     """One ledger shard at one instance.
@@ -67,6 +70,7 @@
         self._opening: RecordId | None = None
         self._reported: dict[tuple[Epoch, Side], tuple[BudgetSpend, ...]] = {}
         self._orphaned_at_s: dict[str, float] = {}
+        self._sweep_at_s = 0.0
 
     def on_record(self, offset: int, record: LedgerRecord) -> None:
         """Apply one record of the shard's stream."""
@@ -96,9 +100,12 @@
             self.agent.pay(paid_tokens)
             self.agent.ask()
             self.agent.give_back()
-        self._bill_for_the_dead(now_s)
-        self._report_late_settlements()
-        self.state.requests.expire(now_s)
+        if now_s >= self._sweep_at_s:
+            # These look at every open reservation, so not each time.
+            self._sweep_at_s = now_s + SWEEP_EVERY_S
+            self._bill_for_the_dead(now_s)
+            self._report_late_settlements()
+            self.state.requests.expire(now_s)
 
     def close(self) -> None:
         """Close the led epoch without a successor, at a stop."""
--- a/mothstand/platform/writer.py
+++ b/mothstand/platform/writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 import anyio
@@ -24,6 +25,25 @@
 _BACKOFF_MOST_S = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """When a writer appends.
+
+    Parameters
+    ----------
+    least_interval_s
+        Least time between two appends.
+    gather_s
+        How long the first record waits for more to share its append.
+    full_records
+        As many records do not wait.
+    """
+
+    least_interval_s: float
+    gather_s: float = 0.0
+    full_records: int = 1
+
+
 class LogWriter(Generic[_R]):
     """Appends records of one author to one stream, in order.
 
@@ -31,9 +51,8 @@
     ----------
     author
         The process's incarnation; with the sequence number it makes the record id.
-    least_interval_s
-        Least time between two appends: group commit, and the author's share of the rate that the
-        log allows for all of us together.
+    pace
+        When to append: the author's share of the rate that the log allows for all of us together.
 
     Notes
     -----
@@ -43,14 +62,16 @@
     """
 
     def __init__(
-        self, log: LogClient, stream: str, *, author: str, clock: Clock, least_interval_s: float
+        self, log: LogClient, stream: str, *, author: str, clock: Clock, pace: Pace
     ) -> None:
         self.stream = stream
         self.appends = 0
         self._log = log
         self._author = author
         self._clock = clock
-        self._least_interval_s = least_interval_s
+        self._pace = pace
+        self._full = anyio.Event()
+        self._hurried = False
         self._sequence = 0
         self._queue: list[_R] = []
         self._wake = anyio.Event()
@@ -67,8 +88,15 @@
         record = make(RecordId(self._author, self._sequence))
         self._queue.append(record)
         self._wake.set()
+        if len(self._queue) >= self._pace.full_records:
+            self._full.set()
         return record
 
+    def hurry(self) -> None:
+        """Append at once from now on, as before a stop."""
+        self._hurried = True
+        self._full.set()
+
     def on_appended(self, callback: Callable[[tuple[_R, ...]], None]) -> None:
         """Call `callback` with the records of each append that was answered."""
         self._appended.append(callback)
@@ -77,8 +105,9 @@
         """Append what is queued, until cancelled."""
         while True:
             await self._wake.wait()
+            await self._gather()
             await self.flush()
-            await self._clock.sleep(self._least_interval_s)
+            await self._clock.sleep(self._pace.least_interval_s)
 
     async def flush(self) -> None:
         """Append what is queued now."""
@@ -89,6 +118,22 @@
             for callback in self._appended:
                 callback(batch)
         self._wake = anyio.Event()
+        if not self._hurried:
+            self._full = anyio.Event()
+
+    async def _gather(self) -> None:
+        """Let more records come, until there are enough or the first has waited long."""
+        if not self._pace.gather_s:
+            return
+        async with anyio.create_task_group() as tasks:
+
+            async def wait_until_full() -> None:
+                await self._full.wait()
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(wait_until_full)
+            await self._clock.sleep(self._pace.gather_s)
+            tasks.cancel_scope.cancel()
 
     async def _append(self, payload: bytes) -> None:
         backoff_s = _BACKOFF_FIRST_S
--- a/mothstand/settings/instance.py
+++ b/mothstand/settings/instance.py
@@ -62,7 +62,10 @@
     probes_per_s: float = Field(16.0, gt=0, description="most heartbeats sent a second, above 0")
     suspect_after_s: float = Field(1.0, gt=0, description="seconds of silence, above 0")
     ledger_append_s: float = Field(0.2, gt=0, description="least seconds between ledger appends")
-    bills_append_s: float = Field(1.0, gt=0, description="least seconds between bill appends")
+    bills_append_s: float = Field(
+        60.0, gt=0, description="seconds that a bill waits for more to share its append, above 0"
+    )
+    bills_append_lines: int = Field(250, gt=0, description="bills that do not wait, above 0")
     mirror_timeout_s: float = Field(0.3, gt=0, description="seconds above 0")
     grant_wait_s: float = Field(1.5, gt=0, description="seconds above 0")
     log_timeout_s: float = Field(1.0, gt=0, description="seconds above 0")
--- a/mothstand/testing/fleet.py
+++ b/mothstand/testing/fleet.py
@@ -88,7 +88,7 @@
 
     folder: Path
     shards: int = 2
-    timing: str = ""
+    timing: str = "bills_append_s = 0.5"
     command: tuple[str, ...] = (sys.executable, "-m", "mothstand.cli")
     processes: dict[str, FleetProcess] = field(default_factory=dict)
     _number: int = 0
