Spend a budget to its end: allowance, one that gives way, no small refills, backoff

A timeline showed three things: the allowances (22,000 tokens) stayed locked after the rest was gone; each data centre that waited kept its own rest, too small for its next request; and asks for a sixth of what is ungranted came with nearly every request. Change: the allowance is spent once the log has nothing left; all but one waiting data centre give way; refills below a quarter of what is free are left out; unmet asks back off to 32 s.

--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -16,7 +16,7 @@
 from mothstand.core.config import Budget, FleetConfig, Upstream, UpstreamKind
 from mothstand.core.ledger_fold import Grant
 from mothstand.core.membership import shard_of
-from mothstand.ledger.calls import Ticket
+from mothstand.ledger.calls import ReserveCall, Ticket
 from mothstand.ledger.shard import ShardNode
 from mothstand.ledger.state import ShardContext
 from mothstand.settings.instance import TimingSection
@@ -276,6 +276,7 @@
                 if since is None:
                     self._read(process, shard)
                 node.tick(self._paid[shard])
+                node.state.needed_tokens.clear()
                 self._mirror(node)
         for process in self._live():
             if process.place not in self._cut:
@@ -418,23 +419,36 @@
         state, account = leading
         node.agent.add_demand(request.budget, request.bound_tokens)
         grant = state.grants.get(request.budget, Grant())
-        lane = account.main_lane if node.reserver.witness_reachable else Lane.OWN
-        taken = account.reserve("", request.budget, request.bound_tokens, grant=grant, lane=lane)
-        if taken is not None and lane is Lane.WITNESSED:
-            self._mirror(node)
-            if taken.number not in account.open or not node.reserver.witness_reachable:
-                account.settle(taken.number, 0)
-                taken = None
-        needed = node.state.needed_tokens
+        taken = None
+        for lane in node.reserver.lanes(account, request.budget):
+            taken = account.reserve(
+                "", request.budget, request.bound_tokens, grant=grant, lane=lane
+            )
+            if taken is not None and lane is Lane.WITNESSED:
+                self._mirror(node)
+                if taken.number not in account.open or not node.reserver.witness_reachable:
+                    account.settle(taken.number, 0)
+                    taken = None
+            if taken is not None:
+                break
         if taken is None:
-            needed[request.budget] = request.bound_tokens
-            node.agent.ask()
+            self._wait(node, request)
             return False
-        needed[request.budget] = 0
         node.agent.ask()
         request.handle = Ticket(node.state.shard, state.epoch, taken.number, "", "")
         return True
 
+    def _wait(self, node: ShardNode, request: Request) -> None:
+        """Wait for escrow, unless the ledger says that there is none to come."""
+        shard = node.state.shard
+        call = ReserveCall(shard, "", request.budget, request.bound_tokens, "", keyed=False)
+        if node.reserver.shortage(call, waited=False) is not None:
+            request.deadline_s = 0.0
+            return
+        needed = node.state.needed_tokens
+        needed[request.budget] = needed.get(request.budget, 0) + request.bound_tokens
+        node.agent.ask()
+
     def _reserve_promoted(self, node: ShardNode, request: Request) -> bool:
         promoted = node.state.promoted()
         assert promoted is not None
--- a/mothstand/core/escrow.py
+++ b/mothstand/core/escrow.py
@@ -9,6 +9,14 @@
 
 import math
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from .membership import rank
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..types import BudgetName, DataCentre
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,7 +116,7 @@
     if not view.witnessed:
         target = target * policy.unwitnessed_percent / 100
     # Room for a handful of the largest requests, lest a quiet budget asks for each one.
-    return int(max(target, 4 * view.largest_tokens))
+    return int(max(target, _HANDFUL * view.largest_tokens))
 
 
 def ask_tokens(policy: EscrowPolicy, view: EscrowView) -> int:
@@ -118,11 +126,29 @@
     if short <= 0 and view.free_tokens * 100 >= target * policy.refill_below_percent:
         return 0
     share = view.ungranted_tokens * policy.end_share_percent // (100 * view.data_centres)
-    wanted = min(target - view.free_tokens, share)
+    handful = _HANDFUL * view.largest_tokens
+    wanted = min(target - view.free_tokens, max(share, min(view.ungranted_tokens, handful)))
+    if short <= 0 and wanted * _SMALL_REFILL < view.free_tokens:
+        # Near the end the target is out of reach, and asking for a little less each time would
+        # cost an append for nearly every request.
+        return 0
     # What waits now is asked for in full: the fold grants no more than there is.
     return max(wanted, short, 0)
 
 
+def gives_way(budget: BudgetName, here: DataCentre, waiting: Iterable[DataCentre]) -> bool:
+    """Return whether a data centre that waits for escrow itself should give all it has free.
+
+    Notes
+    -----
+    At a budget's end each data centre may hold a rest too small for its next request, while the
+    rests together would do. Were each to keep its own, nobody could spend them. So all but one
+    give way; the budget's name decides who, so that all decide alike.
+    """
+    order = rank(waiting, budget)
+    return here in order and here != order[0]
+
+
 def surplus_tokens(policy: EscrowPolicy, view: EscrowView, unmet_tokens: int) -> int:
     """Return how many free tokens to give back for another data centre's unmet ask.
 
@@ -136,5 +162,11 @@
     return max(0, min(spare, unmet_tokens))
 
 
+#: Large requests that a quiet budget has room for.
+_HANDFUL = 4
+
+#: A refill of less than one in so many of the free tokens is not worth an append.
+_SMALL_REFILL = 4
+
 #: Seconds of own demand that are kept when another data centre asks.
 _KEEP_S = 2.0
--- a/mothstand/ledger/escrow_agent.py
+++ b/mothstand/ledger/escrow_agent.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..core.accounts import HolderAccount, Lane
-from ..core.escrow import Demand, EscrowView, ask_tokens, surplus_tokens
+from ..core.escrow import Demand, EscrowView, ask_tokens, gives_way, surplus_tokens
 from ..core.ledger_fold import EpochState, Grant
 from ..core.records import BudgetPaid, EscrowReturned, GrantAsk, GrantAsked, LedgerRecord, RecordId
 from ..events import Event, emit
@@ -18,6 +19,27 @@
     from .state import ShardState
 
 
+#: Seconds after an ask that got less than it wanted, before the next; doubles up to the most.
+_UNMET_FIRST_S = 1.0
+_UNMET_MOST_S = 32.0
+
+
+@dataclass(slots=True)
+class _UnmetAsks:
+    """Asks in a row that got less than they wanted.
+
+    At a budget's end they would go on for each request, two appends a time, in every data centre.
+    """
+
+    delay_s: float = _UNMET_FIRST_S
+    again_at_s: float = 0.0
+
+    def add(self, now_s: float) -> None:
+        """Count one more, and wait longer before the next."""
+        self.again_at_s = now_s + self.delay_s
+        self.delay_s = min(_UNMET_MOST_S, 2 * self.delay_s)
+
+
 class EscrowAgent:
     """Applies the escrow policy to the epochs that this instance leads.
 
@@ -38,6 +60,7 @@
         self._want_mirror = want_mirror
         self._demands: dict[BudgetName, Demand] = {}
         self._asked: dict[BudgetName, RecordId] = {}
+        self._unmet: dict[BudgetName, _UnmetAsks] = {}
         self._paid_submitted: dict[BudgetName, int] = {}
         self._returning: dict[tuple[Epoch, int], tuple[BudgetName, int]] = {}
 
@@ -51,6 +74,15 @@
 
     def on_grant(self, record: GrantAsked) -> None:
         """Note that an ask was decided, whatever the decision."""
+        here = self._state.context.membership.data_centre
+        now_s = self._state.context.clock.monotonic_s()
+        for budget, asked in self._asked.items():
+            if asked != record.record_id:
+                continue
+            if here in self._state.fold.unmet.get(budget, {}):
+                self._unmet.setdefault(budget, _UnmetAsks()).add(now_s)
+            else:
+                self._unmet.pop(budget, None)
         self._asked = {b: asked for b, asked in self._asked.items() if asked != record.record_id}
 
     def pay(self, budgets: dict[BudgetName, int]) -> None:
@@ -87,8 +119,12 @@
         here = self._state.context.membership.data_centre
         for budget, waiting in list(self._state.fold.unmet.items()):
             unmet = sum(tokens for dc, tokens in waiting.items() if dc != here)
-            if unmet > 0 and here not in waiting and budget in leading[0].grants:
+            if unmet <= 0 or budget not in leading[0].grants:
+                continue
+            if here not in waiting:
                 self._give_back_one(leading, budget, unmet)
+            elif gives_way(budget, here, waiting):
+                self.return_tokens(budget, self._view(leading, budget).free_tokens)
 
     def on_acknowledged(self, epoch: Epoch, number: int) -> None:
         """Take the witness's word that a reservation stands; if it was for a return, return it."""
@@ -112,10 +148,8 @@
         if budget in self._asked:
             return None
         view = self._view(leading, budget)
-        if view.ungranted_tokens <= 0 and (
-            view.needed_tokens <= view.free_tokens or not self.held_by_others(budget)
-        ):
-            # Nothing to get, and nobody whom an unmet ask would move to give back.
+        short_tokens = view.needed_tokens - view.free_tokens
+        if view.ungranted_tokens < max(1, short_tokens) and not self._may_move_others(budget, view):
             return None
         policy = self._state.context.config().escrow
         tokens = ask_tokens(policy, view)
@@ -132,6 +166,14 @@
             promotion_tokens=share * policy.promotion_percent // 100,
         )
 
+    def _may_move_others(self, budget: BudgetName, view: EscrowView) -> bool:
+        """Return whether an ask that gets nothing is worth its append: others may give back."""
+        if view.needed_tokens <= view.free_tokens or not self.held_by_others(budget):
+            return False
+        now_s = self._state.context.clock.monotonic_s()
+        unmet = self._unmet.get(budget)
+        return unmet is None or now_s >= unmet.again_at_s
+
     def _view(self, leading: tuple[EpochState, HolderAccount], budget: BudgetName) -> EscrowView:
         epoch_state, account = leading
         context = self._state.context
@@ -162,8 +204,7 @@
         policy = self._state.context.config().escrow
         pending = sum(t for b, t in self._returning.values() if b == budget)
         tokens = surplus_tokens(policy, view, unmet_tokens - view.ungranted_tokens - pending)
-        if tokens > 0:
-            self.return_tokens(budget, tokens)
+        self.return_tokens(budget, tokens)
 
     def return_tokens(self, budget: BudgetName, tokens: int) -> None:
         """Give back free tokens of the led epoch, as far as they are free.
@@ -172,7 +213,7 @@
         here, not even after this process died in between.
         """
         leading = self._state.leading()
-        if leading is None or budget not in leading[0].grants:
+        if tokens <= 0 or leading is None or budget not in leading[0].grants:
             return
         epoch_state, account = leading
         taken = account.reserve(
--- a/mothstand/ledger/reserver.py
+++ b/mothstand/ledger/reserver.py
@@ -14,7 +14,7 @@
 from .calls import KnownKey, NotHolder, PeerError, Refused, ReserveCall, ReserveReply, Ticket
 
 if TYPE_CHECKING:
-    from ..types import Epoch
+    from ..types import BudgetName, Epoch
     from .escrow_agent import EscrowAgent
     from .state import ShardState
 
@@ -252,10 +252,7 @@
     ) -> Ticket | None:
         epoch_state, account = leading
         grant = epoch_state.grants.get(call.budget, Grant())
-        lanes = [Lane.OWN]
-        if account.witnessed and self.witness_reachable:
-            lanes = [Lane.WITNESSED, Lane.OWN]
-        for lane in lanes:
+        for lane in self.lanes(account, call.budget):
             taken = account.reserve(
                 call.request_id,
                 call.budget,
@@ -265,14 +262,36 @@
                 owner=call.owner,
             )
             if taken is None:
-                if lane is Lane.WITNESSED:
-                    # No room is no reason to spend the allowance, which is for a lost witness.
-                    return None
                 continue
             if lane is Lane.OWN or await self._acknowledged(epoch_state.epoch, taken):
                 return self._ticket(epoch_state, taken)
             account.settle(taken.number, 0)
-        return None
+        if self.witness_reachable or not account.witnessed:
+            return None
+        # The witness was lost while this request waited for it.
+        taken = account.reserve(
+            call.request_id,
+            call.budget,
+            call.bound_tokens,
+            grant=grant,
+            lane=Lane.OWN,
+            owner=call.owner,
+        )
+        return None if taken is None else self._ticket(epoch_state, taken)
+
+    def lanes(self, account: HolderAccount, budget: BudgetName) -> list[Lane]:
+        """Return the lanes that a request may draw on now, in order.
+
+        Notes
+        -----
+        The allowance is for a lost witness, and is kept while the log has more to give. At the
+        budget's end it is spent: holding it back would refuse requests that are paid for.
+        """
+        if not account.witnessed or not self.witness_reachable:
+            return [Lane.OWN]
+        if self._state.fold.ungranted_tokens(budget) > 0:
+            return [Lane.WITNESSED]
+        return [Lane.WITNESSED, Lane.OWN]
 
     async def _acknowledged(self, epoch: Epoch, taken: Reservation) -> bool:
         waiting = _Waiting()
