--- a/mothstand/core/stream_check.py
+++ b/mothstand/core/stream_check.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 
+from pydantic_core import from_json
+
 _DONE = b"data: [DONE]"
 _DATA = b"data:"
 _END = b"\n\n"
@@ -103,7 +104,7 @@
             # Comments and other fields keep a connection open; they carry nothing.
             return False
         try:
-            value = json.loads(event[len(_DATA) :])
+            value = from_json(event[len(_DATA) :])
         except ValueError as error:
             raise BrokenStreamError("an event is not JSON") from error
         if not isinstance(value, dict) or "error" in value:
--- a/mothstand/testing/fleet.py
+++ b/mothstand/testing/fleet.py
@@ -144,7 +144,7 @@
         )
         arguments = (*self.command, "serve", f"--settings={path}")
         process = FleetProcess(
-            name, self._popen(name, arguments), address, peers_address, data_centre
+            name, self.popen(name, arguments), address, peers_address, data_centre
         )
         self.processes[name] = process
         if listed:
@@ -217,13 +217,14 @@
             f"--address={address}",
             *flags,
         )
-        process = FleetProcess(name, self._popen(name, arguments), address)
+        process = FleetProcess(name, self.popen(name, arguments), address)
         self.processes[name] = process
         host, _, port = address.rpartition(":")
         wait_until(lambda: _accepts(host, int(port)), f"{name} does not listen")
         return process
 
-    def _popen(self, name: str, arguments: tuple[str, ...]) -> subprocess.Popen[bytes]:
+    def popen(self, name: str, arguments: tuple[str, ...]) -> subprocess.Popen[bytes]:
+        """Start a process with its output in the folder."""
         self._number += 1
         log = (self.folder / f"{self._number:02}-{name}.log").open("wb")
         with log:
