--- a/mothstand/core/config.py
+++ b/mothstand/core/config.py
@@ -7,13 +7,21 @@
 from typing import TYPE_CHECKING
 
 from .escrow import EscrowPolicy
-from .records import ACCEPTED, ConfigPublished, Outcome, SectionChange, refused
+from .records import (
+    ACCEPTED,
+    ConfigPublished,
+    ConfigSnapshot,
+    Outcome,
+    SectionChange,
+    refused,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from datetime import datetime
 
     from ..types import BudgetName, DataCentre
+    from .records import RecordId
 
 #: Section header to its keys and values, as written.
 Sections = dict[str, dict[str, str]]
@@ -180,6 +188,22 @@
         )
         return outcome
 
+    def snapshot(self, record_id: RecordId, at_offset: int) -> ConfigSnapshot:
+        """Return the state as a record, as of the last offset that was read."""
+        return ConfigSnapshot(
+            record_id=record_id,
+            at_offset=at_offset,
+            offset=self.state.offset,
+            sections=diff_sections({}, self.state.sections),
+            last_sequences=tuple(self._last_sequence.items()),
+        )
+
+    def load(self, snapshot: ConfigSnapshot) -> None:
+        """Take the state that a snapshot tells of."""
+        sections = apply_changes({}, snapshot.sections)
+        self.state = ConfigState(snapshot.offset, sections, self._validate(sections))
+        self._last_sequence = dict(snapshot.last_sequences)
+
     def _decide(self, offset: int, record: ConfigPublished) -> Outcome:
         if record.base_offset != self.state.offset:
             winner = self._author_of_accepted()
--- a/mothstand/core/ledger_fold.py
+++ b/mothstand/core/ledger_fold.py
@@ -19,17 +19,26 @@
     BudgetPaid,
     BudgetSpend,
     EpochClosed,
+    EpochImage,
     EpochOpened,
     EscrowReturned,
     GrantAsk,
     GrantAsked,
+    GrantImage,
     LedgerRecord,
+    LedgerSnapshot,
     Outcome,
     RecordId,
     Side,
     refused,
 )
 
+#: Epochs of a data centre that are kept one by one, so that late settlements still count.
+KEPT_EPOCHS = 4
+
+#: Authors in a snapshot whose last sequence number is kept; older ones have long gone.
+KEPT_AUTHORS = 10_000
+
 
 @dataclass(slots=True)
 class Grant:
@@ -149,6 +158,7 @@
         self.epochs: dict[Epoch, EpochState] = {}
         self.current: dict[DataCentre, Epoch] = {}
         self.unmet: dict[BudgetName, dict[DataCentre, int]] = {}
+        self._retired: dict[BudgetName, int] = {}
         self._consumed: dict[BudgetName, int] = {}
         self._last_sequence: dict[str, int] = {}
 
@@ -177,6 +187,10 @@
         epoch = self.current.get(data_centre)
         return None if epoch is None else self.epochs[epoch]
 
+    def retired_tokens(self, budget: BudgetName) -> int:
+        """Return what epochs consumed that are kept only as a sum."""
+        return self._retired.get(budget, 0)
+
     def ungranted_tokens(self, budget: BudgetName) -> int:
         """Return what is paid and in no epoch's hands."""
         return self.paid_tokens.get(budget, 0) - self._consumed.get(budget, 0)
@@ -189,7 +203,7 @@
         without
             An epoch to leave out, whose account the caller has at hand.
         """
-        total = 0
+        total = self._retired.get(budget, 0)
         for state in self.epochs.values():
             grant = state.grants.get(budget)
             if grant is None or state.epoch == without:
@@ -239,8 +253,50 @@
             prior_epoch=record.prior_epoch,
         )
         self.current[record.data_centre] = epoch
+        self._retire(record.data_centre)
         return ACCEPTED
 
+    def _retire(self, data_centre: DataCentre) -> None:
+        """Keep only the sum of old settled epochs, so that memory does not grow with takeovers."""
+        mine = sorted(e for e, state in self.epochs.items() if state.data_centre == data_centre)
+        for epoch in mine[:-KEPT_EPOCHS]:
+            state = self.epochs[epoch]
+            if not state.settled:
+                continue
+            for budget in state.grants:
+                consumed = state.consumed_tokens(budget)
+                self._retired[budget] = self._retired.get(budget, 0) + consumed
+            del self.epochs[epoch]
+
+    def snapshot(self, record_id: RecordId) -> LedgerSnapshot:
+        """Return the state as a record."""
+        return LedgerSnapshot(
+            record_id=record_id,
+            at_offset=self.offset,
+            paid=tuple(sorted(self.paid_tokens.items())),
+            retired=tuple(sorted(self._retired.items())),
+            epochs=tuple(_epoch_image(state) for _, state in sorted(self.epochs.items())),
+            current=tuple(sorted(self.current.items())),
+            last_sequences=tuple(self._last_sequence.items())[-KEPT_AUTHORS:],
+        )
+
+    @classmethod
+    def load(cls, shard: Shard, snapshot: LedgerSnapshot) -> LedgerFold:
+        """Return the state that a snapshot tells of."""
+        fold = cls(shard)
+        fold.offset = snapshot.at_offset
+        fold.paid_tokens = dict(snapshot.paid)
+        fold._retired = dict(snapshot.retired)
+        fold.epochs = {image.epoch: _epoch_state(image) for image in snapshot.epochs}
+        fold.current = dict(snapshot.current)
+        fold._last_sequence = dict(snapshot.last_sequences)
+        fold._consumed = dict(fold._retired)
+        for state in fold.epochs.values():
+            for budget in state.grants:
+                consumed = fold._consumed.get(budget, 0) + state.consumed_tokens(budget)
+                fold._consumed[budget] = consumed
+        return fold
+
     def _grant(self, record: GrantAsked) -> Outcome:
         state = self.epochs.get(record.epoch)
         if state is None or self.current.get(state.data_centre) != record.epoch:
@@ -321,6 +377,57 @@
                 grant.witness = kept
 
 
+def _epoch_image(state: EpochState) -> EpochImage:
+    return EpochImage(
+        epoch=state.epoch,
+        data_centre=state.data_centre,
+        holder=state.holder,
+        witness=state.witness,
+        prior_epoch=state.prior_epoch,
+        holder_closed=state.holder_closed,
+        witness_closed=state.witness_closed,
+        grants=tuple(_grant_image(name, grant) for name, grant in sorted(state.grants.items())),
+    )
+
+
+def _epoch_state(image: EpochImage) -> EpochState:
+    return EpochState(
+        epoch=image.epoch,
+        data_centre=image.data_centre,
+        holder=image.holder,
+        witness=image.witness,
+        prior_epoch=image.prior_epoch,
+        holder_closed=image.holder_closed,
+        witness_closed=image.witness_closed,
+        grants={grant.budget: _grant(grant) for grant in image.grants},
+    )
+
+
+def _grant_image(budget: BudgetName, grant: Grant) -> GrantImage:
+    return GrantImage(
+        budget=budget,
+        granted_tokens=grant.granted_tokens,
+        allowance_tokens=grant.allowance_tokens,
+        promotion_tokens=grant.promotion_tokens,
+        returned_tokens=grant.returned_tokens,
+        reported_tokens=grant.reported_tokens,
+        holder=grant.holder,
+        witness=grant.witness,
+    )
+
+
+def _grant(image: GrantImage) -> Grant:
+    return Grant(
+        granted_tokens=image.granted_tokens,
+        allowance_tokens=image.allowance_tokens,
+        promotion_tokens=image.promotion_tokens,
+        returned_tokens=image.returned_tokens,
+        reported_tokens=image.reported_tokens,
+        holder=image.holder,
+        witness=image.witness,
+    )
+
+
 def _lower(said: BudgetSpend, now: BudgetSpend) -> BudgetSpend:
     """Return the smaller of two reports of one side; settling only ever lowers a closed side."""
     return BudgetSpend(
--- a/mothstand/core/records.py
+++ b/mothstand/core/records.py
@@ -233,9 +233,78 @@
     kind: Literal["config_published"] = "config_published"
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigSnapshot:
+    """The accepted configuration as of `at_offset`, for readers that start after trimming.
+
+    Parameters
+    ----------
+    offset
+        Of the record that put it in force.
+    """
+
+    record_id: RecordId
+    at_offset: int
+    offset: int
+    sections: tuple[SectionChange, ...]
+    last_sequences: tuple[tuple[str, int], ...]
+    kind: Literal["config_snapshot"] = "config_snapshot"
+
+
+@dataclass(frozen=True, slots=True)
+class GrantImage:
+    """One grant in a snapshot; the fields are those of `ledger_fold.Grant`."""
+
+    budget: BudgetName
+    granted_tokens: int
+    allowance_tokens: int
+    promotion_tokens: int
+    returned_tokens: int
+    reported_tokens: int
+    holder: BudgetSpend | None
+    witness: BudgetSpend | None
+
+
+@dataclass(frozen=True, slots=True)
+class EpochImage:
+    """One epoch in a snapshot; the fields are those of `ledger_fold.EpochState`."""
+
+    epoch: Epoch
+    data_centre: DataCentre
+    holder: Member
+    witness: Member | None
+    prior_epoch: Epoch
+    holder_closed: bool
+    witness_closed: bool
+    grants: tuple[GrantImage, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerSnapshot:
+    """A ledger shard as of `at_offset`, for readers that start after trimming.
+
+    Parameters
+    ----------
+    retired
+        What epochs consumed that are no longer kept one by one.
+    current
+        The current epoch of each data centre.
+    """
+
+    record_id: RecordId
+    at_offset: int
+    paid: tuple[tuple[BudgetName, int], ...]
+    retired: tuple[tuple[BudgetName, int], ...]
+    epochs: tuple[EpochImage, ...]
+    current: tuple[tuple[DataCentre, Epoch], ...]
+    last_sequences: tuple[tuple[str, int], ...]
+    kind: Literal["ledger_snapshot"] = "ledger_snapshot"
+
+
+SnapshotRecord = ConfigSnapshot | LedgerSnapshot
 LedgerRecord = BudgetPaid | EpochOpened | GrantAsked | EscrowReturned | EpochClosed
 IntentRecord = RunIntended | RunEnded
-Record = LedgerRecord | IntentRecord | BillsPosted | ConfigPublished
+Record = LedgerRecord | IntentRecord | BillsPosted | ConfigPublished | SnapshotRecord
 
 
 @dataclass(frozen=True, slots=True)
--- a/mothstand/entry/instance.py
+++ b/mothstand/entry/instance.py
@@ -12,7 +12,13 @@
 from hypercorn.config import Config as HypercornConfig
 
 from ..core.membership import Membership
-from ..core.records import ConfigPublished, IntentRecord, LedgerRecord
+from ..core.records import (
+    ConfigPublished,
+    ConfigSnapshot,
+    IntentRecord,
+    LedgerRecord,
+    LedgerSnapshot,
+)
 from ..core.routing import Router
 from ..events import Event, emit
 from ..ledger.service import LedgerService
@@ -94,6 +100,7 @@
         self._claims = IntentClaims(
             self.me, self._make_writer(INTENTS_STREAM, Pace(_INTENTS_INTERVAL_S)), clock
         )
+        self._config_writer = self._make_writer(CONFIG_STREAM, Pace(1.0))
         self._listing = HttpInstanceList(
             settings.platform.address, caller=name, timeout_s=timing.log_timeout_s
         )
@@ -107,7 +114,13 @@
             self._on_peer_config,
             seeds=settings.peers.seeds,
         )
-        self._config_reader = LogReader(self._log, CONFIG_STREAM, self._apply_config, clock=clock)
+        self._config_reader = LogReader(
+            self._log,
+            CONFIG_STREAM,
+            self._apply_config,
+            clock=clock,
+            load=self._load_config,
+        )
         self._readers = self._make_readers()
         self._context = EntryContext(
             config=lambda: self._configuration.state,
@@ -180,7 +193,7 @@
         self._writers.append(writer)
         return writer
 
-    def _make_ledger_writer(self, shard: Shard) -> LogWriter[LedgerRecord]:
+    def _make_ledger_writer(self, shard: Shard) -> LogWriter[LedgerRecord | LedgerSnapshot]:
         return self._make_writer(ledger_stream(shard), Pace(self._settings.timing.ledger_append_s))
 
     def _make_readers(self) -> list[LogReader]:
@@ -189,7 +202,13 @@
         for shard, node in self._ledger.shards.items():
             apply: Callable[[int, Any], None] = node.on_record
             readers.append(
-                LogReader(self._log, ledger_stream(shard), _ledger_only(apply), clock=self._clock)
+                LogReader(
+                    self._log,
+                    ledger_stream(shard),
+                    _ledger_only(apply),
+                    clock=self._clock,
+                    load=_ledger_snapshot_only(node.load),
+                )
             )
         return readers
 
@@ -206,9 +225,13 @@
     # -- what the parts call back ---------------------------------------------------------------
 
     def _apply_config(self, offset: int, record: object) -> None:
-        if isinstance(record, ConfigPublished):
+        if isinstance(record, ConfigPublished | ConfigSnapshot):
             self._configuration.on_record(offset, record)
 
+    def _load_config(self, snapshot: object) -> None:
+        if isinstance(snapshot, ConfigSnapshot):
+            self._configuration.load(snapshot)
+
     def _apply_intent(self, offset: int, record: object) -> None:
         if isinstance(record, IntentRecord):
             self._claims.on_record(offset, record)
@@ -249,8 +272,14 @@
         while True:
             self._ledger.tick()
             self._context.answers.expire(self._clock.monotonic_s())
+            self._snapshot_config()
             await self._clock.sleep(_TICK_S)
 
+    def _snapshot_config(self) -> None:
+        now_s = self._clock.monotonic_s()
+        names = sorted([self.me.name, *self._membership.peers])
+        self._configuration.snapshot_if_due(self._config_writer, names.index(self.me.name), now_s)
+
     def _ready_to_lead(self) -> bool:
         """Whether peers were probed and the streams read, so that epochs are not opened blindly."""
         return self._heartbeats.probed and all(reader.caught_up for reader in self._readers)
@@ -303,12 +332,20 @@
 
 def _ledger_only(apply: Callable[[int, Any], None]) -> Callable[[int, Any], None]:
     def apply_ledger(offset: int, record: object) -> None:
-        if isinstance(record, LedgerRecord):
+        if isinstance(record, LedgerRecord | LedgerSnapshot):
             apply(offset, record)
 
     return apply_ledger
 
 
+def _ledger_snapshot_only(load: Callable[[LedgerSnapshot], None]) -> Callable[[object], None]:
+    def load_ledger(snapshot: object) -> None:
+        if isinstance(snapshot, LedgerSnapshot):
+            load(snapshot)
+
+    return load_ledger
+
+
 async def _run_coroutine(work: Coroutine[Any, Any, None]) -> None:
     await work
 
--- a/mothstand/ledger/escrow_agent.py
+++ b/mothstand/ledger/escrow_agent.py
@@ -8,7 +8,15 @@
 from ..core.accounts import HolderAccount, Lane
 from ..core.escrow import Demand, EscrowView, ask_tokens, gives_way, surplus_tokens
 from ..core.ledger_fold import EpochState, Grant
-from ..core.records import BudgetPaid, EscrowReturned, GrantAsk, GrantAsked, LedgerRecord, RecordId
+from ..core.records import (
+    BudgetPaid,
+    EscrowReturned,
+    GrantAsk,
+    GrantAsked,
+    LedgerRecord,
+    LedgerSnapshot,
+    RecordId,
+)
 from ..events import Event, emit
 
 if TYPE_CHECKING:
@@ -52,7 +60,7 @@
     def __init__(
         self,
         state: ShardState,
-        writer: LogWriter[LedgerRecord],
+        writer: LogWriter[LedgerRecord | LedgerSnapshot],
         want_mirror: Callable[[], None],
     ) -> None:
         self._state = state
--- a/mothstand/ledger/reserver.py
+++ b/mothstand/ledger/reserver.py
@@ -113,7 +113,7 @@
     def mirror(self, batch: MirrorBatch) -> MirrorAnswer | None:
         """Answer a holder as its witness; None says "not me"."""
         witness = self._state.witnesses.get(batch.epoch)
-        if witness is None:
+        if witness is None or batch.epoch not in self._state.fold.epochs:
             # A process restarted at the witness's address has no account of the epoch. Answering
             # "nothing spent" would free what its former life acknowledged.
             return None
@@ -191,6 +191,8 @@
     def _take_over(self, call: ReserveCall) -> ReserveReply | None:
         """Hand the reservation of a request whose owner died to the retry: one bill for both."""
         for epoch, account in [*self._state.holders.items(), *self._state.witnesses.items()]:
+            if epoch not in self._state.fold.epochs:
+                continue
             for reservation in account.open.values():
                 if reservation.request_id == call.request_id:
                     reservation.owner = call.owner
--- a/mothstand/ledger/service.py
+++ b/mothstand/ledger/service.py
@@ -8,7 +8,7 @@
 import anyio
 
 from ..core.membership import rank_for_shard, shard_of
-from ..core.records import BillLine, BillsPosted, LedgerRecord
+from ..core.records import BillLine, BillsPosted, LedgerRecord, LedgerSnapshot
 from ..errors import ErrorKind
 from ..events import Event, emit
 from ..types import Shard
@@ -57,7 +57,7 @@
         self,
         shard_count: int,
         context: ShardContext,
-        make_writer: Callable[[Shard], LogWriter[LedgerRecord]],
+        make_writer: Callable[[Shard], LogWriter[LedgerRecord | LedgerSnapshot]],
         bills: LogWriter[BillsPosted],
     ) -> None:
         self.shard_count = shard_count
--- a/mothstand/ledger/shard.py
+++ b/mothstand/ledger/shard.py
@@ -10,6 +10,7 @@
 
 from ..core.accounts import HolderAccount, SettledRequest, WitnessAccount
 from ..core.leadership import plan_epoch
+from ..core.ledger_fold import LedgerFold
 from ..core.records import (
     BillLine,
     BudgetSpend,
@@ -17,6 +18,7 @@
     EpochOpened,
     GrantAsked,
     LedgerRecord,
+    LedgerSnapshot,
     RecordId,
     Side,
 )
@@ -41,6 +43,9 @@
 #: Seconds between two looks at requests whose instance may have died.
 SWEEP_EVERY_S = 2.0
 
+#: Offsets of a shard's stream between two snapshots.
+SNAPSHOT_EVERY_RECORDS = 200
+
 
 class ShardNode:
     """One ledger shard at one instance.
@@ -56,7 +61,7 @@
     def __init__(
         self,
         shard: Shard,
-        writer: LogWriter[LedgerRecord],
+        writer: LogWriter[LedgerRecord | LedgerSnapshot],
         context: ShardContext,
         bill: Callable[[BillLine], None],
     ) -> None:
@@ -71,9 +76,13 @@
         self._reported: dict[tuple[Epoch, Side], tuple[BudgetSpend, ...]] = {}
         self._orphaned_at_s: dict[str, float] = {}
         self._sweep_at_s = 0.0
+        self._snapshot_offset = 0
 
-    def on_record(self, offset: int, record: LedgerRecord) -> None:
+    def on_record(self, offset: int, record: LedgerRecord | LedgerSnapshot) -> None:
         """Apply one record of the shard's stream."""
+        if isinstance(record, LedgerSnapshot):
+            self._snapshot_offset = max(self._snapshot_offset, record.at_offset)
+            return
         before = self.state.current()
         outcome = self.state.fold.apply(offset, record)
         if record.record_id == self._opening:
@@ -85,6 +94,12 @@
         self.agent.give_back()
         self.state.announce()
 
+    def load(self, snapshot: LedgerSnapshot) -> None:
+        """Take the state of the shard from a snapshot, in place of the trimmed records."""
+        self.state.fold = LedgerFold.load(self.state.shard, snapshot)
+        self._snapshot_offset = snapshot.at_offset
+        self.state.announce()
+
     def tick(self, paid_tokens: dict[BudgetName, int]) -> None:
         """Do what is due: open an epoch, promote, ask for escrow, bill for the dead.
 
@@ -100,11 +115,13 @@
             self.agent.pay(paid_tokens)
             self.agent.ask()
             self.agent.give_back()
+            self._snapshot_if_due()
         if now_s >= self._sweep_at_s:
             # These look at every open reservation, so not each time.
             self._sweep_at_s = now_s + SWEEP_EVERY_S
             self._bill_for_the_dead(now_s)
             self._report_late_settlements()
+            self._forget_retired()
             self.state.requests.expire(now_s)
 
     def close(self) -> None:
@@ -114,6 +131,20 @@
             leading[1].lost = True
             self._report_closed(leading[0].epoch)
 
+    def _snapshot_if_due(self) -> None:
+        """Append a snapshot once enough has come since the last.
+
+        The data centres' leaseholders take turns: the first in order is due first, the others a
+        little later, in case it is cut off.
+        """
+        order = sorted(self.state.fold.current)
+        turn = order.index(self._context.membership.data_centre)
+        due = SNAPSHOT_EVERY_RECORDS * (4 + turn) // 4
+        if self.state.fold.offset - self._snapshot_offset < due:
+            return
+        self._snapshot_offset = self.state.fold.offset
+        self._writer.submit(self.state.fold.snapshot)
+
     def _on_epoch(self, epoch: Epoch, before: EpochState | None) -> None:
         opened = self.state.fold.epochs[epoch]
         membership = self._context.membership
@@ -161,6 +192,8 @@
 
     def _report_closed(self, epoch: Epoch) -> None:
         """Tell the log what this instance vouches for, if it has changed since it last did."""
+        if epoch not in self.state.fold.epochs:
+            return
         for side, account in self._sides(epoch):
             spends = account.spends()
             if self._reported.get((epoch, side)) == spends:
@@ -211,6 +244,14 @@
         self._adopt_requests(witness)
         emit(Event.WITNESS_PROMOTED, shard=self.state.shard, epoch=current.epoch)
 
+    def _forget_retired(self) -> None:
+        """Drop the accounts of epochs that the fold keeps no more."""
+        for accounts in (self.state.holders, self.state.witnesses):
+            for epoch in [e for e in accounts if e not in self.state.fold.epochs]:
+                # Running requests still settle here, if only for their bills.
+                if not accounts[epoch].open:
+                    del accounts[epoch]
+
     def _bill_for_the_dead(self, now_s: float) -> None:
         """Post the bills of instances that died before they could."""
         for _, account in self._billable():
--- a/mothstand/operators/log_view.py
+++ b/mothstand/operators/log_view.py
@@ -8,7 +8,16 @@
 from ..core.bills import BillFold
 from ..core.config import ConfigFold
 from ..core.ledger_fold import LedgerFold
-from ..core.records import BillsPosted, ConfigPublished, LedgerRecord, Outcome, Record
+from ..core.records import (
+    BillsPosted,
+    ConfigPublished,
+    ConfigSnapshot,
+    LedgerRecord,
+    LedgerSnapshot,
+    Outcome,
+    Record,
+    SnapshotRecord,
+)
 from ..platform.codec import decode
 from ..settings.folder import validate_sections
 from ..streams import BILLS_STREAM, CONFIG_STREAM, ledger_stream
@@ -48,8 +57,11 @@
     """
     records: list[tuple[int, Record]] = []
     position = 1
+    first_offset: int | None = None
     while True:
         page = await log.read(stream, position, wait_s=0.0)
+        if first_offset is None:
+            first_offset = page.first_offset
         for offset, payload in page.records:
             try:
                 batch = decode(payload.encode())
@@ -57,15 +69,30 @@
                 continue
             records.extend((offset, record) for record in batch)
         if not page.records:
-            return records
+            return _from_snapshot(records, first_offset)
         position = page.next_offset
 
 
+def _from_snapshot(
+    records: list[tuple[int, Record]], first_offset: int
+) -> list[tuple[int, Record]]:
+    """Return the records, or the first snapshot that covers what was trimmed and those after it."""
+    if first_offset <= 1:
+        return records
+    for offset, record in records:
+        if isinstance(record, SnapshotRecord) and record.at_offset >= first_offset - 1:
+            rest = [(o, r) for o, r in records if o > record.at_offset and r is not record]
+            return [(offset, record), *rest]
+    return records
+
+
 async def read_config(log: LogClient) -> ConfigFold:
     """Return the fold of the ``config`` stream."""
     fold = ConfigFold(validate_sections)
     for offset, record in await read_stream(log, CONFIG_STREAM):
-        if isinstance(record, ConfigPublished):
+        if isinstance(record, ConfigSnapshot) and not fold.state.offset:
+            fold.load(record)
+        elif isinstance(record, ConfigPublished):
             fold.apply(offset, record)
     return fold
 
@@ -77,7 +104,9 @@
         shard = Shard(number)
         fold = view.ledgers[shard] = LedgerFold(shard)
         for offset, record in await read_stream(log, ledger_stream(shard)):
-            if isinstance(record, LedgerRecord):
+            if isinstance(record, LedgerSnapshot) and not fold.epochs:
+                fold = view.ledgers[shard] = LedgerFold.load(shard, record)
+            elif isinstance(record, LedgerRecord):
                 outcome = fold.apply(offset, record)
                 view.ledger_entries.append(LedgerEntry(shard, offset, record, outcome))
     for offset, record in await read_stream(log, BILLS_STREAM):
--- a/mothstand/platform/reader.py
+++ b/mothstand/platform/reader.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ..core.records import SnapshotRecord
 from ..events import Event, emit
 from .codec import decode
 from .log import LogClient, LogError
@@ -26,6 +27,15 @@
     ----------
     apply
         Called with offset and record, once for each record of the stream.
+    load
+        Called with a snapshot when the records before it have been trimmed; None for a stream
+        without snapshots.
+
+    Notes
+    -----
+    The log keeps records for a limited time. A reader that finds a gap, at its start or after a
+    long cut, waits for the first snapshot that covers it, loads that, and goes on with the records
+    after the snapshot's own offset. Every reader that meets the gap takes the same snapshot.
     """
 
     def __init__(
@@ -35,6 +45,7 @@
         apply: Callable[[int, Record], None],
         *,
         clock: Clock,
+        load: Callable[[SnapshotRecord], None] | None = None,
     ) -> None:
         self.stream = stream
         self.next_offset = 1
@@ -43,6 +54,9 @@
         self._log = log
         self._apply = apply
         self._clock = clock
+        self._load = load
+        self._gap_before: int | None = None
+        self._held: list[tuple[int, Record]] = []
 
     async def run(self) -> None:
         """Follow the stream until cancelled."""
@@ -58,10 +72,15 @@
         """Read and apply one page."""
         page = await self._log.read(self.stream, self.next_offset, wait_s=wait_s)
         self.unreachable_since_s = None
+        if page.first_offset > self.next_offset and self._load is not None:
+            self._gap_before = page.first_offset
+            self._held = []
         for offset, payload in page.records:
             self._apply_payload(offset, payload)
         self.next_offset = max(self.next_offset, page.next_offset)
-        self.caught_up = not page.records or self.caught_up
+        # Before a snapshot has filled the gap, the stream is not known.
+        if not page.records and self._gap_before is None:
+            self.caught_up = True
 
     def _apply_payload(self, offset: int, payload: str) -> None:
         if offset < self.next_offset:
@@ -73,4 +92,21 @@
             emit(Event.RECORD_SKIPPED, stream=self.stream, offset=offset, error=str(error))
             return
         for record in records:
+            self._take(offset, record)
+
+    def _take(self, offset: int, record: Record) -> None:
+        if self._gap_before is None:
             self._apply(offset, record)
+        elif not isinstance(record, SnapshotRecord):
+            self._held.append((offset, record))
+        elif record.at_offset >= self._gap_before - 1:
+            self._fill_gap(record)
+
+    def _fill_gap(self, snapshot: SnapshotRecord) -> None:
+        assert self._load is not None
+        self._load(snapshot)
+        self._gap_before = None
+        for offset, record in self._held:
+            if offset > snapshot.at_offset:
+                self._apply(offset, record)
+        self._held = []
--- a/mothstand/tests/test_failures.py
+++ b/mothstand/tests/test_failures.py
@@ -10,10 +10,14 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import httpx
 import pytest
 
+from ..clock import SystemClock
 from ..operators.log_view import LogView, read_all
+from ..operators.publish import Publisher
 from ..platform.log import HttpLog
+from ..settings.folder import read_folder
 from ..testing.checker import JournalLine, RunHistory, find_violations
 from ..testing.examples import chat, write_folder
 from ..testing.fleet import Fleet, wait_until
@@ -242,3 +246,53 @@
             lambda: sum(f.stranded_tokens(LUND) for f in view_of(pair).ledgers.values()) == 0,
             f"nothing is stranded: {view.ledgers}",
         )
+
+
+class TestTrimming:
+    def test_instance_that_starts_after_trimming(self, empty_fleet: Fleet, tmp_path: Path) -> None:
+        """Symptom: a replacement has no configuration, or grants what was granted before.
+
+        Sequence: many grants and changes, the log trims the old ones, both instances are replaced.
+        Cause it guards against: state that only the trimmed records tell of.
+        """
+        fleet = empty_fleet
+        fleet.start_engine("llm-a", "sto-a")
+        fleet.start_instance("sto-a-1", "sto-a")
+        fleet.start_instance("sto-a-2", "sto-a")
+        for number in range(60):
+            folder = write_folder(
+                tmp_path / "folder", fleet, paid_tokens={"lund": 100_000 + number, "kushiro": 1}
+            )
+            publish_at_once(fleet, folder)
+        fleet.wait_ready("sto-a-1", "sto-a-2")
+        assert chat(fleet.processes["sto-a-1"].url).status_code == 200
+        wait_until(lambda: "config_snapshot" in raw_stream(fleet, "config"), "a snapshot")
+        trim(fleet, "config", before=40)
+        new = fleet.start_instance("sto-a-3", "sto-a")
+        fleet.wait_ready("sto-a-3")
+        assert chat(new.url).status_code == 200
+        view = view_of(fleet)
+        assert view.config.state.config.budgets[LUND].paid_tokens == 100_059
+
+
+def publish_at_once(fleet: Fleet, folder: Path) -> None:
+    """Publish a folder without waiting for it to be in force."""
+
+    async def run() -> None:
+        log = HttpLog(fleet.platform.url, caller="test", timeout_s=5.0)
+        published = await Publisher(log, "ito", SystemClock()).publish(read_folder(folder))
+        assert published.outcome.accepted, published.outcome.reason
+
+    anyio.run(run)
+
+
+def raw_stream(fleet: Fleet, stream: str) -> str:
+    """Return a stream's records as text."""
+    url = f"{fleet.platform.url}/streams/{stream}/records?from=1&wait_s=0"
+    return httpx.get(url, trust_env=False).text
+
+
+def trim(fleet: Fleet, stream: str, *, before: int) -> None:
+    """Let the log drop old records."""
+    order = {"stream": stream, "before": before}
+    httpx.post(f"{fleet.platform.url}/trim", json=order, trust_env=False)
--- a/mothstand/tests/test_ledger_fold.py
+++ b/mothstand/tests/test_ledger_fold.py
@@ -227,3 +227,38 @@
         free = stream.fold.ungranted_tokens(LUND)
         assert not self._return(stream, 100).accepted
         assert stream.fold.ungranted_tokens(LUND) == free
+
+
+class TestSnapshots:
+    def test_loaded_state_decides_alike(self, stream: Stream) -> None:
+        """Symptom: two instances disagree on what is free, one of them having started later.
+
+        Sequence: a snapshot is taken in mid-stream, one reader goes on, another loads it.
+        Cause it guards against: state that a snapshot leaves out.
+        """
+        stream.close(2, Side.WITNESS, 150, 0)
+        stream.open(prior=2, holder=WITNESS, witness=None)
+        loaded = LedgerFold.load(Shard(0), stream.fold.snapshot(RecordId("x", 1)))
+        record_id = stream.next_id(HOLDER.incarnation)
+        spends = (BudgetSpend(LUND, 120, 5),)
+        closed = EpochClosed(record_id, Epoch(2), Side.HOLDER, spends)
+        for fold in (stream.fold, loaded):
+            assert fold.apply(9, closed).accepted
+            assert not fold.apply(10, closed).accepted
+            assert fold.ungranted_tokens(LUND) == 1000 - 120 - 5
+            assert fold.current == stream.fold.current
+
+    def test_old_epochs_are_kept_as_a_sum(self) -> None:
+        stream = Stream()
+        stream.pay(1000)
+        prior = 0
+        for _ in range(10):
+            stream.open(prior=prior, witness=None)
+            prior = stream.offset
+            stream.ask(prior, 50)
+            stream.close(prior, Side.HOLDER, 0, 30)
+        assert len(stream.fold.epochs) <= 5
+        assert stream.fold.ungranted_tokens(LUND) == 700
+        assert stream.fold.reported_tokens(LUND) == 300
+        loaded = LedgerFold.load(Shard(0), stream.fold.snapshot(RecordId("x", 1)))
+        assert loaded.ungranted_tokens(LUND) == 700
--- /dev/null
+++ b/mothstand/tests/test_platform.py
@@ -0,0 +1,142 @@
+"""Writing to and reading from the log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ..core.records import BillLine, BillsPosted, Record, RecordId
+from ..platform.codec import decode, encode
+from ..platform.reader import LogReader
+from ..platform.writer import LogWriter, Pace
+from ..testing.fakes import FakeClock, FakeLog
+from ..types import BudgetName
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+STREAM = "bills"
+
+
+def bill(request_id: str) -> Callable[[RecordId], BillsPosted]:
+    """Return the maker of a record with one bill."""
+    line = BillLine(request_id, BudgetName("lund"), 5)
+    return lambda record_id: BillsPosted(record_id, (line,))
+
+
+def make_writer(log: FakeLog, clock: FakeClock, pace: Pace) -> LogWriter[BillsPosted]:
+    """Return a writer to the stream."""
+    return LogWriter(log, STREAM, author="a", clock=clock, pace=pace)
+
+
+async def settle() -> None:
+    """Let all tasks run until they wait."""
+    for _ in range(20):
+        await anyio.lowlevel.checkpoint()
+
+
+class TestWriter:
+    def test_lost_answer_keeps_order_and_ids(self) -> None:
+        """Symptom: a record stands in the log twice under two ids, or after a later one.
+
+        Sequence: an append takes effect and its answer is lost; more records are queued.
+        Cause it guards against: a new id for the second try; sending the next record first.
+        """
+
+        async def run() -> None:
+            log, clock = FakeLog(), FakeClock()
+            log.lose_answers = 1
+            writer = make_writer(log, clock, Pace(0.0))
+            writer.submit(bill("r1"))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(writer.flush)
+                await settle()
+                writer.submit(bill("r2"))
+                clock.advance(1.0)
+                await settle()
+            sequences = [
+                [r.record_id.sequence for r in decode(t.encode())] for t in log.records[STREAM]
+            ]
+            assert sequences == [[1], [1], [2]]
+            assert writer.pending == 0
+
+        anyio.run(run)
+
+    def test_bills_share_an_append(self) -> None:
+        async def run() -> None:
+            log, clock = FakeLog(), FakeClock()
+            writer = make_writer(log, clock, Pace(0.1, gather_s=60.0, full_records=3))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(writer.run)
+                writer.submit(bill("r1"))
+                await settle()
+                assert STREAM not in log.records
+                clock.advance(61.0)
+                await settle()
+                assert len(log.records[STREAM]) == 1
+                clock.advance(1.0)
+                await settle()
+                for number in range(3):
+                    writer.submit(bill(f"s{number}"))
+                await settle()
+                assert len(log.records[STREAM]) == 2
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+    def test_hurry_appends_at_once(self) -> None:
+        async def run() -> None:
+            log, clock = FakeLog(), FakeClock()
+            writer = make_writer(log, clock, Pace(0.1, gather_s=60.0, full_records=100))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(writer.run)
+                writer.submit(bill("r1"))
+                await settle()
+                writer.hurry()
+                await settle()
+                assert writer.pending == 0
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+
+class TestReader:
+    def test_each_record_once_and_damaged_ones_skipped(self) -> None:
+        async def run() -> None:
+            log = FakeLog()
+            seen: list[int] = []
+
+            def apply(offset: int, _record: Record) -> None:
+                seen.append(offset)
+
+            reader = LogReader(log, STREAM, apply, clock=FakeClock())
+            await log.append(STREAM, encode((bill("r1")(RecordId("a", 1)),)))
+            await log.append(STREAM, b"damaged")
+            await log.append(STREAM, encode((bill("r2")(RecordId("a", 2)),)))
+            for _ in range(2):
+                await reader.read_once(wait_s=0.0)
+            assert seen == [1, 3]
+            assert reader.caught_up
+
+        anyio.run(run)
+
+
+class TestCodec:
+    @given(st.binary())
+    def test_anything_is_read_or_refused(self, payload: bytes) -> None:
+        try:
+            decode(payload)
+        except ValueError:
+            return
+
+    def test_there_and_back(self) -> None:
+        records = (bill("r")(RecordId("a", 1)),)
+        assert decode(encode(records)) == records
+
+    def test_unknown_kind_is_refused(self) -> None:
+        with pytest.raises(ValueError, match="not records"):
+            decode(b'[{"kind": "other"}]')
--- /dev/null
+++ b/mothstand/tests/test_stream_check.py
@@ -0,0 +1,83 @@
+"""Checks of event streams, against whatever an engine may send."""
+
+from __future__ import annotations
+
+import itertools
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ..core.stream_check import BrokenStreamError, StreamCheck
+
+
+def event(text: str, *, answer: str = "a", completion: int = 1) -> bytes:
+    """Return one event of an answer."""
+    value = {
+        "id": answer,
+        "choices": [{"index": 0, "delta": {"content": text}}],
+        "usage": {"prompt_tokens": 3, "completion_tokens": completion},
+    }
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
+
+
+DONE = b"data: [DONE]\n\n"
+
+
+class TestStreamCheck:
+    @given(cuts=st.lists(st.integers(0, 400), max_size=8))
+    def test_whole_answer_however_it_is_cut(self, cuts: list[int]) -> None:
+        stream = event("ett", completion=1) + event("två", completion=2) + DONE
+        check = StreamCheck(wants_usage=False)
+        bounds = sorted({0, len(stream), *(cut for cut in cuts if cut < len(stream))})
+        pieces = [stream[a:b] for a, b in itertools.pairwise(bounds)]
+        assert b"".join(check.feed(piece) for piece in pieces) == stream
+        check.finish()
+        assert check.usage is not None
+        assert check.usage.total_tokens == 5
+
+    @pytest.mark.parametrize(
+        "late",
+        [
+            event("x", answer="b"),
+            b"data: not json\n\n",
+            b'data: {"error": {}}\n\n',
+            b'data: {"choices": []}\n\n',
+            b"data: []\n\n",
+            DONE + event("x"),
+        ],
+    )
+    def test_what_is_no_part_of_the_answer(self, late: bytes) -> None:
+        check = StreamCheck(wants_usage=False)
+        check.feed(event("ett"))
+        with pytest.raises(BrokenStreamError):
+            check.feed(late)
+
+    def test_truncated(self) -> None:
+        check = StreamCheck(wants_usage=False)
+        check.feed(event("ett"))
+        with pytest.raises(BrokenStreamError):
+            check.finish()
+
+    def test_closing_usage_event_only_on_request(self) -> None:
+        value = {"id": "a", "choices": [], "usage": {"prompt_tokens": 1, "completion_tokens": 2}}
+        usage = b"data: " + json.dumps(value).encode() + b"\n\n"
+        assert StreamCheck(wants_usage=True).feed(usage) == usage
+        assert StreamCheck(wants_usage=False).feed(usage) == b""
+
+    @given(data=st.lists(st.binary(max_size=60) | st.just(event("x")) | st.just(DONE)))
+    def test_anything_is_passed_or_broken(self, data: list[bytes]) -> None:
+        """Symptom: a traceback in place of an answer.
+
+        Sequence: an engine sends bytes that are no event stream.
+        Cause it guards against: trusting what comes from an upstream.
+        """
+        check = StreamCheck(wants_usage=True)
+        try:
+            for piece in data:
+                check.feed(piece)
+            check.finish()
+        except BrokenStreamError:
+            return
+        assert check.done
