--- a/mothstand/core/membership.py
+++ b/mothstand/core/membership.py
@@ -37,6 +37,26 @@
     return rank(names, f"{data_centre}/{shard}")
 
 
+@dataclass(frozen=True, slots=True)
+class ProbePace:
+    """How often peers are probed.
+
+    Parameters
+    ----------
+    partner_s
+        Interval for each partner.
+    others_per_s
+        Probes a second that all other peers share.
+    """
+
+    partner_s: float
+    others_per_s: float
+
+
+#: A probe may go out this early, lest it waits for another whole round.
+_EARLY_S = 0.02
+
+
 @dataclass(slots=True)
 class PeerState:
     """What one instance knows of another.
@@ -49,6 +69,8 @@
         Monotonic time of the last answer, or of the first mention in the platform's list.
     leaving
         Said by the list or by the peer itself.
+    interval_s
+        How often it is probed. One that is probed rarely is suspected late.
     """
 
     name: str
@@ -57,6 +79,12 @@
     seen_at_s: float
     member: Member | None = None
     leaving: bool = False
+    interval_s: float = 0.0
+    probed_at_s: float | None = None
+
+
+#: Probes without an answer after which a peer is suspected, whatever their interval.
+_MISSED_PROBES = 4
 
 
 class Membership:
@@ -146,4 +174,28 @@
         return alive
 
     def _is_fresh(self, peer: PeerState, now_s: float) -> bool:
-        return peer.member is not None and now_s - peer.seen_at_s < self.suspect_after_s
+        patience_s = max(self.suspect_after_s, _MISSED_PROBES * peer.interval_s)
+        return peer.member is not None and now_s - peer.seen_at_s < patience_s
+
+    def due(self, partners: set[str], pace: ProbePace, now_s: float) -> list[PeerState]:
+        """Return the peers to probe now, and note that they are.
+
+        Parameters
+        ----------
+        partners
+            Names of the peers that share a ledger epoch with this instance.
+
+        Notes
+        -----
+        Only a partner's death asks this instance for a takeover, so partners are probed often and
+        the rest share a fixed rate: what probing costs does not grow with the fleet.
+        """
+        others = len(self.peers) - len(partners & self.peers.keys())
+        rest_s = max(pace.partner_s, others / pace.others_per_s)
+        found = []
+        for peer in self.peers.values():
+            peer.interval_s = pace.partner_s if peer.name in partners else rest_s
+            if peer.probed_at_s is None or now_s - peer.probed_at_s >= peer.interval_s - _EARLY_S:
+                peer.probed_at_s = now_s
+                found.append(peer)
+        return found
--- a/mothstand/entry/heartbeats.py
+++ b/mothstand/entry/heartbeats.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from ..core.membership import PeerState
+from ..core.membership import PeerState, ProbePace
 from ..events import Event, emit
 from ..ledger.calls import PeerError
 from ..platform.instances import InstanceList, ListError
@@ -31,6 +31,8 @@
     ----------
     on_config_offset
         Called with a peer's address and the offset of its configuration.
+    partners
+        Returns the names of the peers that share a ledger epoch with this instance.
     seeds
         Addresses of peers to ask while no list has been read: an instance that starts while the
         platform is out would know nobody.
@@ -45,6 +47,7 @@
         clock: Clock,
         timing: TimingSection,
         on_config_offset: Callable[[str, int], None],
+        partners: Callable[[], set[str]],
         seeds: tuple[str, ...] = (),
     ) -> None:
         self.probed = False
@@ -56,6 +59,7 @@
         self._timing = timing
         self._on_config_offset = on_config_offset
         self._suspected: set[str] = set()
+        self._partners = partners
         self._seeds = seeds
 
     async def run_list(self) -> None:
@@ -87,19 +91,18 @@
         )
 
     async def run_probes(self) -> None:
-        """Probe all peers at an even pace, until cancelled."""
+        """Probe the peers that are due, again and again, until cancelled."""
+        pace = ProbePace(self._timing.heartbeat_s, self._timing.probes_per_s)
         while True:
-            peers = list(self._membership.peers.values())
-            # The pace is bounded by a rate, so that a large data centre costs each instance no
-            # more than a small one; suspicion then takes longer.
-            interval_s = max(self._timing.heartbeat_s, len(peers) / self._timing.probes_per_s)
+            now_s = self._clock.monotonic_s()
+            peers = self._membership.due(self._partners(), pace, now_s)
             async with anyio.create_task_group() as tasks:
-                if not peers:
+                if not self._membership.peers:
                     for address in self._seeds:
                         tasks.start_soon(self._probe_seed, address)
                 for peer in peers:
                     tasks.start_soon(self._probe, peer)
-                tasks.start_soon(self._clock.sleep, interval_s)
+                tasks.start_soon(self._clock.sleep, self._timing.heartbeat_s)
             self.probed = True
 
     async def _probe_seed(self, address: str) -> None:
--- a/mothstand/entry/instance.py
+++ b/mothstand/entry/instance.py
@@ -49,7 +49,7 @@
     from ..clock import Clock
     from ..types import Shard
 
-_TICK_S = 0.1
+_TICK_S = 0.2
 _INTENTS_INTERVAL_S = 0.005
 _BILLS_INTERVAL_S = 0.2
 _DRAIN_CHECK_S = 0.05
@@ -112,6 +112,7 @@
             clock,
             timing,
             self._on_peer_config,
+            self._ledger.partners,
             seeds=settings.peers.seeds,
         )
         self._config_reader = LogReader(
--- a/mothstand/ledger/service.py
+++ b/mothstand/ledger/service.py
@@ -146,6 +146,12 @@
         """Number of settlements that no side has taken yet."""
         return self._unsettled
 
+    def partners(self) -> set[str]:
+        """Return the names of the peers that share an epoch with this instance."""
+        me = self._context.membership.me.name
+        pairs = (node.state.pair() for node in self.shards.values())
+        return {name for pair in pairs if me in pair for name in pair if name != me}
+
     def leads_any(self, others: bool) -> bool:
         """Hand over at a stop; return whether this instance still leads a shard.
 
--- a/mothstand/ledger/state.py
+++ b/mothstand/ledger/state.py
@@ -80,6 +80,14 @@
         """Return the current epoch of this data centre."""
         return self.fold.current_epoch(self.context.membership.data_centre)
 
+    def pair(self) -> set[str]:
+        """Return the names of the current epoch's leaseholder and witness."""
+        current = self.current()
+        if current is None:
+            return set()
+        members = (current.holder, current.witness)
+        return {member.name for member in members if member is not None}
+
     def leading(self) -> tuple[EpochState, HolderAccount] | None:
         """Return the current epoch and its account if this instance may spend in it."""
         state = self.current()
--- a/mothstand/platform/instances.py
+++ b/mothstand/platform/instances.py
@@ -1,7 +1,7 @@
 """The platform's lagging list of live and leaving instances.
 
-``GET /instances`` answers ``[{"name", "address", "data_centre", "leaving"}, ...]``. Upstreams stand
-in it too, under their names.
+``GET /instances``, with the usual ``ETag`` and ``If-None-Match``, answers an array of objects with
+``name``, ``address``, ``data_centre`` and ``leaving``. Upstreams stand in it too, by their names.
 """
 
 from __future__ import annotations
@@ -45,19 +45,26 @@
 
 
 class HttpInstanceList(InstanceList):
-    """The list over HTTP."""
+    """The list over HTTP; one that has not changed is not sent again."""
 
     def __init__(self, address: str, *, caller: str, timeout_s: float) -> None:
         self._http = httpx.AsyncClient(
             base_url=address, headers={"x-caller": caller}, timeout=timeout_s, trust_env=False
         )
+        self._tag = ""
+        self._last: tuple[ListedInstance, ...] = ()
 
     async def read(self) -> tuple[ListedInstance, ...]:
         """Return the list."""
         try:
-            answer = await self._http.get("/instances")
+            headers = {"if-none-match": self._tag} if self._tag else {}
+            answer = await self._http.get("/instances", headers=headers)
+            if answer.status_code == httpx.codes.NOT_MODIFIED:
+                return self._last
             answer.raise_for_status()
-            return _LIST.validate_json(answer.content)
+            self._last = _LIST.validate_json(answer.content)
+            self._tag = answer.headers.get("etag", "")
+            return self._last
         except (httpx.HTTPError, ValidationError) as error:
             raise ListError(repr(error)) from error
 
--- a/mothstand/settings/instance.py
+++ b/mothstand/settings/instance.py
@@ -58,8 +58,12 @@
 class TimingSection(SectionModel):
     """``[timing]``: intervals and timeouts."""
 
-    heartbeat_s: float = Field(0.25, gt=0, description="seconds above 0")
-    probes_per_s: float = Field(16.0, gt=0, description="most heartbeats sent a second, above 0")
+    heartbeat_s: float = Field(
+        0.4, gt=0, description="seconds between two heartbeats to a partner, above 0"
+    )
+    probes_per_s: float = Field(
+        2.0, gt=0, description="heartbeats a second to all other peers together, above 0"
+    )
     suspect_after_s: float = Field(1.0, gt=0, description="seconds of silence, above 0")
     ledger_append_s: float = Field(0.2, gt=0, description="least seconds between ledger appends")
     bills_append_s: float = Field(
--- a/mothstand/standins/platform.py
+++ b/mothstand/standins/platform.py
@@ -76,6 +76,7 @@
     def __init__(self) -> None:
         self.streams: dict[str, Stream] = {}
         self.instances: list[dict[str, object]] = []
+        self._instances_version = 1
         self.faults = Faults()
         self.appends: Counter[str] = Counter()
 
@@ -111,11 +112,15 @@
         """Serve the instance list."""
         if await self._fail(request) == "down":
             return Response(status_code=_NO_ANSWER)
-        return JSONResponse(self.instances)
+        tag = f'"{self._instances_version}"'
+        if request.headers.get("if-none-match") == tag:
+            return Response(status_code=304)
+        return JSONResponse(self.instances, headers={"etag": tag})
 
     async def set_instances(self, request: Request) -> Response:
         """Replace the instance list."""
         self.instances = await request.json()
+        self._instances_version += 1
         return JSONResponse({})
 
     async def set_faults(self, request: Request) -> Response:
--- a/mothstand/tests/test_leadership.py
+++ b/mothstand/tests/test_leadership.py
@@ -4,7 +4,7 @@
 
 from ..core.leadership import plan_epoch
 from ..core.ledger_fold import LedgerFold
-from ..core.membership import Membership, PeerState, rank_for_shard
+from ..core.membership import Membership, PeerState, ProbePace, rank_for_shard
 from ..core.records import EpochClosed, EpochOpened, RecordId, Side
 from ..types import NO_EPOCH, DataCentre, Epoch, Member, Shard
 
@@ -87,6 +87,38 @@
         assert plan.holder == ORDER[1]
 
 
+class TestProbing:
+    PACE = ProbePace(partner_s=0.25, others_per_s=2.0)
+
+    def test_rate_does_not_grow_with_the_fleet(self) -> None:
+        """Symptom: control costs more and more as instances are added.
+
+        Sequence: 100 peers, 2 of them partners, 10 seconds.
+        Cause it guards against: probing everybody as often as those who matter.
+        """
+        beliefs = Membership(ORDER[0], PLACE, suspect_after_s=1.0)
+        beliefs.listed([PeerState(f"p{n}", "a", PLACE, 0.0) for n in range(100)], 0.0)
+        beliefs.due({"p0", "p1"}, self.PACE, 0.0)
+        sent = [
+            peer.name
+            for step in range(1, 41)
+            for peer in beliefs.due({"p0", "p1"}, self.PACE, step * 0.25)
+        ]
+        assert sent.count("p0") == 40
+        assert len(sent) <= 80 + 20 + 1
+
+    def test_rarely_probed_is_suspected_late(self) -> None:
+        """Symptom: live peers are taken for dead in a large data centre.
+
+        Sequence: a peer that is probed every 10 s has not answered for 2 s.
+        Cause it guards against: one suspicion time for every probing interval.
+        """
+        beliefs = membership_of(ORDER[0], ORDER[1])
+        beliefs.peers[ORDER[1].name].interval_s = 10.0
+        assert beliefs.is_alive(ORDER[1], NOW_S + 2.0)
+        assert not beliefs.is_alive(ORDER[1], NOW_S + 41.0)
+
+
 class TestMembership:
     def test_silence_is_suspicion(self) -> None:
         beliefs = membership_of(ORDER[0], ORDER[1])
--- /dev/null
+++ b/tools/build_binary.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Builds dist/mothstand: one file with mothstand and its libraries, run by the machine's Python.
+# See docs/design/binary.md for the ways weighed.
+set -eu
+cd "$(dirname "$0")/.."
+python="${PYTHON:-.venv/bin/python}"
+rm -rf build/binary dist
+mkdir -p build/binary dist
+"$python" -m pip install --quiet --disable-pip-version-check --target build/binary .
+"$python" tools/pack_binary.py build/binary dist/mothstand
+echo "dist/mothstand: $(stat -c %s dist/mothstand) bytes"
