--- /dev/null
+++ b/benchmarks/in_force.py
@@ -0,0 +1,73 @@
+"""Time from publishing a change until it is in force on every instance.
+
+Run ``python -m benchmarks.in_force``: three data centres with two instances each, and more of them.
+"""
+
+from __future__ import annotations
+
+import tempfile
+import time
+from pathlib import Path
+from statistics import quantiles
+
+import anyio
+import fire
+
+from mothstand.clock import SystemClock
+from mothstand.operators.publish import Publisher, wait_in_force
+from mothstand.peers.client import GrpcPeers
+from mothstand.platform.instances import HttpInstanceList
+from mothstand.platform.log import HttpLog
+from mothstand.settings.folder import read_folder
+from mothstand.testing.examples import write_folder
+from mothstand.testing.fleet import FLEET_KEY, Fleet
+
+
+async def _publish(fleet: Fleet, folder: Path, number: int) -> float:
+    log = HttpLog(fleet.platform.url, caller="bench", timeout_s=5.0)
+    listing = HttpInstanceList(fleet.platform.url, caller="bench", timeout_s=5.0)
+    peers = GrpcPeers(FLEET_KEY)
+    clock = SystemClock()
+    sections = read_folder(write_folder(folder, fleet, paid_tokens={"lund": 1_000_000 + number}))
+    started = time.perf_counter()
+    published = await Publisher(log, "bench", clock).publish(sections)
+    seen = await wait_in_force(
+        published.offset,
+        listing,
+        peers,
+        clock,
+        timeout_s=10.0,
+        progress=lambda _: None,
+        every_s=0.01,
+    )
+    elapsed = time.perf_counter() - started
+    assert seen.everywhere, seen
+    peers.close()
+    await log.aclose()
+    await listing.aclose()
+    return elapsed
+
+
+def measure(per_place: int, changes: int) -> list[float]:
+    """Return the seconds of each change."""
+    with tempfile.TemporaryDirectory() as temporary, Fleet(Path(temporary)) as fleet:
+        fleet.start_platform()
+        names = [f"sto-{place}-{i}" for place in "abc" for i in range(per_place)]
+        for name in names:
+            fleet.start_instance(name, name[:5], listed=False)
+        fleet.publish_list()
+        folder = Path(temporary) / "folder"
+        fleet.publish(write_folder(folder, fleet))
+        fleet.wait_ready(*names)
+        return [anyio.run(_publish, fleet, folder, number) for number in range(1, changes + 1)]
+
+
+def main(changes: int = 40) -> None:
+    """Print a line for each size of the fleet."""
+    for per_place in (2, 4, 8):
+        cuts = quantiles([1000 * s for s in measure(per_place, changes)], n=100)
+        print(f"{3 * per_place} instances: p50 {cuts[49]:.0f} ms, p99 {cuts[98]:.0f} ms")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/benchmarks/test_bounds.py
@@ -0,0 +1,30 @@
+"""Stored regression bounds on counts of the escrow benchmark; fake time, so the same every run."""
+
+from __future__ import annotations
+
+import pytest
+from absl import logging
+
+from .escrow import POLICIES, SCENARIOS, USERS, run_one
+
+#: Scenario: most false refusals in %, stranded tokens, appends per 1,000 requests.
+BOUNDS = {
+    "steady": (0.0, 0, 6.0),
+    "kill holder": (0.1, 700_000, 30.0),
+    "kill witness": (0.1, 900_000, 25.0),
+    "budgets end": (16.0, 0, 600.0),
+}
+
+
+@pytest.mark.parametrize("name", list(BOUNDS))
+def test_kallhanvisa(name: str) -> None:
+    """Run one scenario and hold it against its bounds; nothing may ever be overspent."""
+    logging.set_verbosity(logging.FATAL)
+    scenario = next(scenario for scenario in SCENARIOS if scenario.name == name)
+    user = "kallhanvisa"
+    result = run_one("witnessed", scenario, USERS[user], POLICIES[user])
+    false_percent, stranded_tokens, appends = BOUNDS[name]
+    assert result.overspent_tokens == 0
+    assert result.false_percent <= false_percent
+    assert result.stranded_tokens <= stranded_tokens
+    assert result.appends_per_1000 <= appends
--- a/mothstand/operators/publish.py
+++ b/mothstand/operators/publish.py
@@ -148,15 +148,24 @@
     *,
     timeout_s: float,
     progress: Callable[[InForce], None],
+    every_s: float = _WATCH_EVERY_S,
 ) -> InForce:
-    """Ask every listed instance until all have the configuration, or the time is up."""
+    """Ask every listed instance until all have the configuration, or the time is up.
+
+    Parameters
+    ----------
+    progress
+        Called with each look.
+    every_s
+        Time between two looks.
+    """
     deadline_s = clock.monotonic_s() + timeout_s
     while True:
         seen = await _look(offset, listing, peers)
         progress(seen)
         if seen.everywhere or clock.monotonic_s() >= deadline_s:
             return seen
-        await clock.sleep(_WATCH_EVERY_S)
+        await clock.sleep(every_s)
 
 
 async def _look(offset: int, listing: InstanceList, peers: GrpcPeers) -> InForce:
--- a/mothstand/settings/folder.py
+++ b/mothstand/settings/folder.py
@@ -4,7 +4,7 @@
 
 import re
 from datetime import UTC, datetime
-from typing import TYPE_CHECKING, Annotated
+from typing import TYPE_CHECKING, Any
 
 from pydantic import Field
 
@@ -30,7 +30,8 @@
 _NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 
 
-Percent = Annotated[int, Field(ge=0, le=100, description="a whole number from 0 to 100")]
+def _percent(default: int) -> Any:
+    return Field(default, ge=0, le=100, description="a whole number from 0 to 100")
 
 
 class PolicySection(SectionModel):
@@ -39,11 +40,11 @@
     ride_through_s: float = Field(
         4500.0, gt=0, description="seconds of demand that a grant should cover, above 0"
     )
-    refill_below_percent: Percent = 85
-    end_share_percent: Percent = 50
-    allowance_percent: Percent = 2
-    promotion_percent: Percent = 5
-    unwitnessed_percent: Percent = 10
+    refill_below_percent: int = _percent(85)
+    end_share_percent: int = _percent(50)
+    allowance_percent: int = _percent(2)
+    promotion_percent: int = _percent(5)
+    unwitnessed_percent: int = _percent(10)
     demand_window_s: float = Field(60.0, gt=0, description="seconds above 0")
     prompt_overhead_tokens: int = Field(64, ge=0, description="tokens the chat template adds")
     max_body_bytes: int = Field(1_000_000, gt=0, description="bytes above 0")
@@ -99,7 +100,7 @@
     at_utc: datetime = Field(description="a UTC time as 2026-12-24T03:00:00Z")
 
 
-_MODELS: dict[str, type[SectionModel]] = {
+MODELS: dict[str, type[SectionModel]] = {
     "policy": PolicySection,
     "workspace": WorkspaceSection,
     "key": KeySection,
@@ -146,20 +147,20 @@
     SettingsError
         Naming file, section, key, bad value and what to write.
     """
-    models: dict[str, dict[str, SectionModel]] = {kind: {} for kind in _MODELS}
+    models: dict[str, dict[str, SectionModel]] = {kind: {} for kind in MODELS}
     for header, values in sections.items():
         kind, _, name = header.partition(" ")
         where = (source or {}).get(header, "configuration")
         _check_header(header, kind, name, where)
-        models[kind][name] = read_section(_MODELS[kind], values, section=header, source=where)
+        models[kind][name] = read_section(MODELS[kind], values, section=header, source=where)
     config = _build(models)
     _check_references(config, source or {})
     return config
 
 
 def _check_header(header: str, kind: str, name: str, where: str) -> None:
-    if kind not in _MODELS:
-        raise SettingsError(f"{where}: [{header}] is unknown; write one of {', '.join(_MODELS)}")
+    if kind not in MODELS:
+        raise SettingsError(f"{where}: [{header}] is unknown; write one of {', '.join(MODELS)}")
     if kind == "policy":
         if name:
             raise SettingsError(f"{where}: [{header}]: write [policy], without a name")
--- a/mothstand/settings/instance.py
+++ b/mothstand/settings/instance.py
@@ -115,7 +115,7 @@
         return DataCentre(self.instance.data_centre)
 
 
-_SECTIONS: dict[str, type[SectionModel]] = {
+SECTIONS: dict[str, type[SectionModel]] = {
     "instance": InstanceSection,
     "listen": ListenSection,
     "platform": PlatformSection,
@@ -134,13 +134,13 @@
         Naming file, section, key, bad value and what to write.
     """
     sections = read_file(path)
-    unknown = sorted(set(sections) - set(_SECTIONS))
+    unknown = sorted(set(sections) - set(SECTIONS))
     if unknown:
         raise SettingsError(
-            f"{path.name}: [{unknown[0]}] is unknown; write one of {', '.join(_SECTIONS)}"
+            f"{path.name}: [{unknown[0]}] is unknown; write one of {', '.join(SECTIONS)}"
         )
     models = {
         name: read_section(model, sections.get(name, {}), section=name, source=path.name)
-        for name, model in _SECTIONS.items()
+        for name, model in SECTIONS.items()
     }
     return InstanceSettings(**models)  # type: ignore[arg-type]
--- /dev/null
+++ b/mothstand/tests/test_docs.py
@@ -0,0 +1,78 @@
+"""Docs that must agree with the code, and rules of the layout."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+
+import pytest
+
+from ..docs_pages import PAGES
+from ..errors import ANSWERS, ErrorKind, RunState
+from ..events import Event
+
+ROOT = Path(__file__).parents[2]
+CORE = Path(__file__).parents[1] / "core"
+_IO_MODULES = {
+    "anyio",
+    "asyncio",
+    "socket",
+    "httpx",
+    "aiohttp",
+    "grpclib",
+    "hypercorn",
+    "os",
+    "time",
+}
+
+
+class TestPages:
+    @pytest.mark.parametrize("name", list(PAGES))
+    def test_page_is_as_the_code_says(self, name: str) -> None:
+        written = (ROOT / "docs" / name).read_text(encoding="utf-8")
+        assert written == PAGES[name](), "run 'python -m mothstand.docs_pages'"
+
+    def test_links_lead_somewhere(self) -> None:
+        for page in [ROOT / "README.md", *(ROOT / "docs").rglob("*.md")]:
+            text = page.read_text(encoding="utf-8")
+            for part in text.split("](")[1:]:
+                target = part.partition(")")[0].partition("#")[0]
+                if target and "://" not in target:
+                    assert (page.parent / target).exists(), f"{page.name}: {target}"
+
+
+class TestTables:
+    def test_every_kind_has_its_answer(self) -> None:
+        assert set(ANSWERS) == set(ErrorKind)
+
+    def test_what_may_have_run_is_not_repeated_blindly(self) -> None:
+        for kind, row in ANSWERS.items():
+            if row.run_state is not RunState.NOT_RUN and kind is not ErrorKind.KEY_RUNNING:
+                assert row.retry_after_s is None, kind
+
+    def test_event_numbers_are_unique(self) -> None:
+        numbers = [event.number for event in Event]
+        assert len(numbers) == len(set(numbers))
+
+
+class TestLayout:
+    @pytest.mark.parametrize("path", sorted(CORE.glob("*.py")), ids=lambda path: path.name)
+    def test_core_has_no_io(self, path: Path) -> None:
+        """Symptom: a decision depends on the machine's clock or on a socket.
+
+        Sequence: a module of the core imports one that does input or output.
+        Cause it guards against: decisions that tests cannot drive.
+        """
+        tree = ast.parse(path.read_text(encoding="utf-8"))
+        imported = {
+            name.partition(".")[0]
+            for node in ast.walk(tree)
+            for name in (
+                [alias.name for alias in node.names]
+                if isinstance(node, ast.Import)
+                else [node.module or ""]
+                if isinstance(node, ast.ImportFrom) and node.level == 0
+                else []
+            )
+        }
+        assert not imported & _IO_MODULES
--- /dev/null
+++ b/mothstand/tests/test_places.py
@@ -0,0 +1,185 @@
+"""Failures across data centres, and racing operators, with real processes."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING, Any
+
+import httpx
+import pytest
+
+from ..testing.examples import call_service, chat, write_folder
+from ..testing.fleet import Fleet, wait_until
+from ..testing.load import Got, Load
+from .test_failures import LUND, check_history, view_of
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+pytestmark = pytest.mark.processes
+
+INSTANCES = ("sto-a-1", "sto-a-2", "sto-b-1", "sto-b-2")
+
+
+@pytest.fixture
+def places(empty_fleet: Fleet, tmp_path: Path) -> Fleet:
+    """Return two data centres with two instances, an engine and a service each."""
+    fleet = empty_fleet
+    for place in ("a", "b"):
+        fleet.start_engine(f"llm-{place}", f"sto-{place}")
+        fleet.start_service(f"renewer-{place}", f"sto-{place}")
+    for name in INSTANCES:
+        fleet.start_instance(name, name[:5], listed=False)
+    fleet.publish_list()
+    folder = write_folder(tmp_path / "folder", fleet, paid_tokens={"lund": 60_000})
+    assert fleet.publish(folder).returncode == 0
+    fleet.wait_ready(*INSTANCES)
+    for name in INSTANCES:
+        wait_until(lambda n=name: chat(fleet.processes[n].url).status_code == 200, name)
+    return fleet
+
+
+def urls(fleet: Fleet, *names: str) -> Any:
+    """Return a function that returns the URLs of instances."""
+    found = [fleet.processes[name].url for name in names]
+    return lambda: found
+
+
+def effects(fleet: Fleet, body: str) -> int:
+    """Return how often a call had its effect, at all services."""
+    journals = [fleet.journal("renewer-a"), fleet.journal("renewer-b")]
+    return sum(entry["body"] == body for journal in journals for entry in journal)
+
+
+class TestCuts:
+    def test_cut_data_centre_and_the_rest_spend_one_budget(
+        self, places: Fleet, tmp_path: Path
+    ) -> None:
+        """Symptom: a data centre that is cut off and the others spend the same tokens.
+
+        Sequence: both spend from one small budget, one is cut off from the platform, the operator
+        tops up, the budget runs dry on both sides, the cut ends.
+        Cause it guards against: a grant that a cut data centre still spends being given to others.
+        """
+        with Load(urls(places, *INSTANCES), callers=8, pause_s=0.005, max_tokens=40) as load:
+            time.sleep(1.0)
+            places.set_faults("platform", mode="down", callers=["sto-a-1", "sto-a-2"])
+            time.sleep(2.0)
+            folder = write_folder(tmp_path / "folder", places, paid_tokens={"lund": 70_000})
+            assert places.publish(folder).returncode == 4
+            wait_until(lambda: load.count(Got.REFUSED) > 30, "the budget runs dry", 60.0)
+            places.set_faults("platform", mode="ok")
+            time.sleep(3.0)
+        view = check_history(places, load, paid_tokens=70_000)
+        assert all(fold.ungranted_tokens(LUND) >= 0 for fold in view.ledgers.values())
+        kinds = {record.kind for record in load.records if record.got is Got.REFUSED}
+        assert kinds <= {"budget_exhausted", "budget_reserved", "budget_out_of_reach"}
+
+    def test_leaseholder_dies_inside_a_cut(self, places: Fleet) -> None:
+        """Symptom: a cut data centre serves nobody after one of its two instances has died.
+
+        Sequence: cut from the platform, kill of the leaseholder, its witness promotes itself.
+        Cause it guards against: a takeover that only the log can bring about.
+        """
+        state = next(
+            state
+            for fold in view_of(places).ledgers.values()
+            if LUND in fold.paid_tokens and (state := fold.current_epoch("sto-a"))  # type: ignore[arg-type]
+        )
+        assert state.witness is not None
+        witness = state.witness.name
+        places.set_faults("platform", mode="down", callers=["sto-a-1", "sto-a-2"])
+        time.sleep(2.5)
+        places.processes[state.holder.name].kill()
+        wait_until(
+            lambda: (
+                chat(places.processes[witness].url, prompt="x", max_tokens=2).status_code == 200
+            ),
+            "the witness serves",
+        )
+        places.set_faults("platform", mode="ok")
+        time.sleep(2.0)
+        assert chat(places.processes[witness].url).status_code == 200
+
+
+class TestAtMostOnce:
+    def test_retry_in_another_data_centre_does_not_renew_again(self, places: Fleet) -> None:
+        first = call_service(
+            places.processes["sto-a-1"].url, "renew", body="p1", idempotency_key="p1"
+        )
+        again = call_service(
+            places.processes["sto-b-1"].url, "renew", body="p1", idempotency_key="p1"
+        )
+        assert first.status_code == 200
+        assert again.status_code in (200, 409, 410)
+        assert effects(places, "p1") == 1
+
+    def test_router_paused_with_a_renewal(self, places: Fleet) -> None:
+        """Symptom: a pass is renewed twice.
+
+        Sequence: a router claims a renewal and is stopped, the clerk retries in the other data
+        centre, the router goes on.
+        Cause it guards against: a claim that lapses with the patience of others.
+        """
+        paused = places.processes["sto-a-1"]
+
+        def renew() -> None:
+            try:
+                call_service(paused.url, "renew", body="p2", idempotency_key="p2", timeout_s=8.0)
+            except httpx.HTTPError:
+                return
+
+        thread = threading.Thread(target=renew)
+        thread.start()
+        time.sleep(0.01)
+        paused.pause()
+        for _ in range(3):
+            answer = call_service(
+                places.processes["sto-b-1"].url, "renew", body="p2", idempotency_key="p2"
+            )
+            assert answer.status_code == 200 or answer.json()["error"]["run_state"] != "ran"
+            time.sleep(0.3)
+        paused.resume()
+        thread.join()
+        assert effects(places, "p2") == 1
+
+
+class TestOperators:
+    def test_two_publish_from_one_base(self, places: Fleet, tmp_path: Path) -> None:
+        """Symptom: half of one operator's change and half of another's are in force.
+
+        Sequence: Sato and Ito publish different folders at the same moment, several times.
+        Cause it guards against: accepting a change whose base has been replaced.
+        """
+        for round_number in range(4):
+            folders = {
+                name: write_folder(
+                    tmp_path / f"{name}-{round_number}",
+                    places,
+                    paid_tokens={
+                        "lund": 80_000 + 10 * round_number + step,
+                        "kushiro": 2_000_000 + 10 * round_number + step,
+                    },
+                )
+                for step, name in enumerate(("ito", "sato"))
+            }
+            codes: dict[str, int] = {}
+
+            def publish(name: str, folder: Path, codes: dict[str, int] = codes) -> None:
+                settings = places.operator_settings(name)
+                done = places.run_command("publish", str(folder), f"--settings={settings}")
+                codes[name] = done.returncode
+
+            threads = [
+                threading.Thread(target=publish, args=(name, folder))
+                for name, folder in folders.items()
+            ]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            assert set(codes.values()) <= {0, 3}
+            assert 0 in codes.values()
+            budgets = view_of(places).config.state.config.budgets
+            assert budgets[LUND].paid_tokens % 10 == budgets["kushiro"].paid_tokens % 10  # type: ignore[index]
