--- a/mothstand/core/escrow.py
+++ b/mothstand/core/escrow.py
@@ -146,6 +146,19 @@
     return max(wanted, short, 0)
 
 
+def promotion_share_tokens(percent: int, granted_tokens: int, largest_tokens: int) -> int:
+    """Return how much of a grant its witness may spend alone, in all.
+
+    Notes
+    -----
+    A share below a few requests would be held back for nothing: it could not serve even one.
+    """
+    if percent == 0:
+        return 0
+    floor = min(_SHARE_REQUESTS * largest_tokens, granted_tokens // 4)
+    return max(granted_tokens * percent // 100, floor)
+
+
 def gives_way(budget: BudgetName, here: DataCentre, waiting: Iterable[DataCentre]) -> bool:
     """Return whether a data centre that waits for escrow itself should give all it has free.
 
@@ -175,6 +188,9 @@
 #: Large requests that a quiet budget has room for.
 _HANDFUL = 4
 
+#: Large requests that a promotion share covers, if the grant is not too small for it.
+_SHARE_REQUESTS = 4
+
 #: A budget that asks along with another does so below this share of its target.
 _ALONG_BELOW_PERCENT = 97
 
--- a/mothstand/ledger/escrow_agent.py
+++ b/mothstand/ledger/escrow_agent.py
@@ -6,7 +6,14 @@
 from typing import TYPE_CHECKING
 
 from ..core.accounts import HolderAccount, Lane
-from ..core.escrow import Demand, EscrowView, ask_tokens, gives_way, surplus_tokens
+from ..core.escrow import (
+    Demand,
+    EscrowView,
+    ask_tokens,
+    gives_way,
+    promotion_share_tokens,
+    surplus_tokens,
+)
 from ..core.ledger_fold import EpochState, Grant
 from ..core.records import (
     BudgetPaid,
@@ -175,13 +182,16 @@
             return None
         account = leading[1]
         spent = sum(account.spent_tokens(budget, lane) for lane in Lane)
-        share = tokens if account.witnessed else 0
+        grant = leading[0].grants.get(budget, Grant())
+        promotion = promotion_share_tokens(
+            policy.promotion_percent, grant.granted_tokens + tokens, view.largest_tokens
+        )
         return GrantAsk(
             budget=budget,
             tokens=tokens,
             spent_tokens=spent - account.open_tokens(budget),
-            allowance_tokens=share * policy.allowance_percent // 100,
-            promotion_tokens=share * policy.promotion_percent // 100,
+            allowance_tokens=tokens * policy.allowance_percent // 100 if view.witnessed else 0,
+            promotion_tokens=promotion - grant.promotion_tokens if view.witnessed else 0,
         )
 
     def _may_move_others(self, budget: BudgetName, view: EscrowView) -> bool:
--- a/mothstand/testing/fleet.py
+++ b/mothstand/testing/fleet.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import random
 import signal
 import socket
 import subprocess
@@ -23,11 +24,21 @@
 _POLL_S = 0.05
 
 
+#: Below the range from which systems take ports for outgoing connections: one of those could
+#: take a port between its choice here and its process's start.
+_PORTS = range(10_000, 30_000)
+
+
 def free_port() -> int:
     """Return a TCP port of the loopback address that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    while True:
+        port = random.choice(_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 @dataclass(slots=True)
--- a/mothstand/tests/test_escrow.py
+++ b/mothstand/tests/test_escrow.py
@@ -13,6 +13,7 @@
     EscrowView,
     ask_tokens,
     gives_way,
+    promotion_share_tokens,
     surplus_tokens,
     target_tokens,
 )
@@ -101,6 +102,19 @@
         assert ask_tokens(POLICY, view) >= 0
 
 
+class TestShares:
+    def test_a_share_serves_a_few_requests(self) -> None:
+        """Symptom: a promoted witness refuses everything though a share was held back for it.
+
+        Sequence: a small grant, of which 5 % is less than one request.
+        Cause it guards against: a share by percent alone.
+        """
+        assert promotion_share_tokens(5, 2000, 100) == 400
+        assert promotion_share_tokens(5, 800, 100) == 200
+        assert promotion_share_tokens(5, 1_000_000, 100) == 50_000
+        assert promotion_share_tokens(0, 2000, 100) == 0
+
+
 class TestGivingWay:
     def test_all_but_one_give_way(self) -> None:
         """Symptom: a budget's last tokens lie in three data centres, none enough for a request.
