Move escrow between data centres in halves, and forget returns that the witness rejected

A return that the witness rejected, since it had not read the grant yet, counted as on its way for ever, so nothing more was given back; returns covered only what waited at the moment; and the allowance grew by 2 % of tokens that had gone back again. Change: on_decided also takes rejections; a data centre gives back half of what it can spare; shares are of what is held; who gives way gives the allowance too.

--- a/mothstand/core/escrow.py
+++ b/mothstand/core/escrow.py
@@ -177,12 +177,14 @@
 
     Notes
     -----
-    Half of what is free after the demand of the next seconds, and no more than is asked: two
-    data centres that give back at once leave each other with something.
+    Half of what is free after the demand of the next seconds: two data centres that give back at
+    once leave each other with something. Not just what is asked for, which is what waits right
+    now: moving costs a second and two appends, too much for one request at a time.
     """
+    if unmet_tokens <= 0:
+        return 0
     soon_tokens = max(int(view.rate_tokens_per_s * _KEEP_S), view.needed_tokens)
-    spare = (view.free_tokens - soon_tokens) // 2
-    return max(0, min(spare, unmet_tokens))
+    return max(0, (view.free_tokens - soon_tokens) // 2)
 
 
 #: Large requests that a quiet budget has room for.
--- a/mothstand/ledger/escrow_agent.py
+++ b/mothstand/ledger/escrow_agent.py
@@ -88,8 +88,9 @@
         self._demand(budget).add(used_tokens, self._state.context.clock.monotonic_s())
 
     def on_epoch(self) -> None:
-        """Forget what was asked for in an earlier epoch."""
+        """Forget what was asked for, and on its way back, in an earlier epoch."""
         self._asked.clear()
+        self._returning.clear()
 
     def on_grant(self, record: GrantAsked) -> None:
         """Note that an ask was decided, whatever the decision."""
@@ -145,14 +146,22 @@
             if here not in waiting:
                 self._give_back_one(leading, budget, unmet)
             elif gives_way(budget, here, waiting):
-                self.return_tokens(budget, self._view(leading, budget).free_tokens)
+                self._give_way(leading, budget)
 
-    def on_acknowledged(self, epoch: Epoch, number: int) -> None:
-        """Take the witness's word that a reservation stands; if it was for a return, return it."""
+    def on_decided(self, epoch: Epoch, number: int, acknowledged: bool) -> None:
+        """Take the witness's word on a reservation; if it was for a return, return it or not.
+
+        A rejected return must be forgotten too: as long as it counts as on its way, nothing more
+        of the budget is given back, and other data centres go on waiting.
+        """
         returning = self._returning.pop((epoch, number), None)
-        if returning is not None:
+        if returning is not None and acknowledged:
             self._submit_return(epoch, *returning)
 
+    def returning_tokens(self, budget: BudgetName) -> int:
+        """Return what is on its way back, waiting for the witness's word."""
+        return sum(tokens for name, tokens in self._returning.values() if name == budget)
+
     def held_by_others(self, budget: BudgetName) -> bool:
         """Return whether another data centre's open epoch holds escrow of the budget."""
         here = self._state.context.membership.data_centre
@@ -183,14 +192,15 @@
         account = leading[1]
         spent = sum(account.spent_tokens(budget, lane) for lane in Lane)
         grant = leading[0].grants.get(budget, Grant())
-        promotion = promotion_share_tokens(
-            policy.promotion_percent, grant.granted_tokens + tokens, view.largest_tokens
-        )
+        # Of what is held, not of all that ever came: tokens that went back count no more.
+        held = grant.granted_tokens - grant.returned_tokens + tokens
+        allowance = held * policy.allowance_percent // 100
+        promotion = promotion_share_tokens(policy.promotion_percent, held, view.largest_tokens)
         return GrantAsk(
             budget=budget,
             tokens=tokens,
             spent_tokens=spent - account.open_tokens(budget),
-            allowance_tokens=tokens * policy.allowance_percent // 100 if view.witnessed else 0,
+            allowance_tokens=allowance - grant.allowance_tokens if view.witnessed else 0,
             promotion_tokens=promotion - grant.promotion_tokens if view.witnessed else 0,
         )
 
@@ -230,12 +240,19 @@
     ) -> None:
         view = self._view(leading, budget)
         policy = self._state.context.config().escrow
-        pending = sum(t for b, t in self._returning.values() if b == budget)
+        pending = self.returning_tokens(budget)
         tokens = surplus_tokens(policy, view, unmet_tokens - view.ungranted_tokens - pending)
-        self.return_tokens(budget, tokens)
+        self.return_tokens(budget, tokens, leading[1].main_lane)
+
+    def _give_way(self, leading: tuple[EpochState, HolderAccount], budget: BudgetName) -> None:
+        """Give back all that is free, the allowance too: nothing but rests is left."""
+        epoch_state, account = leading
+        grant = epoch_state.grants[budget]
+        for lane in Lane:
+            self.return_tokens(budget, account.free_tokens(budget, grant, lane), lane)
 
-    def return_tokens(self, budget: BudgetName, tokens: int) -> None:
-        """Give back free tokens of the led epoch, as far as they are free.
+    def return_tokens(self, budget: BudgetName, tokens: int, lane: Lane) -> None:
+        """Give back free tokens of a lane of the led epoch, if there are as many.
 
         They are reserved for good before the log hears of it: from then on nobody can spend them
         here, not even after this process died in between.
@@ -249,11 +266,11 @@
             budget,
             tokens,
             grant=epoch_state.grants[budget],
-            lane=account.main_lane,
+            lane=lane,
         )
         if taken is None:
             return
-        if account.witnessed:
+        if lane is Lane.WITNESSED:
             self._returning[epoch_state.epoch, taken.number] = (budget, tokens)
             self._want_mirror()
         else:
--- a/mothstand/ledger/reserver.py
+++ b/mothstand/ledger/reserver.py
@@ -150,14 +150,22 @@
             await context.clock.sleep(_MIRROR_RETRY_S)
             return
         self._note_witness(reachable=True, detail="")
-        usable = account.batch_acked(batch.number, answer)
-        self._release(batch, frozenset(r.number for r in usable))
-        for reservation in usable:
-            self.agent.on_acknowledged(batch.epoch, reservation.number)
+        self.take_answer(account, batch, answer)
         if answer.sealed:
             emit(Event.EPOCH_LOST, shard=self._state.shard, epoch=batch.epoch)
             self._release_lost()
 
+    def take_answer(
+        self, account: HolderAccount, batch: MirrorBatch, answer: MirrorAnswer
+    ) -> tuple[Reservation, ...]:
+        """Take the witness's answer to a batch; return the reservations that may now be used."""
+        usable = account.batch_acked(batch.number, answer)
+        numbers = frozenset(r.number for r in usable)
+        self._release(batch, numbers)
+        for reservation in batch.reservations:
+            self.agent.on_decided(batch.epoch, reservation.number, reservation.number in numbers)
+        return usable
+
     def _note_witness(self, *, reachable: bool, detail: str) -> None:
         if self.witness_reachable and not reachable:
             emit(Event.WITNESS_LOST, shard=self._state.shard, detail=detail)
