Say 'may have run' when an attempt may have; one loop over upstreams; smaller modules

Cause: read as a newcomer, the loops over upstreams stood twice, and both ended as 'no upstream, not run' even when an engine had taken the request and failed: an untrue refusal. Ruled out: leaving each loop to remember for itself. Conclusion: 'not run' now depends on every attempt, not on the last.

--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -14,7 +14,7 @@
 
 from mothstand.core.accounts import Lane
 from mothstand.core.config import Budget, FleetConfig, Upstream, UpstreamKind
-from mothstand.core.ledger_fold import Grant
+from mothstand.core.ledger_state import Grant
 from mothstand.core.membership import shard_of
 from mothstand.ledger.calls import ReserveCall, Ticket
 from mothstand.ledger.shard import ShardNode
--- a/mothstand/core/accounts.py
+++ b/mothstand/core/accounts.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     from ..types import BudgetName, Epoch
-    from .ledger_fold import Grant
+    from .ledger_state import Grant
 
 
 class Lane(Enum):
--- a/mothstand/core/leadership.py
+++ b/mothstand/core/leadership.py
@@ -15,7 +15,8 @@
 
 if TYPE_CHECKING:
     from ..types import Epoch, Member
-    from .ledger_fold import EpochState, LedgerFold
+    from .ledger_fold import LedgerFold
+    from .ledger_state import EpochState
 
 
 @dataclass(frozen=True, slots=True)
--- a/mothstand/core/records.py
+++ b/mothstand/core/records.py
@@ -253,7 +253,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GrantImage:
-    """One grant in a snapshot; the fields are those of `ledger_fold.Grant`."""
+    """One grant in a snapshot; the fields are those of `ledger_state.Grant`."""
 
     budget: BudgetName
     granted_tokens: int
@@ -267,7 +267,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EpochImage:
-    """One epoch in a snapshot; the fields are those of `ledger_fold.EpochState`."""
+    """One epoch in a snapshot; the fields are those of `ledger_state.EpochState`."""
 
     epoch: Epoch
     data_centre: DataCentre
--- a/mothstand/entry/budgeted.py
+++ b/mothstand/entry/budgeted.py
@@ -3,22 +3,26 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from returns.result import Failure, Success
 
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..events import Event, emit
 from ..ledger.calls import KnownKey, Refused, Ticket
+from ..upstreams.client import MayHaveRunError, NotRunError
 from .metrics import record_s
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
     from types import TracebackType
 
     from ..core.config import Upstream
     from ..core.routing import RouteCall
     from .context import CallerRequest, EntryContext
 
+_T = TypeVar("_T")
+
 #: Upstreams that one request tries at most: retries must not multiply an overload.
 MOST_ATTEMPTS = 3
 
@@ -150,6 +154,44 @@
         emit(Event.UPSTREAM_FAILED, upstream=self._upstream.name, error=str(error))
 
 
-def given_up(error: Exception, attempts: int) -> RefusedError:
-    """Return the refusal after the last attempt at upstreams that could not be reached."""
-    return RefusedError(Refusal(ErrorKind.NO_UPSTREAM, f"{attempts} tried; the last: {error}"))
+async def try_upstreams(
+    context: EntryContext,
+    request: CallerRequest,
+    route: Callable[[frozenset[str]], RouteCall],
+    attempt: Callable[[Upstream, int], Awaitable[_T]],
+) -> _T:
+    """Return the result of the first attempt that gets one.
+
+    Parameters
+    ----------
+    route
+        Returns what routing looks at, given the upstreams that were tried.
+    attempt
+        Tries an upstream; the number counts from 1.
+
+    Raises
+    ------
+    RefusedError
+        When no upstream is left, or `MOST_ATTEMPTS` have failed. It says "not run" only if no
+        attempt can have reached an upstream.
+    """
+    tried: frozenset[str] = frozenset()
+    last: Exception | None = None
+    may_have_run = False
+    for number in range(1, MOST_ATTEMPTS + 1):
+        try:
+            upstream = choose_upstream(context, request, route(tried))
+        except RefusedError:
+            if last is None:
+                raise
+            break
+        try:
+            return await attempt(upstream, number)
+        except NotRunError as error:
+            last = error
+        except MayHaveRunError as error:
+            last = error
+            may_have_run = True
+        tried |= {upstream.name}
+    kind = ErrorKind.OUTCOME_UNKNOWN if may_have_run else ErrorKind.NO_UPSTREAM
+    raise RefusedError(Refusal(kind, f"{len(tried)} tried; the last: {last}")) from last
--- a/mothstand/entry/chat.py
+++ b/mothstand/entry/chat.py
@@ -12,9 +12,9 @@
 from ..core.stream_check import BrokenStreamError, StreamCheck, read_usage
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..events import Event, emit
-from ..upstreams.client import MayHaveRunError, NotSentError
+from ..upstreams.client import NOT_RUN_STATUSES, MayHaveRunError, NotRunError
 from .answers import REQUEST_ID_HEADER, refusal_body, refusal_event, refusal_headers
-from .budgeted import MOST_ATTEMPTS, Attempt, Budgeted, Charge, choose_upstream, given_up
+from .budgeted import Attempt, Budgeted, Charge, choose_upstream, try_upstreams
 
 if TYPE_CHECKING:
     import httpx
@@ -131,22 +131,12 @@
         )
 
     async def _dispatch(self, charge: Charge, sink: AnswerSink) -> None:
-        tried: frozenset[str] = frozenset()
-        error: Exception | None = None
-        for attempt_number in range(1, MOST_ATTEMPTS + 1):
-            try:
-                upstream = choose_upstream(self._context, self._request, self._route(tried))
-            except RefusedError as refused:
-                raise given_up(error, len(tried)) if error else refused from error
-            try:
-                await self._attempt(upstream, attempt_number, charge, sink)
-                return
-            except (NotSentError, MayHaveRunError) as failure:
-                # A completion may be run again: nothing of it has reached the caller, and only
-                # one run's usage is billed.
-                error = failure
-                tried |= {upstream.name}
-        raise given_up(error or NotSentError("none"), len(tried))
+        async def attempt(upstream: Upstream, number: int) -> None:
+            await self._attempt(upstream, number, charge, sink)
+
+        # A completion may be run again: nothing of it has reached the caller when an attempt
+        # fails, and only one run's usage is billed.
+        await try_upstreams(self._context, self._request, self._route, attempt)
 
     async def _attempt(
         self, upstream: Upstream, number: int, charge: Charge, sink: AnswerSink
@@ -162,7 +152,7 @@
                 )
                 async with sending as response:
                     await self._take(response, charge, sink)
-            except (NotSentError, MayHaveRunError) as error:
+            except (NotRunError, MayHaveRunError) as error:
                 attempt.fail(error)
                 if not sink.started:
                     raise
@@ -181,10 +171,10 @@
         return json.dumps(value, ensure_ascii=False).encode()
 
     async def _take(self, response: httpx.Response, charge: Charge, sink: AnswerSink) -> None:
+        if response.status_code in NOT_RUN_STATUSES:
+            raise NotRunError(f"the engine says that it did not run it: {response.status_code}")
         if response.status_code >= 500:
             raise MayHaveRunError(f"status {response.status_code}")
-        if response.status_code == 429:
-            raise NotSentError("the engine is full and says so")
         if response.status_code != 200:
             body = await response.aread()
             detail = body[:200].decode(errors="replace")
--- a/mothstand/entry/services.py
+++ b/mothstand/entry/services.py
@@ -8,16 +8,15 @@
 from ..core.routing import RouteCall
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..ledger.calls import KnownKey
-from ..upstreams.client import MayHaveRunError, NotSentError
+from ..upstreams.client import NOT_RUN_STATUSES, MayHaveRunError, NotRunError
 from .answers import REQUEST_ID_HEADER
 from .budgeted import (
-    MOST_ATTEMPTS,
     Attempt,
     Budgeted,
     Charge,
     KnownKeyError,
     choose_upstream,
-    given_up,
+    try_upstreams,
 )
 
 if TYPE_CHECKING:
@@ -120,27 +119,17 @@
         )
 
     async def _dispatch(self, charge: Charge, sink: AnswerSink) -> int:
-        tried: frozenset[str] = frozenset()
-        error: Exception | None = None
-        for _ in range(MOST_ATTEMPTS):
-            try:
-                upstream = choose_upstream(self._context, self._request, self._route(tried))
-            except RefusedError as refused:
-                raise given_up(error, len(tried)) if error else refused from error
+        async def attempt(upstream: Upstream, _number: int) -> int:
             try:
                 return await self._attempt(upstream, charge, sink)
-            except NotSentError as failure:
-                error = failure
-            except MayHaveRunError as failure:
-                if self._once:
-                    # The call may have had its effect, so it is billed.
-                    charge.used_tokens = charge.bound_tokens
-                    raise RefusedError(
-                        Refusal(ErrorKind.OUTCOME_UNKNOWN, str(failure))
-                    ) from failure
-                error = failure
-            tried |= {upstream.name}
-        raise given_up(error or NotSentError("none"), len(tried))
+            except MayHaveRunError as error:
+                if not self._once:
+                    raise
+                # The call may have had its effect, so it is billed and not tried again.
+                charge.used_tokens = charge.bound_tokens
+                raise RefusedError(Refusal(ErrorKind.OUTCOME_UNKNOWN, str(error))) from error
+
+        return await try_upstreams(self._context, self._request, self._route, attempt)
 
     async def _attempt(self, upstream: Upstream, charge: Charge, sink: AnswerSink) -> int:
         headers = {REQUEST_ID_HEADER: self._request.request_id}
@@ -152,12 +141,12 @@
                     upstream, self._path, self._request.body, headers=headers, once=self._once
                 )
                 async with sending as response:
-                    if response.status_code in (429, 503):
-                        raise NotSentError("the service says that it did not run the call")
+                    if response.status_code in NOT_RUN_STATUSES:
+                        raise NotRunError("the service says that it did not run the call")
                     body = await response.aread()
                     kind = response.headers.get("content-type", "application/octet-stream")
                     status = response.status_code
-            except (NotSentError, MayHaveRunError) as error:
+            except (NotRunError, MayHaveRunError) as error:
                 attempt.fail(error)
                 raise
         charge.used_tokens = charge.bound_tokens
--- a/mothstand/ledger/escrow_agent.py
+++ b/mothstand/ledger/escrow_agent.py
@@ -14,7 +14,7 @@
     promotion_share_tokens,
     surplus_tokens,
 )
-from ..core.ledger_fold import EpochState, Grant
+from ..core.ledger_state import EpochState, Grant
 from ..core.records import (
     BudgetPaid,
     EscrowReturned,
--- a/mothstand/ledger/reserver.py
+++ b/mothstand/ledger/reserver.py
@@ -8,7 +8,7 @@
 import anyio
 
 from ..core.accounts import HolderAccount, Lane, MirrorAnswer, MirrorBatch, Reservation
-from ..core.ledger_fold import EpochState, Grant
+from ..core.ledger_state import EpochState, Grant
 from ..errors import ErrorKind
 from ..events import Event, emit
 from .calls import KnownKey, NotHolder, PeerError, Refused, ReserveCall, ReserveReply, Ticket
--- a/mothstand/ledger/shard.py
+++ b/mothstand/ledger/shard.py
@@ -31,7 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..core.ledger_fold import EpochState
+    from ..core.ledger_state import EpochState
     from ..platform.writer import LogWriter
     from ..types import BudgetName, Shard
     from .state import ShardContext
--- a/mothstand/ledger/state.py
+++ b/mothstand/ledger/state.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from ..core.ledger_fold import EpochState, LedgerFold
+from ..core.ledger_fold import LedgerFold
 from ..core.requests import RequestIndex
 
 if TYPE_CHECKING:
@@ -16,6 +16,7 @@
     from ..clock import Clock
     from ..core.accounts import HolderAccount, WitnessAccount
     from ..core.config import FleetConfig
+    from ..core.ledger_state import EpochState
     from ..core.membership import Membership
     from ..settings.instance import TimingSection
     from ..types import BudgetName, Epoch, Shard
--- a/mothstand/standins/engine.py
+++ b/mothstand/standins/engine.py
@@ -37,11 +37,12 @@
     Parameters
     ----------
     mode
-        ``refuse`` answers 503; ``truncate`` ends streams early without a marker; ``cross`` sends
-        an event of another answer; ``silent_usage`` reports no usage.
+        ``refuse`` answers 503; ``crash`` takes the request and answers 500; ``truncate`` ends
+        streams early without a marker; ``cross`` sends an event of another answer;
+        ``silent_usage`` reports no usage.
     """
 
-    mode: Literal["ok", "refuse", "truncate", "cross", "silent_usage"] = "ok"
+    mode: Literal["ok", "refuse", "crash", "truncate", "cross", "silent_usage"] = "ok"
     token_delay_s: float | None = None
 
 
@@ -103,6 +104,10 @@
         prompt = _prompt(value)
         entry = JournalEntry(request.headers.get("x-request-id", ""), prompt, len(prompt.split()))
         self._journal.append(entry)
+        if self._faults.mode == "crash":
+            entry.state = "crashed"
+            await Response(status_code=500)(scope, receive, send)
+            return
         count = min(int(value.get("max_tokens", 16)), 16 + zlib.crc32(prompt.encode()) % 48)
         if "tokens_wanted" in value:
             count = min(int(value["max_tokens"]), int(value["tokens_wanted"]))
--- a/mothstand/tests/test_accounts.py
+++ b/mothstand/tests/test_accounts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..core.accounts import HolderAccount, Lane, MirrorBatch, Reservation, WitnessAccount
-from ..core.ledger_fold import Grant
+from ..core.ledger_state import Grant
 from ..types import BudgetName, Epoch
 
 LUND = BudgetName("lund")
--- a/mothstand/tests/test_requests.py
+++ b/mothstand/tests/test_requests.py
@@ -118,6 +118,17 @@
         for number in range(6):
             assert chat(fleet.processes["sto-a-1"].url, prompt=f"p{number}").status_code == 200
 
+    def test_engine_that_crashed_may_have_run(self, fleet: Fleet) -> None:
+        """Symptom: "not run" of a request that engines took and worked on.
+
+        Sequence: each engine that is tried takes the request and fails without an answer.
+        Cause it guards against: naming the end of the attempts in place of what they did.
+        """
+        set_engines(fleet, mode="crash")
+        answer = chat(fleet.processes["sto-a-1"].url, prompt="crashes them all")
+        assert answer.json()["error"]["run_state"] == "may have run"
+        assert len(runs_of(fleet, "crashes them all")) == 2
+
     def test_dead_engine_is_no_upstream_and_not_run(self, fleet: Fleet) -> None:
         set_engines(fleet, mode="refuse")
         answer = chat(fleet.processes["sto-a-1"].url, prompt="nobody there")
--- a/mothstand/upstreams/client.py
+++ b/mothstand/upstreams/client.py
@@ -15,8 +15,12 @@
     from ..settings.instance import TimingSection
 
 
-class NotSentError(Exception):
-    """No connection could be made, so no byte of the request has left."""
+#: Statuses by which an upstream says that it did not run a request.
+NOT_RUN_STATUSES = (429, 503)
+
+
+class NotRunError(Exception):
+    """No byte of the request has left this process, or the upstream says that it did not run."""
 
 
 class MayHaveRunError(Exception):
@@ -33,7 +37,7 @@
 
     Notes
     -----
-    A request leaves this process in `send` only. An error while connecting is `NotSentError`;
+    A request leaves this process in `send` only. An error while connecting is `NotRunError`;
     anything later is `MayHaveRunError`, also where a kept connection turns out to be dead, which
     cannot be told from a request that was read and then lost. Calls that may not be repeated
     therefore get a new connection each.
@@ -74,7 +78,7 @@
 
         Raises
         ------
-        NotSentError, MayHaveRunError
+        NotRunError, MayHaveRunError
             Also while the caller reads the body inside the context.
         """
         client = self._fresh if once else self._kept
@@ -84,7 +88,7 @@
             async with client.stream("POST", url, content=body, headers=headers) as response:
                 yield response
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
-            raise NotSentError(f"{upstream.name}: {error!r}") from error
+            raise NotRunError(f"{upstream.name}: {error!r}") from error
         except httpx.HTTPError as error:
             raise MayHaveRunError(f"{upstream.name}: {error!r}") from error
 
