One word for a refusal; the benchmark's ledger apart from its demand; a stop waits for keyed runs

The ledger's Refused stood beside errors.Refusal with the same fields; an endpoint's missing method raised only when called; the first-byte histogram was never filled; and a stop did not wait for a keyed request whose caller had gone, so its bill could be cut off.

--- a/benchmarks/escrow.py
+++ b/benchmarks/escrow.py
@@ -17,7 +17,8 @@
 from mothstand.core.escrow import EscrowPolicy
 from mothstand.types import BudgetName
 
-from .world import PLACES, Demand, EvenSplitLedger, FleetLedger, Result, World
+from .fleet_ledger import EvenSplitLedger, FleetLedger
+from .world import PLACES, Demand, Result, World
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- /dev/null
+++ b/benchmarks/fleet_ledger.py
@@ -0,0 +1,334 @@
+"""The product's ledger, and the even split as a baseline, as `world.Ledger`."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from mothstand.core.accounts import Lane
+from mothstand.core.config import Budget, FleetConfig, Upstream, UpstreamKind
+from mothstand.core.ledger_state import Grant
+from mothstand.core.membership import shard_of
+from mothstand.ledger.calls import ReserveCall, Ticket
+from mothstand.ledger.shard import ShardNode
+from mothstand.ledger.state import ShardContext
+from mothstand.settings.instance import TimingSection
+from mothstand.testing.fakes import FakeBeliefs, FakeClock, FakeWriter, NoPeers
+from mothstand.types import BudgetName, DataCentre, Member, Shard
+
+from .world import PLACES, STEP_S, Ledger, Request, Result
+
+if TYPE_CHECKING:
+    from mothstand.core.escrow import EscrowPolicy
+    from mothstand.core.records import LedgerRecord
+
+SUSPECT_AFTER_S = 1.0
+REPLACED_AFTER_S = 30.0
+SHARDS = 2
+
+
+@dataclass(slots=True)
+class _Process:
+    """One instance of the fleet: its nodes, and what it believes."""
+
+    me: Member
+    place: DataCentre
+    beliefs: FakeBeliefs
+    clock: FakeClock
+    nodes: dict[Shard, ShardNode] = field(default_factory=dict)
+    writers: dict[Shard, FakeWriter[LedgerRecord]] = field(default_factory=dict)
+    read: dict[Shard, int] = field(default_factory=dict)
+    dead_at_s: float | None = None
+    log_silent_s: float = 0.0
+
+
+class _LoneBeliefs(FakeBeliefs):
+    """Sees the others alive but takes none for a witness."""
+
+    def alive_here(self, now_s: float) -> dict[str, Member]:
+        """Return this one, and the others only while this one is not the first."""
+        alive = super().alive_here(now_s)
+        first = min(alive)
+        return {self.me.name: self.me} if first == self.me.name else {first: alive[first]}
+
+
+class FleetLedger(Ledger):
+    """The product's ledger.
+
+    Parameters
+    ----------
+    witnessed
+        Whether epochs get witnesses; without, a kill writes the grant off.
+    """
+
+    def __init__(
+        self,
+        policy: EscrowPolicy,
+        paid: dict[BudgetName, int],
+        result: Result,
+        *,
+        witnessed: bool = True,
+    ) -> None:
+        budgets = {name: Budget(name, "w", tokens) for name, tokens in paid.items()}
+        upstreams = {
+            str(place): Upstream(place, UpstreamKind.ENGINE, "", place, ("m",), 1)
+            for place in PLACES
+        }
+        self.config = FleetConfig(budgets=budgets, upstreams=upstreams, escrow=policy)
+        self.result = result
+        self._witnessed = witnessed
+        self._now_s = 1000.0
+        self._logs: dict[Shard, list[LedgerRecord]] = {Shard(i): [] for i in range(SHARDS)}
+        self._cut: dict[DataCentre, float] = {}
+        self._paid: dict[Shard, dict[BudgetName, int]] = {Shard(i): {} for i in range(SHARDS)}
+        for name, tokens in paid.items():
+            self._paid[self._shard(name)][name] = tokens
+        self._started = 0
+        self.processes = {
+            f"{place}-{i}": self._start(f"{place}-{i}", place) for place in PLACES for i in (1, 2)
+        }
+
+    def step(self, now_s: float) -> None:
+        """Read, act and append, for every live instance."""
+        self._now_s = now_s
+        self._replace_dead(now_s)
+        self._believe(now_s)
+        for process in self._live():
+            process.clock.advance(STEP_S)
+            since = self._cut.get(process.place)
+            process.log_silent_s = 0.0 if since is None else now_s - since
+            for shard, node in process.nodes.items():
+                if since is None:
+                    self._read(process, shard)
+                node.tick(self._paid[shard])
+                node.state.needed_tokens.clear()
+                self._mirror(node)
+        for process in self._live():
+            if process.place not in self._cut:
+                self._append(process)
+
+    def reserve(self, request: Request, now_s: float) -> bool:
+        """Reserve at the data centre's leaseholder, or its promoted witness."""
+        shard = self._shard(request.budget)
+        for process in self._live(request.place):
+            node = process.nodes[shard]
+            if node.state.leading() is not None:
+                return self._reserve_leading(node, request)
+            if node.state.promoted() is not None and self._reserve_promoted(node, request):
+                return True
+        return False
+
+    def settle(self, request: Request) -> None:
+        """Settle at whichever side takes it."""
+        ticket = request.handle
+        assert isinstance(ticket, Ticket)
+        for process in self._live(request.place):
+            reserver = process.nodes[ticket.shard].reserver
+            if reserver.settle(ticket, request.used_tokens, ""):
+                reserver.posted(ticket)
+                return
+
+    def kill(self, place: DataCentre, who: str) -> None:
+        """Kill the instance that leads (or witnesses) the most shards, or both."""
+        live = self._live(place)
+
+        def led(process: _Process) -> int:
+            return sum(node.state.leading() is not None for node in process.nodes.values())
+
+        live.sort(key=led, reverse=True)
+        victims = {"holder": live[:1], "witness": live[1:], "both": live}[who]
+        for process in victims:
+            process.dead_at_s = self._now_s
+
+    def cut(self, place: DataCentre, *, off: bool) -> None:
+        """Cut a data centre off from the platform, or join it again."""
+        if off:
+            self._cut[place] = self._now_s
+        else:
+            del self._cut[place]
+
+    def stranded_tokens(self) -> int:
+        """Return what superseded epochs hold back, as the log tells it."""
+        process = next(p for p in self._live() if p.place not in self._cut)
+        return sum(
+            process.nodes[self._shard(name)].state.fold.stranded_tokens(name)
+            for name in self.config.budgets
+        )
+
+    def _shard(self, budget: BudgetName) -> Shard:
+        return Shard(shard_of(budget, SHARDS))
+
+    def _live(self, place: DataCentre | None = None) -> list[_Process]:
+        return [
+            p
+            for p in self.processes.values()
+            if p.dead_at_s is None and (place is None or p.place == place)
+        ]
+
+    def _start(self, name: str, place: DataCentre) -> _Process:
+        self._started += 1
+        me = Member(name, f"{name}:{self._started}", name)
+        clock = FakeClock()
+        clock.advance(self._now_s - clock.monotonic_s())
+        beliefs = (FakeBeliefs if self._witnessed else _LoneBeliefs)(me, place)
+        process = _Process(me, place, beliefs, clock)
+        context = ShardContext(
+            membership=process.beliefs,
+            calls=NoPeers(),
+            clock=clock,
+            timing=TimingSection.model_validate({}),
+            config=lambda: self.config,
+            log_silent_s=lambda: process.log_silent_s,
+            data_centres=lambda: len(PLACES),
+        )
+        for number in range(SHARDS):
+            shard = Shard(number)
+            writer: FakeWriter[LedgerRecord] = FakeWriter(me.incarnation)
+            process.writers[shard] = writer
+            process.read[shard] = 0
+            process.nodes[shard] = ShardNode(shard, writer, context, lambda _line: None)  # type: ignore[arg-type]
+        return process
+
+    def _replace_dead(self, now_s: float) -> None:
+        for name, process in list(self.processes.items()):
+            if process.dead_at_s is not None and now_s - process.dead_at_s > REPLACED_AFTER_S:
+                self.processes[name] = self._start(name, process.place)
+
+    def _believe(self, now_s: float) -> None:
+        for process in self._live():
+            believed = {
+                p.me.name: p.me
+                for p in self.processes.values()
+                if p.place == process.place
+                and p is not process
+                and (p.dead_at_s is None or now_s - p.dead_at_s < SUSPECT_AFTER_S)
+            }
+            process.beliefs.believed_alive = believed
+
+    def _read(self, process: _Process, shard: Shard) -> None:
+        log = self._logs[shard]
+        while process.read[shard] < len(log):
+            process.read[shard] += 1
+            process.nodes[shard].on_record(process.read[shard], log[process.read[shard] - 1])
+
+    def _append(self, process: _Process) -> None:
+        for shard, writer in process.writers.items():
+            if writer.queue:
+                self._logs[shard].extend(writer.queue)
+                writer.queue.clear()
+                self.result.ledger_appends += 1
+
+    def _mirror(self, node: ShardNode) -> None:
+        leading = node.state.leading()
+        if leading is None or leading[0].witness is None:
+            return
+        state, account = leading
+        assert state.witness is not None
+        witness = self.processes[state.witness.name]
+        while (batch := account.take_batch()) is not None:
+            answer = None
+            if (
+                witness.dead_at_s is None
+                and state.epoch in witness.nodes[node.state.shard].state.witnesses
+            ):
+                answer = witness.nodes[node.state.shard].reserver.mirror(batch)
+            node.reserver.witness_reachable = answer is not None
+            if answer is None:
+                return
+            node.reserver.take_answer(account, batch, answer)
+
+    def _reserve_leading(self, node: ShardNode, request: Request) -> bool:
+        leading = node.state.leading()
+        assert leading is not None
+        state, account = leading
+        node.agent.note_bound(request.budget, request.bound_tokens)
+        grant = state.grants.get(request.budget, Grant())
+        taken = None
+        for lane in node.reserver.lanes(account, request.budget):
+            taken = account.reserve(
+                "", request.budget, request.bound_tokens, grant=grant, lane=lane
+            )
+            if taken is not None and lane is Lane.WITNESSED:
+                self._mirror(node)
+                if taken.number not in account.open or not node.reserver.witness_reachable:
+                    account.settle(taken.number, 0)
+                    taken = None
+            if taken is not None:
+                break
+        if taken is None:
+            self._wait(node, request)
+            return False
+        node.agent.ask()
+        request.handle = Ticket(node.state.shard, state.epoch, taken.number, "", "")
+        return True
+
+    def _wait(self, node: ShardNode, request: Request) -> None:
+        """Wait for escrow, unless the ledger says that there is none to come."""
+        shard = node.state.shard
+        call = ReserveCall(shard, "", request.budget, request.bound_tokens, "", keyed=False)
+        if node.reserver.shortage(call, waited=False) is not None:
+            request.deadline_s = 0.0
+            return
+        needed = node.state.needed_tokens
+        needed[request.budget] = needed.get(request.budget, 0) + request.bound_tokens
+        node.agent.ask()
+
+    def _reserve_promoted(self, node: ShardNode, request: Request) -> bool:
+        promoted = node.state.promoted()
+        assert promoted is not None
+        state, account = promoted
+        grant = state.grants.get(request.budget, Grant())
+        taken = account.reserve_own("", request.budget, request.bound_tokens, grant=grant)
+        if taken is None:
+            return False
+        request.handle = Ticket(node.state.shard, state.epoch, taken.number, "", "")
+        return True
+
+
+class EvenSplitLedger(Ledger):
+    """Baseline: each data centre gets an equal share of every budget, once and for all.
+
+    The share lives in one instance's memory; when that dies, it is written off.
+    """
+
+    def __init__(self, paid: dict[BudgetName, int]) -> None:
+        self._left = {
+            (place, name): tokens // len(PLACES)
+            for place in PLACES
+            for name, tokens in paid.items()
+        }
+        self._stranded = 0
+
+    def step(self, now_s: float) -> None:
+        """Do nothing: nothing moves."""
+
+    def reserve(self, request: Request, now_s: float) -> bool:
+        """Reserve from the data centre's share."""
+        key = (request.place, request.budget)
+        if self._left[key] < request.bound_tokens:
+            return False
+        self._left[key] -= request.bound_tokens
+        request.handle = key
+        return True
+
+    def settle(self, request: Request) -> None:
+        """Give back what was not used."""
+        key = (request.place, request.budget)
+        if self._left[key] >= 0 and request.handle == key:
+            self._left[key] += request.bound_tokens - request.used_tokens
+
+    def kill(self, place: DataCentre, who: str) -> None:
+        """Write the data centre's shares off when their holder dies."""
+        if who == "witness":
+            return
+        for key, left in self._left.items():
+            if key[0] == place:
+                self._stranded += left
+                self._left[key] = -1
+
+    def cut(self, place: DataCentre, *, off: bool) -> None:
+        """Do nothing: a share needs no platform."""
+
+    def stranded_tokens(self) -> int:
+        """Return what was written off."""
+        return self._stranded
--- a/mothstand/entry/app.py
+++ b/mothstand/entry/app.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import uuid
+from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Protocol
 
 import anyio
@@ -43,7 +44,7 @@
         """Run it."""
 
 
-class Endpoint:
+class Endpoint(ABC):
     """Common course of a caller's request: admit, read, identify, run or join, answer."""
 
     def __init__(self, context: EntryContext, claims: IntentClaims) -> None:
@@ -74,6 +75,7 @@
             elapsed_s = self._context.clock.monotonic_s() - started_s
             record_s(self._context.metrics.whole_us, elapsed_s)
 
+    @abstractmethod
     def make_run(self, request: Request, taken: CallerRequest) -> Run:
         """Return the parsed request.
 
@@ -82,7 +84,6 @@
         RefusedError
             If it cannot be read or is not allowed.
         """
-        raise NotImplementedError
 
     def _admit(self) -> None:
         if self._context.activity.stopping:
@@ -147,6 +148,8 @@
 
         async def produce() -> None:
             keeping = KeepingSink(kept)
+            # Its caller may have gone, but a stop waits for it all the same.
+            self._context.activity.running += 1
             try:
                 await run.run(keeping)
             except KnownKeyError as error:
@@ -161,6 +164,8 @@
                 emit(Event.INTERNAL_ERROR, error=repr(error))
                 self._context.answers.drop(taken.request_id)
                 await self._keep_refusal(keeping, Refusal(ErrorKind.INTERNAL))
+            finally:
+                self._context.activity.running -= 1
             if not kept.status:
                 kept.status = ANSWERED_ELSEWHERE
                 kept.announce()
--- a/mothstand/entry/budgeted.py
+++ b/mothstand/entry/budgeted.py
@@ -9,7 +9,7 @@
 
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..events import Event, emit
-from ..ledger.calls import KnownKey, Refused, Ticket
+from ..ledger.calls import KnownKey, Ticket
 from ..upstreams.client import MayHaveRunError, NotRunError
 from .metrics import record_s
 
@@ -77,8 +77,8 @@
         )
         elapsed_s = self._context.clock.monotonic_s() - started_s
         record_s(self._context.metrics.reserve_us, elapsed_s)
-        if isinstance(reply, Refused):
-            raise RefusedError(Refusal(reply.kind, reply.detail))
+        if isinstance(reply, Refusal):
+            raise RefusedError(reply)
         if isinstance(reply, KnownKey):
             raise KnownKeyError(reply)
         self._charge = Charge(reply, self._bound_tokens)
--- a/mothstand/entry/chat.py
+++ b/mothstand/entry/chat.py
@@ -15,6 +15,7 @@
 from ..upstreams.client import NOT_RUN_STATUSES, MayHaveRunError, NotRunError
 from .answers import REQUEST_ID_HEADER, refusal_body, refusal_event, refusal_headers
 from .budgeted import Attempt, Budgeted, Charge, choose_upstream, try_upstreams
+from .metrics import record_s
 
 if TYPE_CHECKING:
     import httpx
@@ -76,6 +77,7 @@
     def __init__(self, context: EntryContext, request: CallerRequest) -> None:
         self._context = context
         self._request = request
+        self._started_s = context.clock.monotonic_s()
         self._config: FleetConfig = context.config().config
         self._body = self._parse(request.body)
         self._max_tokens = (
@@ -220,6 +222,8 @@
         return {"content-type": content_type, REQUEST_ID_HEADER: self._request.request_id}
 
     def _note_first_byte(self) -> None:
+        elapsed_s = self._context.clock.monotonic_s() - self._started_s
+        record_s(self._context.metrics.first_byte_us, elapsed_s)
         self._context.metrics.counts["answers"] += 1
 
     async def _break_off(self, sink: AnswerSink, detail: str) -> None:
--- a/mothstand/ledger/calls.py
+++ b/mothstand/ledger/calls.py
@@ -6,9 +6,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ..errors import Refusal
+
 if TYPE_CHECKING:
     from ..core.accounts import MirrorAnswer, MirrorBatch
-    from ..errors import ErrorKind
     from ..types import BudgetName, Epoch, Member, Shard
 
 
@@ -47,14 +48,6 @@
     witness: str
 
 
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """The ledger does not cover the request."""
-
-    kind: ErrorKind
-    detail: str = ""
-
-
 @dataclass(frozen=True, slots=True)
 class NotHolder:
     """Another process leads the shard; `hint` is its address, or empty when unknown."""
@@ -70,7 +63,7 @@
     finished: bool
 
 
-ReserveReply = Ticket | Refused | NotHolder | KnownKey
+ReserveReply = Ticket | Refusal | NotHolder | KnownKey
 
 
 class PeerCalls(ABC):
--- a/mothstand/ledger/reserver.py
+++ b/mothstand/ledger/reserver.py
@@ -9,9 +9,9 @@
 
 from ..core.accounts import HolderAccount, Lane, MirrorAnswer, MirrorBatch, Reservation
 from ..core.ledger_state import EpochState, Grant
-from ..errors import ErrorKind
+from ..errors import ErrorKind, Refusal
 from ..events import Event, emit
-from .calls import KnownKey, NotHolder, PeerError, Refused, ReserveCall, ReserveReply, Ticket
+from .calls import KnownKey, NotHolder, PeerError, ReserveCall, ReserveReply, Ticket
 
 if TYPE_CHECKING:
     from ..types import BudgetName, Epoch
@@ -228,7 +228,7 @@
             call.request_id, call.budget, call.bound_tokens, grant=grant, owner=call.owner
         )
         if taken is None:
-            return Refused(
+            return Refusal(
                 ErrorKind.BUDGET_OUT_OF_REACH,
                 "the platform is out and the leaseholder is gone; "
                 f"{account.free_own_tokens(call.budget, grant)} tokens can be spent here",
@@ -260,7 +260,7 @@
             if refused is not None:
                 return refused
             if left_s <= 0:
-                return self.shortage(call, waited=True) or Refused(ErrorKind.LEDGER_UNAVAILABLE)
+                return self.shortage(call, waited=True) or Refusal(ErrorKind.LEDGER_UNAVAILABLE)
             await self._wait_for_escrow(call, left_s)
 
     async def _try_reserve(
@@ -329,7 +329,7 @@
         finally:
             needed[call.budget] -= call.bound_tokens
 
-    def shortage(self, call: ReserveCall, *, waited: bool) -> Refused | None:
+    def shortage(self, call: ReserveCall, *, waited: bool) -> Refusal | None:
         """Return why the budget does not cover the call, or None when waiting may help."""
         leading = self._state.leading()
         if leading is None:
@@ -344,14 +344,14 @@
         left = paid - others - (settled - opened)
         numbers = f"needs up to {call.bound_tokens} tokens, {left} of {paid} are unspent"
         if call.bound_tokens > left:
-            return Refused(ErrorKind.BUDGET_EXHAUSTED, numbers)
+            return Refusal(ErrorKind.BUDGET_EXHAUSTED, numbers)
         if self._state.context.log_is_out:
-            return Refused(ErrorKind.BUDGET_OUT_OF_REACH, f"{numbers}; the platform is out")
+            return Refusal(ErrorKind.BUDGET_OUT_OF_REACH, f"{numbers}; the platform is out")
         if not waited:
             return None
         if opened - returned > 0:
-            return Refused(ErrorKind.BUDGET_RESERVED, f"{numbers}, {opened} reserved here")
-        return Refused(ErrorKind.BUDGET_OUT_OF_REACH, numbers)
+            return Refusal(ErrorKind.BUDGET_RESERVED, f"{numbers}, {opened} reserved here")
+        return Refusal(ErrorKind.BUDGET_OUT_OF_REACH, numbers)
 
     def _configured(self, call: ReserveCall) -> int:
         budget = self._state.context.config().budgets.get(call.budget)
--- a/mothstand/ledger/service.py
+++ b/mothstand/ledger/service.py
@@ -9,10 +9,10 @@
 
 from ..core.membership import rank_for_shard, shard_of
 from ..core.records import BillLine, BillsPosted, LedgerRecord, LedgerSnapshot
-from ..errors import ErrorKind
+from ..errors import ErrorKind, Refusal
 from ..events import Event, emit
 from ..types import Shard
-from .calls import KnownKey, NotHolder, PeerError, Refused, ReserveCall, Ticket
+from .calls import KnownKey, NotHolder, PeerError, ReserveCall, Ticket
 from .shard import ShardNode
 
 if TYPE_CHECKING:
@@ -70,9 +70,7 @@
         self._in_log: list[Ticket] = []
         self._ticket_of: dict[str, Ticket] = {}
         self.shards = {
-            Shard(number): ShardNode(
-                Shard(number), make_writer(Shard(number)), context, self._bill_for_dead
-            )
+            Shard(number): ShardNode(Shard(number), make_writer(Shard(number)), context, self._bill)
             for number in range(shard_count)
         }
 
@@ -98,12 +96,12 @@
 
     async def reserve(
         self, budget: BudgetName, request_id: str, bound_tokens: int, *, keyed: bool
-    ) -> Ticket | Refused | KnownKey:
+    ) -> Ticket | Refusal | KnownKey:
         """Reserve a request's upper bound at the budget's leaseholder.
 
         Returns
         -------
-        Ticket | Refused | KnownKey
+        Ticket | Refusal | KnownKey
             A reservation, the reason why there is none, or who runs the request already.
         """
         call = ReserveCall(
@@ -121,7 +119,7 @@
             if not isinstance(reply, NotHolder):
                 return reply
             if clock.monotonic_s() >= deadline_s:
-                return Refused(ErrorKind.LEDGER_UNAVAILABLE, f"shard {call.shard} has no holder")
+                return Refusal(ErrorKind.LEDGER_UNAVAILABLE, f"shard {call.shard} has no holder")
             await clock.sleep(_FIND_AGAIN_S)
 
     async def settle(
@@ -213,9 +211,6 @@
     def _bill(self, line: BillLine) -> None:
         self._bills.submit(lambda record_id: BillsPosted(record_id=record_id, lines=(line,)))
 
-    def _bill_for_dead(self, line: BillLine) -> None:
-        self._bill(line)
-
     def _on_bills_appended(self, records: tuple[BillsPosted, ...]) -> None:
         for record in records:
             for line in record.lines:
--- a/mothstand/peers/messages.py
+++ b/mothstand/peers/messages.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from ..core.accounts import Lane, MirrorBatch, Reservation, Settlement
-from ..errors import ErrorKind
-from ..ledger.calls import KnownKey, NotHolder, Refused, ReserveCall, ReserveReply, Ticket
+from ..errors import ErrorKind, Refusal
+from ..ledger.calls import KnownKey, NotHolder, ReserveCall, ReserveReply, Ticket
 from ..types import BudgetName, Epoch, Member, Shard
 from . import ledger_pb2 as pb
 
@@ -75,7 +75,7 @@
     match reply:
         case Ticket():
             return pb.ReserveAnswer(ticket=ticket_to_pb(reply))
-        case Refused():
+        case Refusal():
             return pb.ReserveAnswer(refused_kind=reply.kind.value, detail=reply.detail)
         case NotHolder():
             return pb.ReserveAnswer(not_holder_hint=reply.hint)
@@ -91,7 +91,7 @@
         case "ticket":
             return ticket_from_pb(message.ticket)
         case "refused_kind":
-            return Refused(ErrorKind(message.refused_kind), message.detail)
+            return Refusal(ErrorKind(message.refused_kind), message.detail)
         case "finished_at":
             return KnownKey(message.finished_at, finished=True)
         case "running_at":
