Keep low priority out of the engine's queue

Cause: under overload the first token of high priority came after 159 ms at twice the capacity, 10 ms unloaded: low priority filled the engine's queue in front of it. Ruled out: low priority up to 80 % of the slots: 6 ms, but goodput fell from 39 to 28 a second. Change: low priority fills the slots and no more.

--- a/mothstand/core/routing.py
+++ b/mothstand/core/routing.py
@@ -37,7 +37,7 @@
     load_factor: float = 1.25
     open_after_failures: int = 3
     open_s: float = 2.0
-    low_priority_percent: int = 80
+    low_priority_percent: int = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +160,8 @@
         # Twice the fair share: others do not always use theirs, and engines queue a little.
         share = max(1, math.ceil(2 * upstream.slots / max(1, sharers)))
         if priority <= 0:
+            # Never into the engine's queue, where high priority would wait behind it.
+            share = min(share, upstream.slots)
             share = max(1, share * self.policy.low_priority_percent // 100)
         return self._health(upstream.name).in_flight < share
 
--- a/mothstand/tests/test_routing.py
+++ b/mothstand/tests/test_routing.py
@@ -72,6 +72,22 @@
         assert choose(router, call=low) == ErrorKind.OVERLOADED.value
         assert choose(router) in CONFIG.upstreams
 
+    def test_low_priority_does_not_queue_in_the_engine(self) -> None:
+        """Symptom: first tokens of high priority come late under overload.
+
+        Sequence: low priority fills an engine's slots and its queue, then high priority comes.
+        Cause it guards against: a limit for low priority above the engine's slots.
+        """
+        config = FleetConfig(upstreams={"a": upstream("a", slots=10)})
+        router = Router(HERE)
+        low = replace(CALL, priority=0)
+        sent = 0
+        while choose(router, config, low) == "a":
+            router.started("a")
+            sent += 1
+        assert sent == 10
+        assert choose(router, config) == "a"
+
 
 class TestLeaving:
     def test_planned_stop(self) -> None:
