Send the events that the catalogue promises; build the file from a clean folder

Cause: three events of the catalogue (log unreachable, reachable, grant unmet) were never sent, and a second build packed modules of the first. Change: they are sent on the change of state; a test finds events and kinds that nothing uses; the build removes its folders first. Conclusion: the catalogue says what can come.

--- a/mothstand/ledger/escrow_agent.py
+++ b/mothstand/ledger/escrow_agent.py
@@ -101,6 +101,7 @@
                 continue
             if here in self._state.fold.unmet.get(budget, {}):
                 self._unmet.setdefault(budget, _UnmetAsks()).add(now_s)
+                emit(Event.GRANT_UNMET, shard=self._state.shard, budget=budget)
             else:
                 self._unmet.pop(budget, None)
         self._asked = {b: asked for b, asked in self._asked.items() if asked != record.record_id}
--- a/mothstand/platform/reader.py
+++ b/mothstand/platform/reader.py
@@ -63,15 +63,18 @@
         while True:
             try:
                 await self.read_once(wait_s=READ_WAIT_S if self.caught_up else 0.0)
-            except LogError:
+            except LogError as error:
                 if self.unreachable_since_s is None:
                     self.unreachable_since_s = self._clock.monotonic_s()
+                    emit(Event.LOG_UNREACHABLE, stream=self.stream, error=str(error))
                 await self._clock.sleep(_RETRY_S)
 
     async def read_once(self, *, wait_s: float) -> None:
         """Read and apply one page."""
         page = await self._log.read(self.stream, self.next_offset, wait_s=wait_s)
-        self.unreachable_since_s = None
+        if self.unreachable_since_s is not None:
+            self.unreachable_since_s = None
+            emit(Event.LOG_REACHABLE, stream=self.stream)
         if page.first_offset > self.next_offset and self._load is not None:
             self._gap_before = page.first_offset
             self._held = []
--- a/mothstand/tests/test_docs.py
+++ b/mothstand/tests/test_docs.py
@@ -50,6 +50,21 @@
             if row.run_state is not RunState.NOT_RUN and kind is not ErrorKind.KEY_RUNNING:
                 assert row.retry_after_s is None, kind
 
+    def test_every_event_and_kind_is_used(self) -> None:
+        """Symptom: operators wait for an event of the catalogue that never comes.
+
+        Sequence: an event or an error kind is declared and nothing sends it.
+        Cause it guards against: tables that promise more than the code does.
+        """
+        sources = "".join(
+            path.read_text(encoding="utf-8")
+            for path in CORE.parent.rglob("*.py")
+            if "tests" not in path.parts
+        )
+        unused = [e.name for e in Event if f"Event.{e.name}" not in sources]
+        unused += [k.name for k in ErrorKind if sources.count(f"ErrorKind.{k.name}") < 2]
+        assert unused == []
+
     def test_event_numbers_are_unique(self) -> None:
         numbers = [event.number for event in Event]
         assert len(numbers) == len(set(numbers))
--- a/tools/build_binary.sh
+++ b/tools/build_binary.sh
@@ -4,7 +4,8 @@
 set -eu
 cd "$(dirname "$0")/.."
 python="${PYTHON:-.venv/bin/python}"
-rm -rf build/binary dist
+# A folder left by an earlier build would bring back modules that are gone.
+rm -rf build dist
 mkdir -p build/binary dist
 "$python" -m pip install --quiet --disable-pip-version-check --target build/binary .
 "$python" tools/pack_binary.py build/binary dist/mothstand
