Measure an hour's cut with a top-up in its middle

Change: a scenario with budgets of 0.7 hours, topped up by half after 30 minutes of the cut. Conclusion: a top-up reaches a cut data centre only afterwards; that is safe, and weak.

--- a/benchmarks/escrow.py
+++ b/benchmarks/escrow.py
@@ -74,6 +74,15 @@
     world.run(AFTER_S)
 
 
+def _cut_and_top_up(world: World) -> None:
+    world.ledger.cut(PLACES[0], off=True)
+    world.run(HOUR_S / 2)
+    world.top_up(percent=50)
+    world.run(HOUR_S / 2)
+    world.ledger.cut(PLACES[0], off=False)
+    world.run(AFTER_S)
+
+
 def _cut_and_kill(world: World) -> None:
     world.ledger.cut(PLACES[0], off=True)
     world.run(60.0)
@@ -89,6 +98,7 @@
     Scenario("kill witness", _kill("witness")),
     Scenario("kill both", _kill("both")),
     Scenario("hour's cut", _cut),
+    Scenario("hour's cut, top-up", _cut_and_top_up, budget_hours=0.7),
     Scenario("cut, then kill holder", _cut_and_kill),
     Scenario("budgets end", _steady, budget_hours=0.1),
     Scenario("budgets end, kill holder", _kill("holder"), budget_hours=0.1),
--- a/benchmarks/fleet_ledger.py
+++ b/benchmarks/fleet_ledger.py
@@ -147,6 +147,13 @@
         else:
             del self._cut[place]
 
+    def top_up(self, tokens: dict[BudgetName, int]) -> None:
+        """Raise the paid totals of the configuration."""
+        for name, more in tokens.items():
+            shard = self._shard(name)
+            # A new mapping: that is how a node sees that its totals have changed.
+            self._paid[shard] = {**self._paid[shard], name: self._paid[shard][name] + more}
+
     def stranded_tokens(self) -> int:
         """Return what superseded epochs hold back, as the log tells it."""
         process = next(p for p in self._live() if p.place not in self._cut)
@@ -329,6 +336,12 @@
     def cut(self, place: DataCentre, *, off: bool) -> None:
         """Do nothing: a share needs no platform."""
 
+    def top_up(self, tokens: dict[BudgetName, int]) -> None:
+        """Add an equal share in each data centre that still holds its own."""
+        for (place, name), left in self._left.items():
+            if left >= 0:
+                self._left[place, name] = left + tokens[name] // len(PLACES)
+
     def stranded_tokens(self) -> int:
         """Return what was written off."""
         return self._stranded
--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -104,6 +104,10 @@
     def cut(self, place: DataCentre, *, off: bool) -> None:
         """Cut a data centre off from the platform, or join it again."""
 
+    @abstractmethod
+    def top_up(self, tokens: dict[BudgetName, int]) -> None:
+        """Pay for more; a data centre that is cut off hears of it from its peers."""
+
     @abstractmethod
     def stranded_tokens(self) -> int:
         """Return what nobody can spend any more."""
@@ -120,6 +124,7 @@
         self.result = Result()
         self.now_s = 1000.0
         self._rng = random.Random(seed)
+        self._paid = paid
         self._left = dict(paid)
         self._running: list[Request] = []
         self._waiting: list[Request] = []
@@ -138,6 +143,13 @@
             for request in [*waiting, *self._arrivals()]:
                 self._try(request)
 
+    def top_up(self, percent: int) -> None:
+        """Pay a share of each budget's first total again."""
+        tokens = {name: paid * percent // 100 for name, paid in self._paid.items()}
+        for name, more in tokens.items():
+            self._left[name] += more
+        self.ledger.top_up(tokens)
+
     def _arrivals(self) -> list[Request]:
         mean = self.demand.requests_per_s * STEP_S
         count = int(mean) + (self._rng.random() < mean - int(mean))
