Count data centres once for each configuration; drop what nothing uses

The saving was not measured. Conclusion: behaviour as before. Left, and noted on the issues: routing looks at all upstreams for each request.

--- a/mothstand/entry/instance.py
+++ b/mothstand/entry/instance.py
@@ -29,6 +29,7 @@
 from ..platform.log import HttpLog
 from ..platform.reader import LogReader
 from ..platform.writer import LogWriter, Pace
+from ..settings.folder import data_centres
 from ..settings.instance import Address, InstanceSettings
 from ..streams import BILLS_STREAM, CONFIG_STREAM, INTENTS_STREAM, ledger_stream
 from ..types import Member
@@ -85,6 +86,7 @@
         self._router = Router(settings.data_centre)
         self._membership = Membership(self.me, settings.data_centre, timing.suspect_after_s)
         self._configuration = Configuration(self._on_config)
+        self._data_centres = 1
         self._writers: list[LogWriter[Any]] = []
         self._fetching: set[str] = set()
         self._tasks: TaskGroup | None = None
@@ -180,7 +182,7 @@
             timing=self._settings.timing,
             config=lambda: self._configuration.state.config,
             log_silent_s=self._log_silent_s,
-            data_centres=self._count_data_centres,
+            data_centres=lambda: self._data_centres,
         )
 
     def _make_writer(self, stream: str, pace: Pace) -> LogWriter[Any]:
@@ -238,6 +240,8 @@
             self._claims.on_record(offset, record)
 
     def _on_config(self) -> None:
+        # Counted here and not where it is used, which is after each request.
+        self._data_centres = max(1, len(data_centres(self._configuration.state.config)))
         self._ledger.on_config()
 
     def _on_peer_config(self, address: str, offset: int) -> None:
@@ -257,10 +261,6 @@
         since = self._config_reader.unreachable_since_s
         return 0.0 if since is None else self._clock.monotonic_s() - since
 
-    def _count_data_centres(self) -> int:
-        upstreams = self._configuration.state.config.upstreams.values()
-        return max(1, len({upstream.data_centre for upstream in upstreams}))
-
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         assert self._tasks is not None, "run() comes first"
         self._tasks.start_soon(_run_coroutine, work)
--- a/mothstand/ledger/reserver.py
+++ b/mothstand/ledger/reserver.py
@@ -269,14 +269,7 @@
         epoch_state, account = leading
         grant = epoch_state.grants.get(call.budget, Grant())
         for lane in self.lanes(account, call.budget):
-            taken = account.reserve(
-                call.request_id,
-                call.budget,
-                call.bound_tokens,
-                grant=grant,
-                lane=lane,
-                owner=call.owner,
-            )
+            taken = _reserve_in(account, call, grant, lane)
             if taken is None:
                 continue
             if lane is Lane.OWN or await self._acknowledged(epoch_state.epoch, taken):
@@ -285,14 +278,7 @@
         if self.witness_reachable or not account.witnessed:
             return None
         # The witness was lost while this request waited for it.
-        taken = account.reserve(
-            call.request_id,
-            call.budget,
-            call.bound_tokens,
-            grant=grant,
-            lane=Lane.OWN,
-            owner=call.owner,
-        )
+        taken = _reserve_in(account, call, grant, Lane.OWN)
         return None if taken is None else self._ticket(epoch_state, taken)
 
     def lanes(self, account: HolderAccount, budget: BudgetName) -> list[Lane]:
@@ -356,3 +342,16 @@
     def _configured(self, call: ReserveCall) -> int:
         budget = self._state.context.config().budgets.get(call.budget)
         return 0 if budget is None else budget.paid_tokens
+
+
+def _reserve_in(
+    account: HolderAccount, call: ReserveCall, grant: Grant, lane: Lane
+) -> Reservation | None:
+    return account.reserve(
+        call.request_id,
+        call.budget,
+        call.bound_tokens,
+        grant=grant,
+        lane=lane,
+        owner=call.owner,
+    )
--- a/mothstand/ledger/service.py
+++ b/mothstand/ledger/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
@@ -32,14 +31,6 @@
 _SETTLE_TRIES = 240
 
 
-@dataclass(frozen=True, slots=True)
-class _Posting:
-    """A bill on its way to the log, and the reservation it settles."""
-
-    line: BillLine
-    ticket: Ticket
-
-
 class LedgerService:
     """All shards at one instance.
 
@@ -63,7 +54,6 @@
         self.shard_count = shard_count
         self._context = context
         self._bills = bills
-        self._postings: list[_Posting] = []
         self._unsettled = 0
         self._paid: dict[Shard, dict[BudgetName, int]] = {}
         bills.on_appended(self._on_bills_appended)
