Let another engine go on with a stream whose engine fails

Cause: an engine that died, froze or crossed answers in mid-stream left its caller with half an answer and an error event, though other engines were free.

Ruled out: running it again and skipping what was sent (two runs of a model seldom make the same text); keeping whole answers back until they are done (first token).

Change: AnswerSoFar keeps the text that has passed and its usage; the next engine gets it as the assistant's open message, with the tokens that are left; its events pass under the first engine's id and with the usage of both. Events before a fault in one piece of data now count as sent; they were dropped. A stream that fails before its first event runs again elsewhere. Bodies of engines moved to entry/chat_body.py.

An engine killed under 12 streaming callers: every answer whole, right, billed once for what it shows.

An engine that freezes and wakes is not run.

--- a/mothstand/core/config.py
+++ b/mothstand/core/config.py
@@ -73,7 +73,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Upstream:
-    """A model engine or a plain service's instance."""
+    """A model engine or a plain service's instance.
+
+    Parameters
+    ----------
+    resumes
+        Whether it goes on with an answer that another engine has begun.
+    """
 
     name: str
     kind: UpstreamKind
@@ -81,6 +87,7 @@
     data_centre: DataCentre
     serves: tuple[str, ...]
     slots: int
+    resumes: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/mothstand/core/routing.py
+++ b/mothstand/core/routing.py
@@ -52,12 +52,15 @@
         What requests that share a cached prompt prefix have in common.
     tried
         Upstreams that this request has failed at.
+    resumes
+        Only upstreams that can go on with a part of an answer.
     """
 
     serves: str
     prefix: str
     priority: int
     tried: frozenset[str] = frozenset()
+    resumes: bool = False
 
 
 @dataclass(slots=True)
@@ -110,6 +113,7 @@
             for u in config.upstreams.values()
             if call.serves in u.serves
             and u.name not in call.tried
+            and (u.resumes or not call.resumes)
             and self._takes_work(u, config, now_utc, now_s)
         ]
         here = [u for u in usable if u.data_centre == self.data_centre]
--- a/mothstand/core/stream_check.py
+++ b/mothstand/core/stream_check.py
@@ -1,10 +1,15 @@
-"""Checks a stream of server-sent events on its way from an engine to a caller."""
+"""Checks a stream of server-sent events on its way from an engine to a caller.
+
+A stream that breaks can be taken up by another engine: `AnswerSoFar` holds what that one has to
+know, and its events pass as the first one's.
+"""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import Any
 
-from pydantic_core import from_json
+from pydantic_core import from_json, to_json
 
 _DONE = b"data: [DONE]"
 _DATA = b"data:"
@@ -15,7 +20,17 @@
 
 
 class BrokenStreamError(Exception):
-    """The engine's stream is not a whole, single answer."""
+    """The engine's stream is not a whole, single answer.
+
+    Parameters
+    ----------
+    kept
+        Events before the fault that are still to be sent on.
+    """
+
+    def __init__(self, detail: str, *, kept: bytes = b"") -> None:
+        super().__init__(detail)
+        self.kept = kept
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +57,53 @@
     return Usage(prompt, completion)
 
 
+@dataclass(slots=True)
+class AnswerSoFar:
+    """What of a streamed answer has passed, for another engine to go on with.
+
+    Parameters
+    ----------
+    answer_id
+        The id that the caller knows the answer by; None before the first event.
+    pieces
+        The text, event by event.
+    plain
+        Whether text is all that has passed, so that the text alone is enough to go on from.
+    usage
+        As the engines have reported it, all together.
+    """
+
+    answer_id: str | None = None
+    pieces: list[str] = field(default_factory=list)
+    plain: bool = True
+    usage: Usage | None = None
+
+    @property
+    def text(self) -> str:
+        """The answer's text as far as it has passed."""
+        return "".join(self.pieces)
+
+    @property
+    def can_continue(self) -> bool:
+        """Whether another engine can go on: there is text, only text, and its cost is known."""
+        return self.plain and bool(self.pieces) and self.usage is not None
+
+    def note(self, choices: Any) -> None:
+        """Take the choices of an event that passes."""
+        try:
+            (choice,) = choices
+            delta = choice["delta"]
+            if choice.get("finish_reason") is not None or not delta.keys() <= _PLAIN_KEYS:
+                self.plain = False
+            self.pieces.append(delta.get("content") or "")
+        except (TypeError, ValueError, KeyError, AttributeError):
+            self.plain = False
+
+
+#: Fields of an event's delta that text alone makes up for.
+_PLAIN_KEYS = frozenset({"role", "content"})
+
+
 class StreamCheck:
     """Passes events on while they belong to one answer.
 
@@ -49,6 +111,13 @@
     ----------
     wants_usage
         Whether the caller asked for the closing usage event; else it is held back.
+    before
+        What another engine has sent of the same answer; None for a first one.
+
+    Attributes
+    ----------
+    reports_usage
+        Whether the engine has reported usage.
 
     Notes
     -----
@@ -56,13 +125,21 @@
     answer shows by the missing end marker, which `finish` asks for.
     """
 
-    def __init__(self, *, wants_usage: bool) -> None:
-        self.usage: Usage | None = None
+    def __init__(self, *, wants_usage: bool, before: AnswerSoFar | None = None) -> None:
+        self.so_far = before or AnswerSoFar()
         self.done = False
+        self.reports_usage = False
         self._wants_usage = wants_usage
-        self._answer_id: str | None = None
+        self._continues = before is not None
+        self._usage_before = self.so_far.usage
+        self._engine_answer_id: str | None = None
         self._rest = b""
 
+    @property
+    def usage(self) -> Usage | None:
+        """Usage of the whole answer so far; None if no engine has reported any."""
+        return self.so_far.usage
+
     def feed(self, data: bytes) -> bytes:
         """Return what of `data` is to be sent on.
 
@@ -79,8 +156,13 @@
             self._rest = data
             return b""
         self._rest = data[end + 2 :]
-        events = data[: end + 2]
-        kept = [event + _END for event in events[:-2].split(_END) if self._passes(event)]
+        kept: list[bytes] = []
+        try:
+            for event in data[:end].split(_END):
+                kept.append(self._pass(event))
+        except BrokenStreamError as error:
+            # What came before the fault counts as sent: another engine goes on after it.
+            raise BrokenStreamError(str(error), kept=b"".join(kept)) from error
         return b"".join(kept)
 
     def finish(self) -> None:
@@ -94,15 +176,16 @@
         if not self.done:
             raise BrokenStreamError("the connection ended before the end marker")
 
-    def _passes(self, event: bytes) -> bool:
+    def _pass(self, event: bytes) -> bytes:
+        """Return the event as it is sent on; nothing if it is held back."""
         if self.done:
             raise BrokenStreamError("an event after the end marker")
         if event.startswith(_DONE):
             self.done = True
-            return True
+            return event + _END
         if not event.startswith(_DATA):
             # Comments and other fields keep a connection open; they carry nothing.
-            return False
+            return b""
         try:
             value = from_json(event[len(_DATA) :])
         except ValueError as error:
@@ -110,13 +193,45 @@
         if not isinstance(value, dict) or "error" in value:
             raise BrokenStreamError("the engine sent an error")
         self._check_id(value.get("id"))
-        self.usage = read_usage(value) or self.usage
-        return bool(value.get("choices")) or self._wants_usage
+        self._note_usage(value)
+        choices = value.get("choices")
+        if choices:
+            self.so_far.note(choices)
+        elif not self._wants_usage:
+            return b""
+        return self._as_first(value) if self._continues else event + _END
 
     def _check_id(self, answer_id: object) -> None:
         if not isinstance(answer_id, str):
             raise BrokenStreamError("an event has no id")
-        if self._answer_id is None:
-            self._answer_id = answer_id
-        elif self._answer_id != answer_id:
-            raise BrokenStreamError(f"an event of {answer_id!r} in {self._answer_id!r}")
+        if self._engine_answer_id is None:
+            self._engine_answer_id = answer_id
+            self.so_far.answer_id = self.so_far.answer_id or answer_id
+        elif self._engine_answer_id != answer_id:
+            raise BrokenStreamError(f"an event of {answer_id!r} in {self._engine_answer_id!r}")
+
+    def _note_usage(self, value: dict[str, Any]) -> None:
+        usage = read_usage(value)
+        if usage is None:
+            return
+        self.reports_usage = True
+        before = self._usage_before
+        if before is not None:
+            # The prompt of the engine that goes on holds the answer so far: counted once only.
+            usage = Usage(before.prompt_tokens, before.completion_tokens + usage.completion_tokens)
+        self.so_far.usage = usage
+
+    def _as_first(self, value: dict[str, Any]) -> bytes:
+        """Return an event of a later engine as one of the first engine's."""
+        value["id"] = self.so_far.answer_id
+        usage = self.so_far.usage
+        if value.get("usage") and usage is not None:
+            value["usage"] = {
+                "prompt_tokens": usage.prompt_tokens,
+                "completion_tokens": usage.completion_tokens,
+                "total_tokens": usage.total_tokens,
+            }
+        for choice in value.get("choices") or ():
+            if isinstance(choice, dict) and isinstance(choice.get("delta"), dict):
+                choice["delta"].pop("role", None)
+        return _DATA + b" " + to_json(value) + _END
--- a/mothstand/entry/chat.py
+++ b/mothstand/entry/chat.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-import xxhash
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import ValidationError
 
 from ..core.routing import RouteCall
-from ..core.stream_check import BrokenStreamError, StreamCheck, read_usage
+from ..core.stream_check import AnswerSoFar, BrokenStreamError, StreamCheck, read_usage
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..events import Event, emit
 from ..upstreams.client import NOT_RUN_STATUSES, MayHaveRunError, NotRunError
-from .answers import REQUEST_ID_HEADER, refusal_body, refusal_event, refusal_headers
+from .answers import REQUEST_ID_HEADER, refusal_event
 from .budgeted import Attempt, Budgeted, Charge, choose_upstream, try_upstreams
+from .chat_body import ChatBody, engine_body
 from .metrics import record_s
 
 if TYPE_CHECKING:
@@ -26,51 +26,10 @@
 
 ENGINE_PATH = "/v1/chat/completions"
 
-#: Characters of the prompt that name its prefix: a system prompt or style guide is longer.
-_PREFIX_CHARACTERS = 256
 #: What the chat template adds to each message, as an upper bound.
 _TOKENS_PER_MESSAGE = 16
 
 
-class _TextPart(BaseModel):
-    """A part of a message; only text has a bound on its tokens."""
-
-    model_config = ConfigDict(extra="allow")
-    type: str = Field(pattern="^text$")
-    text: str
-
-
-class _Message(BaseModel):
-    model_config = ConfigDict(extra="allow")
-    role: str
-    content: str | list[_TextPart] | None = None
-
-
-class _StreamOptions(BaseModel):
-    model_config = ConfigDict(extra="allow")
-    include_usage: bool = False
-
-
-class ChatBody(BaseModel):
-    """What is read of a caller's body; the rest is passed on as it is."""
-
-    model_config = ConfigDict(extra="allow")
-    model: str
-    messages: list[_Message] = Field(min_length=1)
-    stream: bool = False
-    stream_options: _StreamOptions | None = None
-    max_tokens: int | None = Field(default=None, gt=0, le=1_000_000)
-    max_completion_tokens: int | None = Field(default=None, gt=0, le=1_000_000)
-    n: int = Field(default=1, ge=1, le=1)
-
-    @property
-    def prefix(self) -> str:
-        """What requests that share a cached prompt prefix have in common."""
-        first = self.messages[0].content
-        text = first if isinstance(first, str) else "".join(p.text for p in first or [])
-        return xxhash.xxh3_64_hexdigest(f"{self.model}|{text[:_PREFIX_CHARACTERS]}".encode())
-
-
 class ChatRun:
     """One chat completion from its parsed body to its answer."""
 
@@ -80,6 +39,7 @@
         self._started_s = context.clock.monotonic_s()
         self._config: FleetConfig = context.config().config
         self._body = self._parse(request.body)
+        self._so_far: AnswerSoFar | None = None
         self._max_tokens = (
             self._body.max_completion_tokens
             or self._body.max_tokens
@@ -130,15 +90,21 @@
             prefix=self._body.prefix,
             priority=self._request.caller.workspace.priority,
             tried=tried,
+            resumes=self._so_far is not None,
         )
 
     async def _dispatch(self, charge: Charge, sink: AnswerSink) -> None:
         async def attempt(upstream: Upstream, number: int) -> None:
             await self._attempt(upstream, number, charge, sink)
 
-        # A completion may be run again: nothing of it has reached the caller when an attempt
-        # fails, and only one run's usage is billed.
-        await try_upstreams(self._context, self._request, self._route, attempt)
+        # A completion may be run again as long as nothing of it has reached the caller, and gone
+        # on with after that. Only one run's usage is billed.
+        try:
+            await try_upstreams(self._context, self._request, self._route, attempt)
+        except RefusedError as refused:
+            if not sink.started:
+                raise
+            await self._break_off(sink, refused.refusal.detail)
 
     async def _attempt(
         self, upstream: Upstream, number: int, charge: Charge, sink: AnswerSink
@@ -154,23 +120,45 @@
                 )
                 async with sending as response:
                     await self._take(response, charge, sink)
-            except (NotRunError, MayHaveRunError) as error:
+            except NotRunError as error:
                 attempt.fail(error)
-                if not sink.started:
-                    raise
-                await self._break_off(sink, str(error))
-            except BrokenStreamError as error:
+                raise
+            except (MayHaveRunError, BrokenStreamError) as error:
                 attempt.fail(error)
-                await self._break_off(sink, str(error))
+                self._check_goes_on(sink, upstream, error)
+                raise MayHaveRunError(str(error)) from error
+
+    def _check_goes_on(self, sink: AnswerSink, upstream: Upstream, error: Exception) -> None:
+        """Refuse if an answer that has begun cannot be gone on with by another engine."""
+        if not sink.started:
+            self._so_far = None
+            return
+        left_tokens = self._left_tokens()
+        if not self._can_continue or left_tokens <= 0:
+            raise RefusedError(Refusal(ErrorKind.ANSWER_BROKEN, str(error))) from error
+        emit(
+            Event.ANSWER_CONTINUED,
+            request_id=self._request.request_id,
+            upstream=upstream.name,
+            left_tokens=left_tokens,
+        )
+
+    @property
+    def _can_continue(self) -> bool:
+        so_far = self._so_far
+        return so_far is not None and so_far.can_continue and self._body.can_continue
+
+    def _left_tokens(self) -> int:
+        usage = self._so_far.usage if self._so_far is not None else None
+        return self._max_tokens - (usage.completion_tokens if usage is not None else 0)
 
     def _engine_body(self) -> bytes:
-        value: dict[str, Any] = json.loads(self._request.body)
-        value.pop("max_completion_tokens", None)
-        value["max_tokens"] = self._max_tokens
-        if self._body.stream:
-            # Usage with each event: what a cut stream has cost is known at any moment.
-            value["stream_options"] = {"include_usage": True, "continuous_usage_stats": True}
-        return json.dumps(value, ensure_ascii=False).encode()
+        return engine_body(
+            self._request.body,
+            max_tokens=self._left_tokens(),
+            stream=self._body.stream,
+            text_so_far=self._so_far.text if self._so_far is not None else "",
+        )
 
     async def _take(self, response: httpx.Response, charge: Charge, sink: AnswerSink) -> None:
         if response.status_code in NOT_RUN_STATUSES:
@@ -201,23 +189,36 @@
         self, response: httpx.Response, charge: Charge, sink: AnswerSink
     ) -> None:
         options = self._body.stream_options
-        check = StreamCheck(wants_usage=bool(options and options.include_usage))
+        check = StreamCheck(
+            wants_usage=bool(options and options.include_usage), before=self._so_far
+        )
+        self._so_far = check.so_far
         async for data in response.aiter_raw():
-            kept = check.feed(data)
-            if check.usage is not None:
-                charge.used_tokens = check.usage.total_tokens
-            if kept:
-                if not sink.started:
-                    self._note_first_byte()
-                    await sink.start(200, self._answer_headers("text/event-stream"))
-                await sink.send(kept)
-            if charge.used_tokens > charge.bound_tokens:
-                raise BrokenStreamError("the engine went past the request's max_tokens")
+            try:
+                kept = check.feed(data)
+            except BrokenStreamError as error:
+                await self._pass_on(error.kept, check, charge, sink)
+                raise
+            await self._pass_on(kept, check, charge, sink)
         check.finish()
-        if check.usage is None:
+        if not check.reports_usage:
             charge.used_tokens = charge.bound_tokens
         await sink.end()
 
+    async def _pass_on(
+        self, kept: bytes, check: StreamCheck, charge: Charge, sink: AnswerSink
+    ) -> None:
+        if check.usage is not None:
+            charge.used_tokens = check.usage.total_tokens
+        if kept:
+            if not sink.started:
+                self._note_first_byte()
+                await sink.start(200, self._answer_headers("text/event-stream"))
+            await sink.send(kept)
+        if charge.used_tokens > charge.bound_tokens:
+            detail = "the engine went past the request's max_tokens"
+            raise RefusedError(Refusal(ErrorKind.ANSWER_BROKEN, detail))
+
     def _answer_headers(self, content_type: str) -> dict[str, str]:
         return {"content-type": content_type, REQUEST_ID_HEADER: self._request.request_id}
 
@@ -230,8 +231,5 @@
         """End an answer that cannot be completed as what it is, never as if it were whole."""
         refusal = Refusal(ErrorKind.ANSWER_BROKEN, detail)
         emit(Event.ANSWER_BROKEN, request_id=self._request.request_id, detail=detail)
-        if sink.started:
-            await sink.send(refusal_event(refusal))
-            await sink.end()
-            return
-        await sink.send_whole(refusal.row.status, refusal_headers(refusal), refusal_body(refusal))
+        await sink.send(refusal_event(refusal))
+        await sink.end()
--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -33,6 +33,7 @@
     RECORD_SKIPPED = (5003, logging.ERROR, "A log record cannot be read; every reader skips it.")
     UPSTREAM_FAILED = (6001, logging.WARNING, "An upstream failed a request.")
     ANSWER_BROKEN = (6002, logging.WARNING, "An answer broke off and was ended as an error.")
+    ANSWER_CONTINUED = (6003, logging.WARNING, "Another engine is to go on with a cut answer.")
     REQUEST_REFUSED = (7001, logging.INFO, "A request was refused.")
     SETTLE_PENDING = (7002, logging.WARNING, "A settlement could not be handed over yet.")
     INTERNAL_ERROR = (9001, logging.ERROR, "A request hit a fault of this program.")
--- a/mothstand/settings/folder.py
+++ b/mothstand/settings/folder.py
@@ -92,6 +92,9 @@
     data_centre: str = Field(description="the name of its data centre")
     serves: Words = Field(min_length=1, description="models (engine) or the service's name")
     slots: int = Field(8, gt=0, description="how many requests it runs at once, above 0")
+    resumes: bool = Field(
+        False, description="yes if it goes on with an answer that another engine began, else no"
+    )
 
 
 class StopSection(SectionModel):
--- a/mothstand/standins/engine.py
+++ b/mothstand/standins/engine.py
@@ -2,8 +2,9 @@
 
 Run as ``python -m mothstand.standins.engine --address IP:PORT --name NAME``. The answer to a prompt
 is a function of the prompt, so tests know what is right. Usage counts words of the prompt and
-tokens made. For tests it serves ``GET /journal`` (every request that arrived, and what became of
-it) and ``POST /faults``.
+tokens made. With ``continue_final_message`` it goes on with the answer that the last message has
+begun. For tests it serves ``GET /journal`` (every request that arrived, and what became of it) and
+``POST /faults``.
 """
 
 from __future__ import annotations
@@ -65,7 +66,17 @@
 
 
 def _prompt(value: dict[str, Any]) -> str:
-    return "\n".join(str(message.get("content", "")) for message in value["messages"])
+    messages = value["messages"][:-1] if _continues(value) else value["messages"]
+    return "\n".join(str(message.get("content", "")) for message in messages)
+
+
+def _continues(value: dict[str, Any]) -> bool:
+    return bool(value.get("continue_final_message"))
+
+
+def _tokens_made(value: dict[str, Any]) -> int:
+    """Return how many tokens of the answer the caller has already."""
+    return len(value["messages"][-1]["content"].split()) if _continues(value) else 0
 
 
 class EngineStandIn:
@@ -101,17 +112,18 @@
         if self._faults.mode == "refuse":
             await JSONResponse({"error": "full"}, status_code=503)(scope, receive, send)
             return
+        made = _tokens_made(value)
         prompt = _prompt(value)
-        entry = JournalEntry(request.headers.get("x-request-id", ""), prompt, len(prompt.split()))
+        prompt_tokens = len(prompt.split()) + made
+        entry = JournalEntry(request.headers.get("x-request-id", ""), prompt, prompt_tokens)
         self._journal.append(entry)
         if self._faults.mode == "crash":
             entry.state = "crashed"
             await Response(status_code=500)(scope, receive, send)
             return
-        count = min(int(value.get("max_tokens", 16)), 16 + zlib.crc32(prompt.encode()) % 48)
-        if "tokens_wanted" in value:
-            count = min(int(value["max_tokens"]), int(value["tokens_wanted"]))
-        tokens = answer_tokens(prompt, count)
+        most = made + int(value.get("max_tokens", 16))
+        wanted = int(value.get("tokens_wanted", 16 + zlib.crc32(prompt.encode()) % 48))
+        tokens = answer_tokens(prompt, min(most, wanted))[made:]
         async with anyio.create_task_group() as tasks:
 
             async def watch() -> None:
--- a/mothstand/testing/examples.py
+++ b/mothstand/testing/examples.py
@@ -22,6 +22,7 @@
     *,
     paid_tokens: dict[str, int] | None = None,
     policy: str = "",
+    resumes: bool = False,
 ) -> Path:
     """Write an operators' folder that names the fleet's stand-ins, and return it.
 
@@ -31,6 +32,8 @@
         Paid total of each workspace's budget, which has the workspace's name.
     policy
         Lines of the ``[policy]`` section.
+    resumes
+        Whether engines go on with answers that others began.
     """
     folder.mkdir(exist_ok=True)
     paid = {"lund": 1_000_000, "kushiro": 1_000_000} | (paid_tokens or {})
@@ -51,6 +54,7 @@
             lines.append(
                 f"[upstream {name}]\nkind = {kind}\naddress = {process.address}\n"
                 f"data_centre = {process.data_centre}\nserves = {serves}\nslots = 64\n"
+                f"resumes = {'yes' if resumes and kind == 'engine' else 'no'}\n"
             )
     (folder / "10-all.ini").write_text("\n".join(lines), encoding="utf-8")
     return folder
--- /dev/null
+++ b/mothstand/tests/test_resume.py
@@ -0,0 +1,116 @@
+"""Streams whose engine fails in the middle, and the engines that go on with them."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from ..standins.engine import answer_tokens
+from ..testing.examples import chat, write_folder
+from ..testing.fleet import Fleet, wait_until
+from ..testing.load import Got, Load, read_answer
+from ..testing.views import view_of
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+pytestmark = pytest.mark.processes
+
+PROMPT = "Rewrite in APA: Andersson."
+ENGINES = ("llm-a", "llm-b", "llm-c")
+
+
+@pytest.fixture
+def fleet(empty_fleet: Fleet, tmp_path: Path) -> Fleet:
+    """Return one instance before three engines that go on with each other's answers."""
+    for name in ENGINES:
+        empty_fleet.start_engine(name, "sto-a", token_delay_s=0.01)
+    empty_fleet.start_instance("sto-a-1", "sto-a")
+    folder = write_folder(tmp_path / "folder", empty_fleet, resumes=True)
+    assert empty_fleet.publish(folder).returncode == 0
+    empty_fleet.wait_ready("sto-a-1")
+    wait_until(lambda: chat(empty_fleet.processes["sto-a-1"].url).status_code == 200, "serves")
+    return empty_fleet
+
+
+def streamed(fleet: Fleet, **extra: Any) -> tuple[dict[str, Any], str]:
+    """Return what a caller makes of a stream of 16 tokens, and the stream itself."""
+    answer = chat(
+        fleet.processes["sto-a-1"].url,
+        prompt=PROMPT,
+        stream=True,
+        stream_options={"include_usage": True},
+        tokens_wanted=16,
+        **extra,
+    )
+    return read_answer(answer.status_code, answer.text, stream=True), answer.text
+
+
+def second_tries(fleet: Fleet) -> list[dict[str, Any]]:
+    """Return the journal lines of requests that an earlier engine has failed."""
+    runs = [entry for name in ENGINES for entry in fleet.journal(name)]
+    return [entry for entry in runs if entry["request_id"].endswith("/2")]
+
+
+class TestResume:
+    @pytest.mark.parametrize("mode", ["truncate", "cross"])
+    def test_another_engine_goes_on(self, fleet: Fleet, mode: str) -> None:
+        """Symptom: a student has half a bibliography, or a piece of another's.
+
+        Sequence: the engine that affinity chooses breaks off, or sends an event of another answer.
+        Cause it guards against: one engine's fault taken for the end of the answer.
+        """
+        fleet.set_faults("llm-a", mode=mode)
+        fleet.set_faults("llm-b", mode=mode)
+        got, text = streamed(fleet)
+        assert got["got"] is Got.WHOLE, text
+        assert got["text"] == "".join(answer_tokens(PROMPT, 16))
+        assert got["usage_tokens"] == len(PROMPT.split()) + 16
+        assert second_tries(fleet), "the first engine did not fail"
+        events = [line[6:] for line in text.splitlines() if line.startswith("data: {")]
+        assert len({json.loads(event)["id"] for event in events}) == 1
+
+    def test_all_engines_fail(self, fleet: Fleet) -> None:
+        for name in ENGINES:
+            fleet.set_faults(name, mode="truncate")
+        got, text = streamed(fleet)
+        assert got["got"] is Got.BROKEN
+        assert "[DONE]" not in text
+        assert "".join(answer_tokens(PROMPT, 16)).startswith(got["text"])
+
+    def test_answer_under_a_grammar_is_not_gone_on_with(self, fleet: Fleet) -> None:
+        """Symptom: two halves of JSON that make no whole.
+
+        Sequence: an answer in a response format is cut, an engine goes on under a new grammar.
+        Cause it guards against: taking the text for all that an engine needs to know.
+        """
+        for name in ENGINES:
+            fleet.set_faults(name, mode="truncate")
+        streamed(fleet, response_format={"type": "json_object"})
+        assert second_tries(fleet) == []
+
+    def test_killed_engine_under_load(self, fleet: Fleet) -> None:
+        """Symptom: answers break off, or are billed twice or for both engines' prompts.
+
+        Sequence: callers stream from three engines, one is killed.
+        Cause it guards against: a cut stream that is not gone on with, or gone on with wrongly.
+        """
+        urls = [fleet.processes["sto-a-1"].url]
+        with Load(lambda: urls, callers=12, max_tokens=16, stream_share=1.0) as load:
+            time.sleep(1.0)
+            fleet.processes["llm-a"].kill()
+            time.sleep(1.5)
+        assert {record.got for record in load.records} == {Got.WHOLE}
+        for record in load.records:
+            assert record.text == "".join(answer_tokens(record.prompt, 16))
+        wait_until(lambda: len(billed(fleet)) > len(load.records), "bills")
+        bills = billed(fleet)
+        assert {r.request_id: r.usage_tokens for r in load.records}.items() <= bills.items()
+
+
+def billed(fleet: Fleet) -> dict[str, int]:
+    """Return the billed tokens of each request."""
+    return {line.request_id: line.tokens for line in view_of(fleet).bills.lines.values()}
--- a/mothstand/tests/test_stream_check.py
+++ b/mothstand/tests/test_stream_check.py
@@ -66,6 +66,57 @@
         assert StreamCheck(wants_usage=True).feed(usage) == usage
         assert StreamCheck(wants_usage=False).feed(usage) == b""
 
+    @given(cut=st.integers(0, 700))
+    def test_another_engine_goes_on_from_any_byte(self, cut: int) -> None:
+        """Symptom: a word is missing or doubled where one engine's text meets the other's.
+
+        Sequence: a stream ends at any byte; another engine goes on with what was passed.
+        Cause it guards against: counting as sent what was held back, or the other way round.
+        """
+        words = ["ett ", "två ", "tre ", "fyra "]
+        first = b"".join(event(word, completion=n) for n, word in enumerate(words, start=1))
+        check = StreamCheck(wants_usage=False)
+        sent = check.feed(first[:cut])
+        so_far = check.so_far
+        rest = words[len(so_far.pieces) :]
+        assert so_far.can_continue is (len(rest) < len(words))
+        if not so_far.can_continue:
+            return
+        second = StreamCheck(wants_usage=False, before=so_far)
+        for number, word in enumerate(rest, start=1):
+            sent += second.feed(event(word, answer="b", completion=number))
+        sent += second.feed(DONE)
+        second.finish()
+        values = [json.loads(line[6:]) for line in sent.split(b"\n\n") if b"{" in line]
+        assert [v["choices"][0]["delta"]["content"] for v in values] == words
+        assert {v["id"] for v in values} == {"a"}
+        assert values[-1]["usage"]["completion_tokens"] == len(words)
+        assert second.usage is not None
+        assert second.usage.total_tokens == 3 + len(words)
+
+    def test_events_before_a_fault_count_as_sent(self) -> None:
+        check = StreamCheck(wants_usage=False)
+        with pytest.raises(BrokenStreamError) as broken:
+            check.feed(event("ett") + event("x", answer="b"))
+        assert broken.value.kept == event("ett")
+        assert check.so_far.text == "ett"
+
+    @pytest.mark.parametrize(
+        "choice",
+        [
+            {"index": 0, "delta": {"tool_calls": []}},
+            {"index": 0, "delta": {"content": "x"}, "finish_reason": "stop"},
+            {"index": 0},
+            "x",
+        ],
+    )
+    def test_more_than_text_is_not_gone_on_with(self, choice: object) -> None:
+        check = StreamCheck(wants_usage=False)
+        check.feed(event("ett"))
+        value = {"id": "a", "choices": [choice]}
+        check.feed(b"data: " + json.dumps(value).encode() + b"\n\n")
+        assert not check.so_far.can_continue
+
     @given(data=st.lists(st.binary(max_size=60) | st.just(event("x")) | st.just(DONE)))
     def test_anything_is_passed_or_broken(self, data: list[bytes]) -> None:
         """Symptom: a traceback in place of an answer.
