Route by the upstreams' load reports, and overflow to other data centres

Change: the router takes the ORCA header of answers as the upstream's load, for 3 s, and counts what it has sent since as sent by every sharer. Affinity gives way at the slots, the queue is bounded by 0.2 s of waiting, and what does not fit goes to another data centre's free slots. Engines get the workspace's priority. Upstreams are sorted by model and data centre once for each configuration.

Conclusion: the queue's bound by time is what first tokens hang on. A little goodput at just the capacity is lost where one instance knew the load exactly.

--- /dev/null
+++ b/benchmarks/engine_model.py
@@ -0,0 +1,118 @@
+"""A small model of the model engines, in fake time: batching, prefill, a prefix cache.
+
+It is no claim about a certain engine. What it keeps of all of them is what routing can win or lose:
+a prompt whose prefix is cached costs less prefill, the cache is limited, prefill goes in order, and
+a fuller batch decodes more slowly for each of its requests.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+#: Seconds of one step.
+STEP_S = 0.01
+
+
+@dataclass(slots=True)
+class Work:
+    """One request at an engine.
+
+    Parameters
+    ----------
+    prefix
+        Name of the prompt's prefix, which other requests share.
+    prefix_tokens, own_tokens
+        Length of the shared part of the prompt, and of the rest.
+    answer_tokens
+        How many tokens it generates.
+    """
+
+    prefix: str
+    prefix_tokens: int
+    own_tokens: int
+    answer_tokens: int
+    arrived_s: float
+    first_token_s: float | None = None
+    cached: bool = False
+    prefill_left: float = 0.0
+    made: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSize:
+    """What an engine can do.
+
+    Parameters
+    ----------
+    slots
+        Most requests in its batch; more wait.
+    prefill_tokens_per_s, decode_tokens_per_s
+        Of the whole engine.
+    one_tokens_per_s
+        Most that one request decodes alone.
+    cache_tokens
+        Prefixes kept, the least recently used go first.
+    """
+
+    slots: int = 16
+    prefill_tokens_per_s: float = 20_000.0
+    decode_tokens_per_s: float = 800.0
+    one_tokens_per_s: float = 80.0
+    cache_tokens: int = 24_000
+
+
+@dataclass(slots=True)
+class Engine:
+    """One engine."""
+
+    size: EngineSize = field(default_factory=EngineSize)
+    waiting: deque[Work] = field(default_factory=deque)
+    batch: list[Work] = field(default_factory=list)
+    cache: OrderedDict[str, int] = field(default_factory=OrderedDict)
+
+    @property
+    def load(self) -> int:
+        """Requests that run or wait."""
+        return len(self.waiting) + len(self.batch)
+
+    def add(self, work: Work) -> None:
+        """Take a request."""
+        self.waiting.append(work)
+
+    def step(self, now_s: float) -> list[Work]:
+        """Work for `STEP_S` and return what has ended."""
+        while self.waiting and len(self.batch) < self.size.slots:
+            self._admit(self.waiting.popleft())
+        self._prefill()
+        return self._decode(now_s)
+
+    def _admit(self, work: Work) -> None:
+        work.cached = work.prefix in self.cache
+        work.prefill_left = work.own_tokens + (0 if work.cached else work.prefix_tokens)
+        self.cache[work.prefix] = work.prefix_tokens
+        self.cache.move_to_end(work.prefix)
+        while sum(self.cache.values()) > self.size.cache_tokens:
+            self.cache.popitem(last=False)
+        self.batch.append(work)
+
+    def _prefill(self) -> None:
+        budget = self.size.prefill_tokens_per_s * STEP_S
+        for work in self.batch:
+            done = min(budget, work.prefill_left)
+            work.prefill_left -= done
+            budget -= done
+
+    def _decode(self, now_s: float) -> list[Work]:
+        ready = [work for work in self.batch if work.prefill_left <= 0]
+        if not ready:
+            return []
+        rate = min(self.size.one_tokens_per_s, self.size.decode_tokens_per_s / len(ready))
+        for work in ready:
+            work.made += rate * STEP_S
+            if work.first_token_s is None and work.made >= 1:
+                work.first_token_s = now_s
+        ended = [work for work in ready if work.made >= work.answer_tokens]
+        if ended:
+            self.batch = [work for work in self.batch if work.made < work.answer_tokens]
+        return ended
--- /dev/null
+++ b/benchmarks/routing.py
@@ -0,0 +1,336 @@
+"""Routing beside random and least-in-flight: prefix hits, first token, load spread, refusals.
+
+Run ``python -m benchmarks.routing``. Fake time, the real `Router`, one for each instance, before a
+small model of engines. Three data centres with two instances and three engines each, as today.
+Requests share prefixes (style guides) of Zipf's popularity.
+"""
+
+from __future__ import annotations
+
+import random
+from abc import ABC, abstractmethod
+from collections import deque
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+from statistics import mean
+
+import fire
+from returns.result import Success
+
+from mothstand.core.config import FleetConfig, Upstream, UpstreamKind
+from mothstand.core.routing import RouteCall, Router
+from mothstand.types import DataCentre
+
+from .engine_model import STEP_S, Engine, EngineSize, Work
+
+PLACES = tuple(DataCentre(f"sto-{place}") for place in "abc")
+_INSTANCES_PER_PLACE = 2
+_ENGINES_PER_PLACE = 3
+_MODEL = "citation-7b"
+
+#: A load report comes this late, and so many are lost.
+_REPORT_LAG_S = 0.2
+_REPORTS_LOST = 0.2
+
+#: The target's longest first token.
+_IN_TIME_MS = 720.0
+_NOW_UTC = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What callers ask for.
+
+    Parameters
+    ----------
+    rate_per_s
+        Requests a second of all callers together.
+    skew
+        Share of the first data centre; the others share the rest.
+    prefixes
+        Number of shared prefixes.
+    """
+
+    name: str
+    rate_per_s: float
+    skew: float = 1 / 3
+    prefixes: int = 120
+    seconds: float = 60.0
+
+
+class Choice(ABC):
+    """Chooses engines for one instance."""
+
+    def __init__(self, place: DataCentre, config: FleetConfig, rng: random.Random) -> None:
+        self.place = place
+        self.config = config
+        self.rng = rng
+
+    @abstractmethod
+    def choose(self, prefix: str, now_s: float) -> str | None:
+        """Return the engine for a request, and count it; None refuses."""
+
+    @abstractmethod
+    def ended(self, engine: str, took_s: float, now_s: float) -> None:
+        """Count a request's end."""
+
+    def reported(self, engine: str, load: int, now_s: float) -> None:
+        """Take an engine's word on its load, as it came with an answer's first token."""
+        del engine, load, now_s
+
+
+class Routed(Choice):
+    """The product's router."""
+
+    def __init__(self, place: DataCentre, config: FleetConfig, rng: random.Random) -> None:
+        super().__init__(place, config, rng)
+        self.router = Router(place)
+
+    def choose(self, prefix: str, now_s: float) -> str | None:
+        """Ask the router."""
+        call = RouteCall(serves=_MODEL, prefix=prefix, priority=1)
+        chosen = self.router.choose(
+            call, self.config, sharers=_INSTANCES_PER_PLACE, now_utc=_NOW_UTC, now_s=now_s
+        )
+        if not isinstance(chosen, Success):
+            return None
+        name = chosen.unwrap().name
+        self.router.started(name)
+        return name
+
+    def ended(self, engine: str, took_s: float, now_s: float) -> None:
+        """Tell the router."""
+        self.router.ended(engine, failed=False, took_s=took_s, now_s=now_s)
+
+
+class RoutedByReports(Routed):
+    """The product's router, with the engines' load reports."""
+
+    def reported(self, engine: str, load: int, now_s: float) -> None:
+        """Tell the router."""
+        self.router.reported(engine, load, now_s)
+
+
+class _Counted(Choice):
+    """Baselines: own data centre, the same limit of slots, own counts."""
+
+    def __init__(self, place: DataCentre, config: FleetConfig, rng: random.Random) -> None:
+        super().__init__(place, config, rng)
+        self.in_flight = {u.name: 0 for u in config.upstreams.values() if u.data_centre == place}
+
+    def choose(self, prefix: str, now_s: float) -> str | None:
+        """Pick among the engines with a free slot."""
+        most = 2 * EngineSize().slots // _INSTANCES_PER_PLACE
+        free = [name for name, count in self.in_flight.items() if count < most]
+        if not free:
+            return None
+        name = self.pick(free)
+        self.in_flight[name] += 1
+        return name
+
+    def ended(self, engine: str, took_s: float, now_s: float) -> None:
+        """Count the end."""
+        self.in_flight[engine] -= 1
+
+    @abstractmethod
+    def pick(self, free: list[str]) -> str:
+        """Return one of the engines."""
+
+
+class Random(_Counted):
+    """Any engine."""
+
+    def pick(self, free: list[str]) -> str:
+        """Return any."""
+        return self.rng.choice(free)
+
+
+class LeastInFlight(_Counted):
+    """The engine with the fewest of this instance's requests."""
+
+    def pick(self, free: list[str]) -> str:
+        """Return the least loaded, any of equals."""
+        return min(free, key=lambda name: (self.in_flight[name], self.rng.random()))
+
+
+CHOICES: dict[str, type[Choice]] = {
+    "random": Random,
+    "least in flight": LeastInFlight,
+    "no reports": Routed,
+    "mothstand": RoutedByReports,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class _Report:
+    """A load report on its way."""
+
+    due_s: float
+    choice: Choice
+    engine: str
+    load: int
+
+
+@dataclass(slots=True)
+class Result:
+    """Figures of one run."""
+
+    offered: int = 0
+    refused: int = 0
+    done: list[Work] = field(default_factory=list)
+    spreads: list[float] = field(default_factory=list)
+
+    @property
+    def firsts_ms(self) -> list[float]:
+        """Milliseconds to the first token of each answer, sorted."""
+        return sorted(1000 * ((w.first_token_s or 0.0) - w.arrived_s) for w in self.done)
+
+    @property
+    def in_time(self) -> int:
+        """Answers whose first token came within the target's time."""
+        return sum(first <= _IN_TIME_MS for first in self.firsts_ms)
+
+    @property
+    def hits_percent(self) -> float:
+        """Share of answers whose prefix was cached."""
+        return 100 * mean(work.cached for work in self.done)
+
+    @property
+    def refused_percent(self) -> float:
+        """Share of requests that were refused."""
+        return 100 * self.refused / self.offered
+
+    def row(self, seconds: float) -> str:
+        """Return the figures as a row.
+
+        Parameters
+        ----------
+        seconds
+            Length of the run.
+        """
+        firsts = self.firsts_ms
+        return (
+            f"hits {self.hits_percent:5.1f} %  first token p50 {firsts[len(firsts) // 2]:6.0f}"
+            f" p95 {firsts[len(firsts) * 95 // 100]:6.0f} ms"
+            f"  in time {self.in_time / seconds:5.1f}/s"
+            f"  spread {mean(self.spreads):4.2f}"
+            f"  refused {self.refused_percent:5.2f} %"
+        )
+
+
+def make_config() -> FleetConfig:
+    """Return a configuration with the engines of all data centres."""
+    upstreams = {}
+    for place in PLACES:
+        for number in range(_ENGINES_PER_PLACE):
+            name = f"llm-{place}-{number}"
+            slots = EngineSize().slots
+            upstreams[name] = Upstream(name, UpstreamKind.ENGINE, name, place, (_MODEL,), slots)
+    return FleetConfig(upstreams=upstreams)
+
+
+class World:
+    """Callers, instances and engines of one run."""
+
+    def __init__(self, choice: type[Choice], demand: Demand, seed: int) -> None:
+        self._rng = random.Random(seed)
+        self._demand = demand
+        config = make_config()
+        self.engines = {name: Engine() for name in config.upstreams}
+        self._instances = {
+            place: [choice(place, config, self._rng) for _ in range(_INSTANCES_PER_PLACE)]
+            for place in PLACES
+        }
+        self._owners: dict[int, tuple[Choice, str]] = {}
+        self._reports: deque[_Report] = deque()
+        self._weights = [1 / rank for rank in range(1, demand.prefixes + 1)]
+        self.result = Result()
+
+    def run(self) -> Result:
+        """Run to the end of the demand and return the figures."""
+        steps = int(self._demand.seconds / STEP_S)
+        for step in range(steps):
+            now_s = step * STEP_S
+            self._arrive(now_s)
+            for name, engine in self.engines.items():
+                ended = engine.step(now_s)
+                self._report(name, engine, ended, now_s)
+                for work in ended:
+                    self._end(work, now_s)
+            self._deliver_reports(now_s)
+            if step % 100 == 0 and step:
+                self._note_spread()
+        return self.result
+
+    def _arrive(self, now_s: float) -> None:
+        expected = self._demand.rate_per_s * STEP_S
+        count = int(expected) + (self._rng.random() < expected % 1)
+        for _ in range(count):
+            self._send(now_s)
+
+    def _send(self, now_s: float) -> None:
+        rest = (1 - self._demand.skew) / 2
+        place = self._rng.choices(PLACES, (self._demand.skew, rest, rest))[0]
+        instance = self._rng.choice(self._instances[place])
+        number = self._rng.choices(range(self._demand.prefixes), self._weights)[0]
+        work = Work(
+            prefix=f"style-{number}",
+            prefix_tokens=1_200 + 37 * (number % 20),
+            own_tokens=self._rng.randint(50, 250),
+            answer_tokens=self._rng.randint(30, 150),
+            arrived_s=now_s,
+        )
+        self.result.offered += 1
+        engine = instance.choose(work.prefix, now_s)
+        if engine is None:
+            self.result.refused += 1
+            return
+        self._owners[id(work)] = (instance, engine)
+        self.engines[engine].add(work)
+
+    def _report(self, name: str, engine: Engine, ended: list[Work], now_s: float) -> None:
+        for work in (*engine.batch, *ended):
+            if work.first_token_s == now_s and self._rng.random() >= _REPORTS_LOST:
+                choice = self._owners[id(work)][0]
+                self._reports.append(_Report(now_s + _REPORT_LAG_S, choice, name, engine.load))
+
+    def _deliver_reports(self, now_s: float) -> None:
+        while self._reports and self._reports[0].due_s <= now_s:
+            report = self._reports.popleft()
+            report.choice.reported(report.engine, report.load, now_s)
+
+    def _end(self, work: Work, now_s: float) -> None:
+        instance, engine = self._owners.pop(id(work))
+        instance.ended(engine, now_s - work.arrived_s, now_s)
+        self.result.done.append(work)
+
+    def _note_spread(self) -> None:
+        """Note the fullest engine's load over the mean, of each data centre."""
+        for place in PLACES:
+            loads = [engine.load for name, engine in self.engines.items() if place in name]
+            if sum(loads):
+                self.result.spreads.append(max(loads) / mean(loads))
+
+
+DEMANDS = (
+    Demand("half", 30.0),
+    Demand("busy", 50.0),
+    Demand("full", 70.0),
+    Demand("over", 110.0),
+    Demand("busy skewed", 50.0, skew=0.6),
+    Demand("busy few prefixes", 50.0, prefixes=6),
+)
+
+
+def main(seed: int = 1, only: str = "") -> None:
+    """Print a row for each demand and way of choosing."""
+    for demand in DEMANDS:
+        if only and demand.name != only:
+            continue
+        for name, choice in CHOICES.items():
+            row = World(choice, demand, seed).run().row(demand.seconds)
+            print(f"{demand.name:20} {name:16} {row}")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/mothstand/core/config.py
+++ b/mothstand/core/config.py
@@ -113,6 +113,22 @@
     max_body_bytes: int = 1_000_000
     default_max_tokens: int = 512
     answer_kept_s: float = 600.0
+    _serving: dict[str, dict[DataCentre, tuple[Upstream, ...]]] = field(
+        init=False, repr=False, compare=False
+    )
+
+    def __post_init__(self) -> None:
+        # Sorted once for each configuration: a look at 4,000 upstreams a request is too slow.
+        serving: dict[str, dict[DataCentre, tuple[Upstream, ...]]] = {}
+        for upstream in self.upstreams.values():
+            for name in upstream.serves:
+                places = serving.setdefault(name, {})
+                places[upstream.data_centre] = (*places.get(upstream.data_centre, ()), upstream)
+        object.__setattr__(self, "_serving", serving)
+
+    def serving(self, name: str) -> dict[DataCentre, tuple[Upstream, ...]]:
+        """Return the upstreams that serve a model or a service, by data centre."""
+        return self._serving.get(name, {})
 
 
 def diff_sections(old: Sections, new: Sections) -> tuple[SectionChange, ...]:
--- a/mothstand/core/routing.py
+++ b/mothstand/core/routing.py
@@ -12,6 +12,7 @@
 from .membership import rank
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from datetime import datetime
 
     from ..types import DataCentre
@@ -26,18 +27,21 @@
     ----------
     load_factor
         An upstream may carry this many times the mean load before affinity gives way.
+    queue_s
+        How long a request may have to wait at an upstream for a slot; low priority never waits.
+    report_kept_s
+        How long an upstream's own word on its load is believed.
     open_after_failures
         Failures in a row after which an upstream is left alone.
     open_s
         For how long; then one request tries it.
-    low_priority_percent
-        Share of the slots that requests of priority 0 and below may fill.
     """
 
     load_factor: float = 1.25
+    queue_s: float = 0.2
+    report_kept_s: float = 3.0
     open_after_failures: int = 3
     open_s: float = 2.0
-    low_priority_percent: int = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,13 +67,51 @@
     resumes: bool = False
 
 
+#: Assumed duration of a request at an upstream that has ended none yet.
+_FIRST_REQUEST_S = 1.0
+
+#: Weight of the latest request in the mean duration.
+_LATEST_WEIGHT = 0.1
+
+
 @dataclass(slots=True)
 class UpstreamHealth:
-    """Own observations of one upstream."""
+    """Own observations of one upstream, and its own word on its load.
+
+    Parameters
+    ----------
+    request_s
+        Mean duration of the latest requests there.
+    reported
+        Requests that ran or waited there, of all instances, when it last said so.
+    in_flight_then
+        Of those, this instance's.
+    """
 
     in_flight: int = 0
     failures: int = 0
     retry_at_s: float = 0.0
+    request_s: float = _FIRST_REQUEST_S
+    reported: int = 0
+    in_flight_then: int = 0
+    reported_at_s: float = -math.inf
+
+
+@dataclass(frozen=True, slots=True)
+class _Candidate:
+    """An upstream that takes work, and what is known of its load.
+
+    Parameters
+    ----------
+    load
+        Requests that run or wait there, of all instances, as far as this one can tell.
+    room
+        How many more it may get from here; 0 or less for none.
+    """
+
+    upstream: Upstream
+    load: int
+    room: int
 
 
 @dataclass(slots=True)
@@ -108,46 +150,66 @@
         Result[Upstream, Refusal]
             ``NO_UPSTREAM`` when none can be used, ``OVERLOADED`` when all are full.
         """
-        usable = [
-            u
-            for u in config.upstreams.values()
-            if call.serves in u.serves
-            and u.name not in call.tried
-            and (u.resumes or not call.resumes)
-            and self._takes_work(u, config, now_utc, now_s)
-        ]
-        here = [u for u in usable if u.data_centre == self.data_centre]
-        # Another data centre's upstreams are for when there is none here, not for overflow: its
-        # own instances fill them.
-        usable = here or usable
-        if not usable:
-            return Failure(Refusal(ErrorKind.NO_UPSTREAM, f"nothing serves {call.serves!r} now"))
-        free = [u for u in usable if self._has_slot(u, call.priority, sharers)]
-        if not free:
-            return Failure(Refusal(ErrorKind.OVERLOADED, f"{len(usable)} upstreams are full"))
-        return Success(self._by_affinity(call, free))
+        places = config.serving(call.serves)
+        here = self._usable(call, places.get(self.data_centre, ()), config, now_utc, now_s)
+        chosen = self._best_here(call, here, sharers, now_s)
+        if chosen is not None:
+            return Success(chosen)
+        others = (u for place, found in places.items() if place != self.data_centre for u in found)
+        elsewhere = self._usable(call, others, config, now_utc, now_s)
+        chosen = self._best_elsewhere(call, elsewhere, now_s, alone=not here)
+        if chosen is not None:
+            return Success(chosen)
+        if here or elsewhere:
+            full = f"{len(here) + len(elsewhere)} upstreams are full"
+            return Failure(Refusal(ErrorKind.OVERLOADED, full))
+        return Failure(Refusal(ErrorKind.NO_UPSTREAM, f"nothing serves {call.serves!r} now"))
 
     def started(self, upstream: str) -> None:
         """Count a request at an upstream."""
         self._health(upstream).in_flight += 1
 
-    def ended(self, upstream: str, *, failed: bool, now_s: float) -> None:
+    def ended(self, upstream: str, *, failed: bool, took_s: float, now_s: float) -> None:
         """Count a request's end; several failures in a row open the circuit for a while."""
         health = self._health(upstream)
         health.in_flight -= 1
         if not failed:
             health.failures = 0
+            health.request_s += _LATEST_WEIGHT * (took_s - health.request_s)
             return
         health.failures += 1
         if health.failures >= self.policy.open_after_failures:
             health.retry_at_s = now_s + self.policy.open_s
 
+    def reported(self, upstream: str, load: int, now_s: float) -> None:
+        """Take an upstream's word on how many requests run or wait there."""
+        health = self._health(upstream)
+        health.reported = load
+        health.in_flight_then = health.in_flight
+        health.reported_at_s = now_s
+
     def _health(self, upstream: str) -> UpstreamHealth:
         health = self.health.get(upstream)
         if health is None:
             health = self.health[upstream] = UpstreamHealth()
         return health
 
+    def _usable(
+        self,
+        call: RouteCall,
+        upstreams: Iterable[Upstream],
+        config: FleetConfig,
+        now_utc: datetime,
+        now_s: float,
+    ) -> list[Upstream]:
+        return [
+            u
+            for u in upstreams
+            if u.name not in call.tried
+            and (u.resumes or not call.resumes)
+            and self._takes_work(u, config, now_utc, now_s)
+        ]
+
     def _takes_work(
         self, upstream: Upstream, config: FleetConfig, now_utc: datetime, now_s: float
     ) -> bool:
@@ -160,21 +222,88 @@
         tripped = health.failures >= self.policy.open_after_failures
         return not tripped or (now_s >= health.retry_at_s and health.in_flight == 0)
 
-    def _has_slot(self, upstream: Upstream, priority: int, sharers: int) -> bool:
-        # Twice the fair share: others do not always use theirs, and engines queue a little.
+    def _best_here(
+        self, call: RouteCall, here: list[Upstream], sharers: int, now_s: float
+    ) -> Upstream | None:
+        candidates = [self._candidate(u, call.priority, sharers, now_s) for u in here]
+        free = [candidate for candidate in candidates if candidate.room > 0]
+        return self._by_affinity(call, free) if free else None
+
+    def _best_elsewhere(
+        self, call: RouteCall, elsewhere: list[Upstream], now_s: float, *, alone: bool
+    ) -> Upstream | None:
+        """Return an upstream of another data centre, for what this one cannot take.
+
+        Notes
+        -----
+        Its own instances fill those, and know nothing of this one's need. So a request may take a
+        slot that is free by the upstream's own word, and never waits there. Without such a word,
+        one request of this instance at a time finds out.
+        """
+        free = []
+        for upstream in elsewhere:
+            health = self._health(upstream.name)
+            known = self._load_by_report(health, now_s)
+            if alone:
+                room = upstream.slots - (health.in_flight if known is None else known)
+            elif known is None:
+                room = 1 - health.in_flight
+            else:
+                room = upstream.slots - known
+            if room > 0:
+                free.append(_Candidate(upstream, known or health.in_flight, room))
+        return self._by_affinity(call, free) if free else None
+
+    def _candidate(
+        self, upstream: Upstream, priority: int, sharers: int, now_s: float
+    ) -> _Candidate:
+        health = self._health(upstream.name)
+        # Low priority never goes into an engine's queue, where high priority would wait behind.
+        waiting = 0 if priority <= 0 else self._most_waiting(upstream, health)
+        known = self._load_by_report(health, now_s, sharers)
+        if known is not None:
+            return _Candidate(upstream, known, upstream.slots + waiting - known)
+        # Twice the fair share: others do not always use theirs.
         share = max(1, math.ceil(2 * upstream.slots / max(1, sharers)))
-        if priority <= 0:
-            # Never into the engine's queue, where high priority would wait behind it.
-            share = min(share, upstream.slots)
-            share = max(1, share * self.policy.low_priority_percent // 100)
-        return self._health(upstream.name).in_flight < share
-
-    def _by_affinity(self, call: RouteCall, free: list[Upstream]) -> Upstream:
-        by_name = {u.name: u for u in free}
-        total = sum(self._health(name).in_flight for name in by_name)
-        most = math.ceil(self.policy.load_factor * (total + 1) / len(by_name))
-        order = rank(by_name, call.prefix)
-        for name in order:
-            if self._health(name).in_flight < most:
-                return by_name[name]
-        return by_name[order[0]]
+        share = min(share, upstream.slots + waiting)
+        return _Candidate(upstream, health.in_flight * sharers, share - health.in_flight)
+
+    def _most_waiting(self, upstream: Upstream, health: UpstreamHealth) -> int:
+        """Return how many may wait, so that the last gets a slot within `queue_s`.
+
+        A slot comes free each `request_s / slots` (Little's law).
+        """
+        free_every_s = max(1e-3, health.request_s) / upstream.slots
+        return math.ceil(self.policy.queue_s / free_every_s)
+
+    def _load_by_report(self, health: UpstreamHealth, now_s: float, sharers: int = 1) -> int | None:
+        """Return the load by a report that still counts, with what has been sent since.
+
+        Notes
+        -----
+        All sharers see the same room in the same late report. Were each to count only its own
+        requests, they would fill it several times over before the next one tells.
+        """
+        if now_s - health.reported_at_s > self.policy.report_kept_s:
+            return None
+        since = health.in_flight - health.in_flight_then
+        if since > 0:
+            since *= sharers
+        return max(health.in_flight, health.reported + since)
+
+    def _by_affinity(self, call: RouteCall, free: list[_Candidate]) -> Upstream:
+        """Return the first in rendezvous order that is not much above the mean, nor full.
+
+        Notes
+        -----
+        A cached prefix saves less than a wait for a slot costs. So affinity never adds to a queue
+        while another upstream has a slot free; where all are full, the least loaded gets it.
+        """
+        by_name = {candidate.upstream.name: candidate for candidate in free}
+        mean = sum(candidate.load for candidate in free) / len(free)
+        most = math.ceil(self.policy.load_factor * (mean + 1 / len(free)))
+        for name in rank(by_name, call.prefix):
+            candidate = by_name[name]
+            if candidate.load < min(most, candidate.upstream.slots):
+                return candidate.upstream
+        return min(free, key=lambda candidate: candidate.load / candidate.upstream.slots).upstream
--- a/mothstand/entry/budgeted.py
+++ b/mothstand/entry/budgeted.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure, Success
 
+from ..core.load_report import LOAD_HEADER, read_load
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..events import Event, emit
 from ..ledger.calls import KnownKey, Ticket
@@ -17,6 +18,8 @@
     from collections.abc import Awaitable, Callable
     from types import TracebackType
 
+    import httpx
+
     from ..core.config import Upstream
     from ..core.routing import RouteCall
     from .context import CallerRequest, EntryContext
@@ -131,10 +134,12 @@
     def __init__(self, context: EntryContext, upstream: Upstream) -> None:
         self._context = context
         self._upstream = upstream
+        self._started_s = 0.0
         self.failed = False
 
     def __enter__(self) -> Attempt:
         """Count the request."""
+        self._started_s = self._context.clock.monotonic_s()
         self._context.router.started(self._upstream.name)
         return self
 
@@ -146,7 +151,17 @@
     ) -> None:
         """Count its end."""
         now_s = self._context.clock.monotonic_s()
-        self._context.router.ended(self._upstream.name, failed=self.failed, now_s=now_s)
+        took_s = now_s - self._started_s
+        self._context.router.ended(
+            self._upstream.name, failed=self.failed, took_s=took_s, now_s=now_s
+        )
+
+    def heard(self, response: httpx.Response) -> None:
+        """Take what the answer's headers say of the upstream's load."""
+        load = read_load(response.headers.get(LOAD_HEADER, ""))
+        if load is not None:
+            now_s = self._context.clock.monotonic_s()
+            self._context.router.reported(self._upstream.name, load, now_s)
 
     def fail(self, error: Exception) -> None:
         """Count a failure of the upstream."""
--- a/mothstand/entry/chat.py
+++ b/mothstand/entry/chat.py
@@ -81,7 +81,7 @@
         allowed = self._request.caller.workspace.models
         if allowed and model not in allowed:
             raise RefusedError(Refusal(ErrorKind.MODEL_NOT_ALLOWED, f"model: {model!r}"))
-        if not any(model in upstream.serves for upstream in self._config.upstreams.values()):
+        if not self._config.serving(model):
             raise RefusedError(Refusal(ErrorKind.UNKNOWN_MODEL, f"model: {model!r}"))
 
     def _route(self, tried: frozenset[str]) -> RouteCall:
@@ -119,6 +119,7 @@
                     upstream, ENGINE_PATH, self._engine_body(), headers=headers
                 )
                 async with sending as response:
+                    attempt.heard(response)
                     await self._take(response, charge, sink)
             except NotRunError as error:
                 attempt.fail(error)
@@ -156,6 +157,7 @@
         return engine_body(
             self._request.body,
             max_tokens=self._left_tokens(),
+            priority=self._request.caller.workspace.priority,
             stream=self._body.stream,
             text_so_far=self._so_far.text if self._so_far is not None else "",
         )
--- a/mothstand/entry/chat_body.py
+++ b/mothstand/entry/chat_body.py
@@ -75,7 +75,9 @@
 )
 
 
-def engine_body(body: bytes, *, max_tokens: int, stream: bool, text_so_far: str = "") -> bytes:
+def engine_body(
+    body: bytes, *, max_tokens: int, priority: int, stream: bool, text_so_far: str = ""
+) -> bytes:
     """Return the body that an engine gets.
 
     Parameters
@@ -84,12 +86,16 @@
         The caller's.
     max_tokens
         How many tokens the engine may still make.
+    priority
+        The workspace's; of those that wait at the engine, the highest goes first.
     text_so_far
         A part of the answer that another engine has made, for this one to go on with.
     """
     value: dict[str, Any] = json.loads(body)
     value.pop("max_completion_tokens", None)
     value["max_tokens"] = max_tokens
+    # Engines take the lowest number first. The caller's own value, if any, does not count.
+    value["priority"] = -priority
     if stream:
         # Usage with each event: what a cut stream has cost is known at any moment.
         value["stream_options"] = {"include_usage": True, "continuous_usage_stats": True}
--- a/mothstand/entry/services.py
+++ b/mothstand/entry/services.py
@@ -141,6 +141,7 @@
                     upstream, self._path, self._request.body, headers=headers, once=self._once
                 )
                 async with sending as response:
+                    attempt.heard(response)
                     if response.status_code in NOT_RUN_STATUSES:
                         raise NotRunError("the service says that it did not run the call")
                     body = await response.aread()
--- a/mothstand/standins/engine.py
+++ b/mothstand/standins/engine.py
@@ -9,9 +9,12 @@
 
 from __future__ import annotations
 
+import heapq
+import itertools
 import json
 import zlib
 from collections import OrderedDict
+from contextlib import asynccontextmanager
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Any, Literal
 
@@ -23,9 +26,12 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from ..core.load_report import LOAD_FORMAT, LOAD_HEADER
 from .serving import run_app
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from starlette.types import Receive, Scope, Send
 
 _PREFIX_WORDS = 16
@@ -54,6 +60,7 @@
     request_id: str
     prompt: str
     prompt_tokens: int
+    priority: int = 0
     completion_tokens: int = 0
     state: str = "running"
     cached: bool = False
@@ -79,6 +86,37 @@
     return len(value["messages"][-1]["content"].split()) if _continues(value) else 0
 
 
+class _Slots:
+    """Slots of the batch; of those that wait, the lowest priority number goes first."""
+
+    def __init__(self, count: int) -> None:
+        self._free = count
+        self._waiting: list[tuple[int, int, anyio.Event]] = []
+        self._numbers = itertools.count()
+
+    @asynccontextmanager
+    async def taken(self, priority: int) -> AsyncIterator[None]:
+        """Hold a slot, after a wait for one."""
+        waiter = (priority, next(self._numbers), anyio.Event())
+        heapq.heappush(self._waiting, waiter)
+        self._wake()
+        try:
+            await waiter[2].wait()
+            yield
+        finally:
+            if waiter[2].is_set():
+                self._free += 1
+            else:
+                self._waiting.remove(waiter)
+                heapq.heapify(self._waiting)
+            self._wake()
+
+    def _wake(self) -> None:
+        while self._free and self._waiting:
+            self._free -= 1
+            heapq.heappop(self._waiting)[2].set()
+
+
 class EngineStandIn:
     """One engine.
 
@@ -99,11 +137,13 @@
         self._token_delay_s = token_delay_s
         self._prefill_s = prefill_s
         self._chunk_tokens = chunk_tokens
-        self._slots = anyio.Semaphore(slots)
+        self._slots = _Slots(slots)
         self._prefixes: OrderedDict[str, None] = OrderedDict()
         self._journal: list[JournalEntry] = []
         self._faults = EngineFaults()
         self._answers = 0
+        self._slot_count = slots
+        self._load = 0
 
     async def complete(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve a chat completion."""
@@ -115,7 +155,12 @@
         made = _tokens_made(value)
         prompt = _prompt(value)
         prompt_tokens = len(prompt.split()) + made
-        entry = JournalEntry(request.headers.get("x-request-id", ""), prompt, prompt_tokens)
+        entry = JournalEntry(
+            request.headers.get("x-request-id", ""),
+            prompt,
+            prompt_tokens,
+            priority=int(value.get("priority", 0)),
+        )
         self._journal.append(entry)
         if self._faults.mode == "crash":
             entry.state = "crashed"
@@ -124,6 +169,23 @@
         most = made + int(value.get("max_tokens", 16))
         wanted = int(value.get("tokens_wanted", 16 + zlib.crc32(prompt.encode()) % 48))
         tokens = answer_tokens(prompt, min(most, wanted))[made:]
+        self._load += 1
+        try:
+            await self._run(value, tokens, entry, receive, send)
+        finally:
+            self._load -= 1
+        if entry.state == "running":
+            entry.state = "cancelled"
+
+    async def _run(
+        self,
+        value: dict[str, Any],
+        tokens: list[str],
+        entry: JournalEntry,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Answer, unless the caller leaves first."""
         async with anyio.create_task_group() as tasks:
 
             async def watch() -> None:
@@ -132,15 +194,13 @@
                 tasks.cancel_scope.cancel()
 
             tasks.start_soon(watch)
-            async with self._slots:
-                await self._prefill(prompt, entry)
+            async with self._slots.taken(entry.priority):
+                await self._prefill(entry.prompt, entry)
                 if value.get("stream"):
                     await self._stream(value, tokens, entry, send)
                 else:
                     await self._whole(value, tokens, entry, send)
             tasks.cancel_scope.cancel()
-        if entry.state == "running":
-            entry.state = "cancelled"
 
     async def journal(self, _: Request) -> Response:
         """Return every request that arrived."""
@@ -185,14 +245,14 @@
         if self._faults.mode != "silent_usage":
             body["usage"] = self._usage(entry)
         response = JSONResponse(body)
-        headers = response.raw_headers
+        headers = [*response.raw_headers, self._load_header()]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         await send({"type": "http.response.body", "body": response.body})
 
     async def _stream(
         self, value: dict[str, Any], tokens: list[str], entry: JournalEntry, send: Send
     ) -> None:
-        headers = [(b"content-type", b"text/event-stream")]
+        headers = [(b"content-type", b"text/event-stream"), self._load_header()]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
         head = self._head(value, "chat.completion.chunk")
         delay_s = self._faults.token_delay_s
@@ -229,6 +289,15 @@
         answer_id = f"chatcmpl-{self._name}-{self._answers}"
         return {"id": answer_id, "object": kind, "created": 0, "model": value["model"]}
 
+    def _load_header(self) -> tuple[bytes, bytes]:
+        running = min(self._load, self._slot_count)
+        named = {
+            "num_requests_running": running,
+            "num_requests_waiting": self._load - running,
+        }
+        text = f"{LOAD_FORMAT} {json.dumps({'named_metrics': named})}"
+        return LOAD_HEADER.encode(), text.encode()
+
     def _usage(self, entry: JournalEntry) -> dict[str, int]:
         return {
             "prompt_tokens": entry.prompt_tokens,
--- a/mothstand/testing/examples.py
+++ b/mothstand/testing/examples.py
@@ -23,6 +23,7 @@
     paid_tokens: dict[str, int] | None = None,
     policy: str = "",
     resumes: bool = False,
+    slots: int = 64,
 ) -> Path:
     """Write an operators' folder that names the fleet's stand-ins, and return it.
 
@@ -34,6 +35,8 @@
         Lines of the ``[policy]`` section.
     resumes
         Whether engines go on with answers that others began.
+    slots
+        Of each upstream.
     """
     folder.mkdir(exist_ok=True)
     paid = {"lund": 1_000_000, "kushiro": 1_000_000} | (paid_tokens or {})
@@ -53,7 +56,7 @@
             kind = "engine" if serves == MODEL else "service"
             lines.append(
                 f"[upstream {name}]\nkind = {kind}\naddress = {process.address}\n"
-                f"data_centre = {process.data_centre}\nserves = {serves}\nslots = 64\n"
+                f"data_centre = {process.data_centre}\nserves = {serves}\nslots = {slots}\n"
                 f"resumes = {'yes' if resumes and kind == 'engine' else 'no'}\n"
             )
     (folder / "10-all.ini").write_text("\n".join(lines), encoding="utf-8")
--- a/mothstand/tests/test_places.py
+++ b/mothstand/tests/test_places.py
@@ -103,6 +103,29 @@
         assert answer.status_code == 200, answer.text
 
 
+class TestOverflow:
+    def test_next_data_centre_takes_what_is_too_much_here(
+        self, places: Fleet, tmp_path: Path
+    ) -> None:
+        """Symptom: students are refused while the next data centre's engines idle.
+
+        Sequence: more callers at once in one data centre than its engine has slots.
+        Cause: engines elsewhere were used only when there was none here.
+        """
+        folder = write_folder(tmp_path / "folder", places, slots=2)
+        assert places.publish(folder).returncode == 0
+        # Slow enough that all requests are there at once.
+        places.set_faults("llm-a", mode="ok", token_delay_s=0.1)
+        places.set_faults("llm-b", mode="ok", token_delay_s=0.02)
+        with Load(urls(places, "sto-a-1"), callers=4, max_tokens=16, stream_share=1.0) as load:
+            time.sleep(4.0)
+        served_elsewhere = {entry["request_id"] for entry in places.journal("llm-b")}
+        whole = [record for record in load.records if record.got is Got.WHOLE]
+        assert any(f"{record.request_id}/1" in served_elsewhere for record in whole)
+        assert any(f"{record.request_id}/1" not in served_elsewhere for record in whole)
+        check_history(places, load, paid_tokens=20_000)
+
+
 class TestAtMostOnce:
     def test_retry_in_another_data_centre_does_not_renew_again(self, places: Fleet) -> None:
         first = call_service(
--- a/mothstand/tests/test_requests.py
+++ b/mothstand/tests/test_requests.py
@@ -138,6 +138,18 @@
         assert runs_of(fleet, "nobody there") == []
 
 
+class TestPriority:
+    def test_priority_reaches_the_engine(self, fleet: Fleet) -> None:
+        """Symptom: a workspace of high priority waits in the engine behind others.
+
+        Sequence: a caller sets a priority of its own in the body.
+        Cause it guards against: passing on the caller's in place of the workspace's.
+        """
+        answer = chat(fleet.processes["sto-a-1"].url, prompt="me first", priority=-1000)
+        assert answer.status_code == 200
+        assert [run["priority"] for run in runs_of(fleet, "me first")] == [-1]
+
+
 class TestKeys:
     def test_retry_gets_the_kept_answer(self, fleet: Fleet) -> None:
         url = fleet.processes["sto-a-1"].url
--- a/mothstand/tests/test_routing.py
+++ b/mothstand/tests/test_routing.py
@@ -6,9 +6,11 @@
 from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 
+import pytest
 from returns.result import Failure, Success
 
 from ..core.config import FleetConfig, PlannedStop, Upstream, UpstreamKind
+from ..core.load_report import read_load
 from ..core.routing import RouteCall, Router
 from ..errors import ErrorKind
 from ..types import DataCentre
@@ -27,10 +29,14 @@
 
 
 def choose(
-    router: Router, config: FleetConfig = CONFIG, call: RouteCall = CALL, now_s: float = 0.0
+    router: Router,
+    config: FleetConfig = CONFIG,
+    call: RouteCall = CALL,
+    now_s: float = 0.0,
+    sharers: int = 1,
 ) -> str:
     """Return the chosen upstream's name, or the kind of the refusal."""
-    match router.choose(call, config, sharers=1, now_utc=NOW, now_s=now_s):
+    match router.choose(call, config, sharers=sharers, now_utc=NOW, now_s=now_s):
         case Success(chosen):
             return str(chosen.name)
         case Failure(refusal):
@@ -88,6 +94,27 @@
         assert sent == 10
         assert choose(router, config) == "a"
 
+    def test_high_priority_waits_as_long_as_it_may(self) -> None:
+        """Symptom: high priority is refused though a slot comes free every few milliseconds.
+
+        Sequence: low priority fills the slots of an engine whose requests are short.
+        Cause: the queue was sized by the number of slots, not by how soon they come free.
+        """
+        config = FleetConfig(upstreams={"a": upstream("a", slots=10)})
+        router = Router(HERE)
+        for _ in range(200):
+            router.started("a")
+            router.ended("a", failed=False, took_s=0.1, now_s=0.0)
+        router.reported("a", 10, 0.0)
+        low = replace(CALL, priority=0)
+        assert choose(router, config, low) == ErrorKind.OVERLOADED.value
+        waiting = 0
+        while choose(router, config) == "a":
+            router.started("a")
+            waiting += 1
+        # One comes free every 10 ms, and a request may wait 200 ms.
+        assert waiting == 20
+
 
 class TestLeaving:
     def test_planned_stop(self) -> None:
@@ -108,12 +135,12 @@
         config = FleetConfig(upstreams={"a": upstream("a")})
         for _ in range(3):
             router.started("a")
-            router.ended("a", failed=True, now_s=0.0)
+            router.ended("a", failed=True, took_s=0.1, now_s=0.0)
         assert choose(router, config, now_s=1.0) == ErrorKind.NO_UPSTREAM.value
         assert choose(router, config, now_s=3.0) == "a"
         router.started("a")
         assert choose(router, config, now_s=3.0) == ErrorKind.NO_UPSTREAM.value
-        router.ended("a", failed=False, now_s=3.0)
+        router.ended("a", failed=False, took_s=0.1, now_s=3.0)
         assert choose(router, config, now_s=3.0) == "a"
 
     def test_other_data_centre_only_without_one_here(self) -> None:
@@ -124,3 +151,108 @@
     def test_tried_ones_are_left_out(self) -> None:
         call = replace(CALL, tried=frozenset({"a", "b", "c"}))
         assert choose(Router(HERE), call=call) == ErrorKind.NO_UPSTREAM.value
+
+
+class TestLoadReports:
+    def test_load_of_other_instances_counts(self) -> None:
+        """Symptom: first tokens come late at one engine while the next idles.
+
+        Sequence: another instance fills an engine, this one has sent it nothing.
+        Cause it guards against: own counts taken for the engine's load.
+        """
+        router = Router(HERE)
+        first = choose(router)
+        router.reported(first, 8, 0.0)
+        assert choose(router) != first
+
+    def test_old_report_counts_no_more(self) -> None:
+        router = Router(HERE)
+        config = FleetConfig(upstreams={"a": upstream("a")})
+        router.reported("a", 100, 0.0)
+        assert choose(router, config, now_s=1.0) == ErrorKind.OVERLOADED.value
+        assert choose(router, config, now_s=10.0) == "a"
+
+    def test_sharers_do_not_fill_the_same_room_twice(self) -> None:
+        """Symptom: queues at engines after each load report.
+
+        Sequence: an engine reports 4 free slots, each of 4 instances sends it 4 requests.
+        Cause: each counted only its own requests against the room that all of them saw.
+        """
+        config = FleetConfig(upstreams={"a": upstream("a", slots=8)})
+        sent = 0
+        for _ in range(4):
+            router = Router(HERE)
+            router.reported("a", 4, 0.0)
+            while choose(router, config, sharers=4) == "a":
+                router.started("a")
+                sent += 1
+        # Room for 4, and one that may wait; each instance rounds up.
+        assert sent <= 8
+
+    def test_affinity_does_not_queue_beside_a_free_slot(self) -> None:
+        """Symptom: first tokens come late at a load that the engines could carry.
+
+        Sequence: an engine's slots are taken by requests of its prefixes, others have room.
+        Cause: the bound on affinity followed the mean load and not the slots.
+        """
+        config = FleetConfig(upstreams={n: upstream(n, slots=8) for n in ("a", "b", "c")})
+        router = Router(HERE)
+        first = choose(router, config)
+        for name in config.upstreams:
+            router.reported(name, 8 if name == first else 7, 0.0)
+        assert choose(router, config) != first
+
+
+class TestOverflow:
+    CONFIG = FleetConfig(upstreams={"a": upstream("a"), "z": upstream("z", THERE)})
+
+    def test_other_data_centre_takes_what_is_too_much_here(self) -> None:
+        """Symptom: refusals in one data centre while the next has slots free.
+
+        Sequence: the upstreams here are full; the other data centre's say that they are not.
+        Cause: upstreams elsewhere were used only when there was none here.
+        """
+        router = Router(HERE)
+        router.reported("a", 100, 0.0)
+        router.reported("z", 2, 0.0)
+        assert choose(router, self.CONFIG) == "z"
+
+    def test_nothing_waits_in_another_data_centre(self) -> None:
+        router = Router(HERE)
+        router.reported("a", 100, 0.0)
+        router.reported("z", 8, 0.0)
+        assert choose(router, self.CONFIG) == ErrorKind.OVERLOADED.value
+
+    def test_one_request_finds_out(self) -> None:
+        """Symptom: a data centre's upstreams are flooded by another's overload.
+
+        Sequence: those here are full, nothing is known of those elsewhere.
+        Cause it guards against: no word on the load taken for no load.
+        """
+        router = Router(HERE)
+        router.reported("a", 100, 0.0)
+        assert choose(router, self.CONFIG) == "z"
+        router.started("z")
+        assert choose(router, self.CONFIG) == ErrorKind.OVERLOADED.value
+
+
+class TestHeader:
+    @pytest.mark.parametrize(
+        ("header", "load"),
+        [
+            (
+                'JSON {"named_metrics": {"num_requests_running": 3, "num_requests_waiting": 1}}',
+                4,
+            ),
+            ('JSON {"named_metrics": {"num_requests_running": 3}}', None),
+            (
+                'JSON {"named_metrics": {"num_requests_running": -3, "num_requests_waiting": 1}}',
+                None,
+            ),
+            ("TEXT named_metrics.num_requests_running=3", None),
+            ("JSON {", None),
+            ("", None),
+        ],
+    )
+    def test_read_load(self, header: str, load: int | None) -> None:
+        assert read_load(header) == load
--- a/mothstand/upstreams/client.py
+++ b/mothstand/upstreams/client.py
@@ -8,6 +8,8 @@
 import httpx
 from httpx_aiohttp import AiohttpTransport
 
+from ..core.load_report import LOAD_FORMAT, LOAD_FORMAT_HEADER
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
@@ -82,7 +84,9 @@
             Also while the caller reads the body inside the context.
         """
         client = self._fresh if once else self._kept
-        headers = {**headers, "connection": "close"} if once else headers
+        headers = {**headers, LOAD_FORMAT_HEADER: LOAD_FORMAT}
+        if once:
+            headers["connection"] = "close"
         url = f"http://{upstream.address}{path}"
         try:
             async with client.stream("POST", url, content=body, headers=headers) as response:
