Let leaseholders reserve for data centres that have run out of escrow

Escrow moved through the log only, which is slow and can be out.

Change: a leaseholder, or a promoted witness, whose own escrow and the log's rest do not do asks the leaseholders of the two data centres that hold the most. Those reserve in their own epochs as for their own requests, so fold, accounts and proof stay as they are; where only the asking one is cut off from the platform, they ask the log for it. The request's key stays known at home. The benchmark tells a cut from the platform from one from everybody.

In test_places the request that is larger than the witness's share was refused before the other leaseholder could ask the log.

--- a/benchmarks/escrow.py
+++ b/benchmarks/escrow.py
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Scenario:
-    """One failure.
+    """One failure: a cut is one from the platform, "alone" one from the other data centres too.
 
     Parameters
     ----------
@@ -67,29 +67,38 @@
     return act
 
 
-def _cut(world: World) -> None:
-    world.ledger.cut(PLACES[0], off=True)
-    world.run(HOUR_S)
-    world.ledger.cut(PLACES[0], off=False)
-    world.run(AFTER_S)
+def _cut(*, alone: bool) -> Callable[[World], None]:
+    def act(world: World) -> None:
+        world.ledger.cut(PLACES[0], off=True, alone=alone)
+        world.run(HOUR_S)
+        world.ledger.cut(PLACES[0], off=False)
+        world.run(AFTER_S)
 
+    return act
 
-def _cut_and_top_up(world: World) -> None:
-    world.ledger.cut(PLACES[0], off=True)
-    world.run(HOUR_S / 2)
-    world.top_up(percent=50)
-    world.run(HOUR_S / 2)
-    world.ledger.cut(PLACES[0], off=False)
-    world.run(AFTER_S)
 
+def _cut_and_top_up(*, alone: bool) -> Callable[[World], None]:
+    def act(world: World) -> None:
+        world.ledger.cut(PLACES[0], off=True, alone=alone)
+        world.run(HOUR_S / 2)
+        world.top_up(percent=50)
+        world.run(HOUR_S / 2)
+        world.ledger.cut(PLACES[0], off=False)
+        world.run(AFTER_S)
 
-def _cut_and_kill(world: World) -> None:
-    world.ledger.cut(PLACES[0], off=True)
-    world.run(60.0)
-    world.ledger.kill(PLACES[0], "holder")
-    world.run(600.0)
-    world.ledger.cut(PLACES[0], off=False)
-    world.run(AFTER_S)
+    return act
+
+
+def _cut_and_kill(*, alone: bool) -> Callable[[World], None]:
+    def act(world: World) -> None:
+        world.ledger.cut(PLACES[0], off=True, alone=alone)
+        world.run(60.0)
+        world.ledger.kill(PLACES[0], "holder")
+        world.run(600.0)
+        world.ledger.cut(PLACES[0], off=False)
+        world.run(AFTER_S)
+
+    return act
 
 
 SCENARIOS = (
@@ -97,9 +106,12 @@
     Scenario("kill holder", _kill("holder")),
     Scenario("kill witness", _kill("witness")),
     Scenario("kill both", _kill("both")),
-    Scenario("hour's cut", _cut),
-    Scenario("hour's cut, top-up", _cut_and_top_up, budget_hours=0.7),
-    Scenario("cut, then kill holder", _cut_and_kill),
+    Scenario("hour's cut", _cut(alone=False)),
+    Scenario("hour's cut, top-up", _cut_and_top_up(alone=False), budget_hours=0.7),
+    Scenario("cut, then kill holder", _cut_and_kill(alone=False)),
+    Scenario("hour alone", _cut(alone=True)),
+    Scenario("hour alone, top-up", _cut_and_top_up(alone=True), budget_hours=0.7),
+    Scenario("alone, then kill holder", _cut_and_kill(alone=True)),
     Scenario("budgets end", _steady, budget_hours=0.1),
     Scenario("budgets end, kill holder", _kill("holder"), budget_hours=0.1),
 )
@@ -176,13 +188,13 @@
     print(f"{user}, x{scale:g}, {100 * skew:.0f}% of the demand in the data centre that fails")
     print(
         f"{'scenario':26} {'ledger':11} {'requests':>8} {'overspent':>9} {'false %':>8}"
-        f" {'stranded':>10} {'appends/1000':>12}"
+        f" {'stranded':>10} {'appends/1000':>12} {'elsewhere':>9}"
     )
     for scenario, kind, result in rows(user, scale, skew, only):
         print(
             f"{scenario:26} {kind:11} {result.requests:8} {result.overspent_tokens:9}"
             f" {result.false_percent:8.3f} {result.stranded_tokens:10}"
-            f" {result.appends_per_1000:12.2f}"
+            f" {result.appends_per_1000:12.2f} {result.reserved_elsewhere:9}"
         )
 
 
--- a/benchmarks/fleet_ledger.py
+++ b/benchmarks/fleet_ledger.py
@@ -10,6 +10,7 @@
 from mothstand.core.ledger_state import Grant
 from mothstand.core.membership import shard_of
 from mothstand.ledger.calls import ReserveCall, Ticket
+from mothstand.ledger.elsewhere import epochs_with_room
 from mothstand.ledger.shard import ShardNode
 from mothstand.ledger.state import ShardContext
 from mothstand.settings.instance import TimingSection
@@ -80,6 +81,7 @@
         self._now_s = 1000.0
         self._logs: dict[Shard, list[LedgerRecord]] = {Shard(i): [] for i in range(SHARDS)}
         self._cut: dict[DataCentre, float] = {}
+        self._alone: set[DataCentre] = set()
         self._paid: dict[Shard, dict[BudgetName, int]] = {Shard(i): {} for i in range(SHARDS)}
         for name, tokens in paid.items():
             self._paid[self._shard(name)][name] = tokens
@@ -113,16 +115,20 @@
         for process in self._live(request.place):
             node = process.nodes[shard]
             if node.state.leading() is not None:
-                return self._reserve_leading(node, request)
-            if node.state.promoted() is not None and self._reserve_promoted(node, request):
-                return True
+                if self._reserve_leading(node, request):
+                    return True
+                return self._reserve_elsewhere(node, request) or self._wait(node, request)
+            if node.state.promoted() is not None:
+                if self._reserve_promoted(node, request):
+                    return True
+                return self._reserve_elsewhere(node, request)
         return False
 
     def settle(self, request: Request) -> None:
         """Settle at whichever side takes it."""
         ticket = request.handle
         assert isinstance(ticket, Ticket)
-        for process in self._live(request.place):
+        for process in self._live(request.held_at or request.place):
             reserver = process.nodes[ticket.shard].reserver
             if reserver.settle(ticket, request.used_tokens, ""):
                 reserver.posted(ticket)
@@ -140,12 +146,15 @@
         for process in victims:
             process.dead_at_s = self._now_s
 
-    def cut(self, place: DataCentre, *, off: bool) -> None:
+    def cut(self, place: DataCentre, *, off: bool, alone: bool = False) -> None:
         """Cut a data centre off from the platform, or join it again."""
         if off:
             self._cut[place] = self._now_s
+            if alone:
+                self._alone.add(place)
         else:
             del self._cut[place]
+            self._alone.discard(place)
 
     def top_up(self, tokens: dict[BudgetName, int]) -> None:
         """Raise the paid totals of the configuration."""
@@ -211,6 +220,9 @@
                 and (p.dead_at_s is None or now_s - p.dead_at_s < SUSPECT_AFTER_S)
             }
             process.beliefs.believed_alive = believed
+            process.beliefs.believed_elsewhere = {
+                p.me.name: p.me for p in self._live() if p.place != process.place
+            }
 
     def _read(self, process: _Process, shard: Shard) -> None:
         log = self._logs[shard]
@@ -263,22 +275,51 @@
             if taken is not None:
                 break
         if taken is None:
-            self._wait(node, request)
             return False
         node.agent.ask(request.budget)
         request.handle = Ticket(node.state.shard, state.epoch, taken.number, "", "")
         return True
 
-    def _wait(self, node: ShardNode, request: Request) -> None:
-        """Wait for escrow, unless the ledger says that there is none to come."""
+    def _reserve_elsewhere(self, node: ShardNode, request: Request) -> bool:
+        """Ask other data centres' leaseholders, where the log has less than is needed."""
+        out = node.state.context.log_is_out
+        free = node.state.fold.ungranted_tokens(request.budget)
+        if request.place in self._alone or not (out or free < request.bound_tokens):
+            return False
+        found = epochs_with_room(node.state, request.budget, request.bound_tokens)
+        for epoch in found:
+            holder = self.processes[epoch.holder.name]
+            asked = holder.nodes[node.state.shard]
+            if holder.place in self._alone or asked.state.leading() is None:
+                continue
+            if self._reserve_leading(asked, request):
+                request.held_at = holder.place
+                self.result.reserved_elsewhere += 1
+                return True
+            free = asked.state.fold.ungranted_tokens(request.budget)
+            if not asked.state.context.log_is_out and free >= request.bound_tokens:
+                # It asks the log on behalf of this request, which is back in the next step.
+                needed = asked.state.needed_tokens
+                needed[request.budget] = needed.get(request.budget, 0) + request.bound_tokens
+                asked.agent.ask(request.budget)
+                request.waits_elsewhere = True
+                return False
+        return False
+
+    def _wait(self, node: ShardNode, request: Request) -> bool:
+        """Wait for escrow, unless the ledger says that there is none to come; return False."""
+        if request.waits_elsewhere:
+            request.waits_elsewhere = False
+            return False
         shard = node.state.shard
         call = ReserveCall(shard, "", request.budget, request.bound_tokens, "", keyed=False)
         if node.reserver.shortage(call, waited=False) is not None:
             request.deadline_s = 0.0
-            return
+            return False
         needed = node.state.needed_tokens
         needed[request.budget] = needed.get(request.budget, 0) + request.bound_tokens
         node.agent.ask(request.budget)
+        return False
 
     def _reserve_promoted(self, node: ShardNode, request: Request) -> bool:
         promoted = node.state.promoted()
@@ -333,7 +374,7 @@
                 self._stranded += left
                 self._left[key] = -1
 
-    def cut(self, place: DataCentre, *, off: bool) -> None:
+    def cut(self, place: DataCentre, *, off: bool, alone: bool = False) -> None:
         """Do nothing: a share needs no platform."""
 
     def top_up(self, tokens: dict[BudgetName, int]) -> None:
--- a/benchmarks/test_bounds.py
+++ b/benchmarks/test_bounds.py
@@ -12,7 +12,8 @@
     "steady": (0.0, 0, 6.0),
     "kill holder": (0.1, 700_000, 30.0),
     "kill witness": (0.1, 900_000, 25.0),
-    "budgets end": (11.0, 0, 850.0),
+    "budgets end": (3.0, 0, 200.0),
+    "cut, then kill holder": (0.1, 1_500_000, 10.0),
 }
 
 
--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -52,6 +52,7 @@
     served: int = 0
     true_refusals: int = 0
     false_refusals: int = 0
+    reserved_elsewhere: int = 0
     stranded_tokens: int = 0
     overspent_tokens: int = 0
     ledger_appends: int = 0
@@ -79,6 +80,8 @@
     deadline_s: float
     ends_s: float = 0.0
     handle: object = None
+    held_at: DataCentre | None = None
+    waits_elsewhere: bool = False
 
 
 class Ledger(ABC):
@@ -101,8 +104,14 @@
         """Kill ``holder``, ``witness`` or ``both`` of a data centre, in all shards."""
 
     @abstractmethod
-    def cut(self, place: DataCentre, *, off: bool) -> None:
-        """Cut a data centre off from the platform, or join it again."""
+    def cut(self, place: DataCentre, *, off: bool, alone: bool = False) -> None:
+        """Cut a data centre off from the platform, or join it again.
+
+        Parameters
+        ----------
+        alone
+            Whether it is cut off from the other data centres too.
+        """
 
     @abstractmethod
     def top_up(self, tokens: dict[BudgetName, int]) -> None:
--- a/mothstand/ledger/calls.py
+++ b/mothstand/ledger/calls.py
@@ -27,6 +27,8 @@
         Incarnation of the instance that will run the request.
     keyed
         Whether `request_id` comes from the caller's idempotency key, so that it may come again.
+    away
+        Whether another data centre's leaseholder asks: it is answered at once, and asks no third.
     """
 
     shard: Shard
@@ -35,17 +37,26 @@
     bound_tokens: int
     owner: str
     keyed: bool
+    away: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Ticket:
-    """Names a reservation: its epoch, its number there, and the two processes that know it."""
+    """Names a reservation: its epoch, its number there, and the two processes that know it.
+
+    Parameters
+    ----------
+    home
+        Address of the leaseholder that knows the request's key, where another data centre holds
+        the reservation; else empty.
+    """
 
     shard: Shard
     epoch: Epoch
     number: int
     holder: str
     witness: str
+    home: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/mothstand/ledger/reserver.py
+++ b/mothstand/ledger/reserver.py
@@ -12,6 +12,7 @@
 from ..errors import ErrorKind, Refusal
 from ..events import Event, emit
 from .calls import KnownKey, NotHolder, PeerError, ReserveCall, ReserveReply, Ticket
+from .elsewhere import away_wait_s, reserve_elsewhere
 
 if TYPE_CHECKING:
     from ..types import BudgetName, Epoch
@@ -66,12 +67,15 @@
             known = self._find_key(call)
             if known is not None:
                 return known
-        if state.leading() is None:
-            return self._reserve_promoted(call)
+        if state.leading() is None and state.promoted() is None:
+            return NotHolder(self._hint())
         if call.keyed:
             # Before the first await, so that a second request of the same key finds it.
             state.requests.start(call.request_id, call.owner)
-        reply = await self._reserve_leading(call)
+        if state.leading() is not None:
+            reply = await self._reserve_leading(call)
+        else:
+            reply = await self._reserve_promoted(call)
         if call.keyed and not isinstance(reply, Ticket):
             state.requests.forget(call.request_id)
         return reply
@@ -81,6 +85,9 @@
         state = self._state
         holder = state.holders.get(ticket.epoch)
         witness = state.witnesses.get(ticket.epoch)
+        if ticket.home == state.context.membership.me.address:
+            self._end_key(request_id, used_tokens)
+            return True
         if holder is not None and ticket.number > 0:
             settled = holder.settle(ticket.number, used_tokens)
             if settled is not None:
@@ -92,13 +99,17 @@
         else:
             # An unsealed witness hears of settlements from its holder, in order.
             return False
+        self._end_key(request_id, used_tokens)
+        state.announce()
+        return True
+
+    def _end_key(self, request_id: str, used_tokens: int) -> None:
+        requests = self._state.requests
         if used_tokens > 0:
-            state.requests.finish(request_id, state.context.clock.monotonic_s())
+            requests.finish(request_id, self._state.context.clock.monotonic_s())
         else:
             # Given up before it cost anything: the key is free for another try.
-            state.requests.forget(request_id)
-        state.announce()
-        return True
+            requests.forget(request_id)
 
     def posted(self, ticket: Ticket) -> None:
         """Note that the bill of a reservation is in the log."""
@@ -218,7 +229,7 @@
             witness=witness.address if witness else "",
         )
 
-    def _reserve_promoted(self, call: ReserveCall) -> ReserveReply:
+    async def _reserve_promoted(self, call: ReserveCall) -> ReserveReply:
         promoted = self._state.promoted()
         if promoted is None:
             return NotHolder(self._hint())
@@ -227,15 +238,14 @@
         taken = account.reserve_own(
             call.request_id, call.budget, call.bound_tokens, grant=grant, owner=call.owner
         )
-        if taken is None:
-            return Refusal(
-                ErrorKind.BUDGET_OUT_OF_REACH,
-                "the platform is out and the leaseholder is gone; "
-                f"{account.free_own_tokens(call.budget, grant)} tokens can be spent here",
-            )
-        if call.keyed:
-            self._state.requests.start(call.request_id, call.owner)
-        return self._ticket(epoch_state, taken)
+        if taken is not None:
+            return self._ticket(epoch_state, taken)
+        elsewhere = None if call.away else await reserve_elsewhere(self._state, call)
+        return elsewhere or Refusal(
+            ErrorKind.BUDGET_OUT_OF_REACH,
+            "the platform is out and the leaseholder is gone; "
+            f"{account.free_own_tokens(call.budget, grant)} tokens can be spent here",
+        )
 
     def _hint(self) -> str:
         current = self._state.current()
@@ -246,7 +256,10 @@
     async def _reserve_leading(self, call: ReserveCall) -> ReserveReply:
         state = self._state
         self.agent.note_bound(call.budget, call.bound_tokens)
-        deadline_s = state.context.clock.monotonic_s() + state.context.timing.grant_wait_s
+        timing = state.context.timing
+        wait_s = away_wait_s(timing) if call.away else timing.grant_wait_s
+        deadline_s = state.context.clock.monotonic_s() + wait_s
+        may_ask_elsewhere = not call.away
         while True:
             leading = state.leading()
             if leading is None:
@@ -255,14 +268,29 @@
             if ticket is not None:
                 self.agent.ask(call.budget)
                 return ticket
-            refused = self.shortage(call, waited=False)
             left_s = deadline_s - state.context.clock.monotonic_s()
-            if refused is not None:
-                return refused
-            if left_s <= 0:
-                return self.shortage(call, waited=True) or Refusal(ErrorKind.LEDGER_UNAVAILABLE)
+            # Nobody waits here for another data centre's request, unless the log can help.
+            waited = left_s <= 0 or (call.away and self._log_has_less(call))
+            refused = self.shortage(call, waited=waited)
+            if may_ask_elsewhere and not self._is_exhausted(refused) and self._log_has_less(call):
+                may_ask_elsewhere = False
+                elsewhere = await reserve_elsewhere(state, call)
+                if elsewhere is not None:
+                    return elsewhere
+                continue
+            if refused is not None or waited:
+                return refused or Refusal(ErrorKind.LEDGER_UNAVAILABLE)
             await self._wait_for_escrow(call, left_s)
 
+    @staticmethod
+    def _is_exhausted(refused: Refusal | None) -> bool:
+        return refused is not None and refused.kind is ErrorKind.BUDGET_EXHAUSTED
+
+    def _log_has_less(self, call: ReserveCall) -> bool:
+        """Return whether asking the log cannot bring what the call needs, or not now."""
+        free = self._state.fold.ungranted_tokens(call.budget)
+        return self._state.context.log_is_out or free < call.bound_tokens
+
     async def _try_reserve(
         self, leading: tuple[EpochState, HolderAccount], call: ReserveCall
     ) -> Ticket | None:
--- a/mothstand/ledger/service.py
+++ b/mothstand/ledger/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -126,6 +127,10 @@
         self._unsettled += 1
         try:
             await self._settle_until_taken(ticket, request_id, used_tokens)
+            if ticket.home:
+                # Best effort: at the worst a retry is told for longer than need be to join.
+                home = replace(ticket, holder=ticket.home)
+                await self._settle_at(ticket.home, home, request_id, used_tokens)
         finally:
             self._unsettled -= 1
 
--- a/mothstand/peers/messages.py
+++ b/mothstand/peers/messages.py
@@ -32,6 +32,7 @@
         number=ticket.number,
         holder=ticket.holder,
         witness=ticket.witness,
+        home=ticket.home,
     )
 
 
@@ -43,6 +44,7 @@
         number=message.number,
         holder=message.holder,
         witness=message.witness,
+        home=message.home,
     )
 
 
@@ -55,6 +57,7 @@
         bound_tokens=call.bound_tokens,
         owner=call.owner,
         keyed=call.keyed,
+        away=call.away,
     )
 
 
@@ -67,6 +70,7 @@
         bound_tokens=message.bound_tokens,
         owner=message.owner,
         keyed=message.keyed,
+        away=message.away,
     )
 
 
--- a/mothstand/testing/fakes.py
+++ b/mothstand/testing/fakes.py
@@ -76,6 +76,7 @@
     def __init__(self, me: Member, data_centre: DataCentre) -> None:
         super().__init__(me, data_centre, suspect_after_s=1.0)
         self.believed_alive: dict[str, Member] = {}
+        self.believed_elsewhere: dict[str, Member] = {}
 
     def is_alive(self, member: Member, now_s: float) -> bool:
         """Return what the test says."""
@@ -87,7 +88,7 @@
 
     def find(self, incarnation: str, now_s: float) -> Member | None:
         """Return the member that the test says is alive."""
-        known = [self.me, *self.believed_alive.values()]
+        known = [self.me, *self.believed_alive.values(), *self.believed_elsewhere.values()]
         return next((m for m in known if m.incarnation == incarnation), None)
 
     def alive_here(self, now_s: float) -> dict[str, Member]:
--- /dev/null
+++ b/mothstand/tests/test_elsewhere.py
@@ -0,0 +1,255 @@
+"""Reservations at another data centre's leaseholder, with two leaseholders and fakes round them."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ..core.accounts import HolderAccount
+from ..core.config import FleetConfig
+from ..core.records import BudgetPaid, EpochOpened, GrantAsk, GrantAsked, LedgerRecord, RecordId
+from ..errors import ErrorKind, Refusal
+from ..ledger.calls import KnownKey, PeerError, ReserveCall, ReserveReply, Ticket
+from ..ledger.escrow_agent import EscrowAgent
+from ..ledger.reserver import Reserver
+from ..ledger.state import ShardContext, ShardState
+from ..settings.instance import TimingSection
+from ..testing.fakes import FakeBeliefs, FakeClock, FakeWriter, NoPeers
+from ..types import NO_EPOCH, BudgetName, DataCentre, Epoch, Member, Shard
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+LUND = BudgetName("lund")
+SHARD = Shard(0)
+A, B = Member("a", "a:x", "a:0"), Member("b", "b:x", "b:0")
+EPOCHS = {A.name: Epoch(2), B.name: Epoch(3)}
+CALL = ReserveCall(SHARD, "r1", LUND, 500, "entry:x", keyed=False)
+
+
+class DirectPeers(NoPeers):
+    """Peers in the same process."""
+
+    def __init__(self) -> None:
+        self.reservers: dict[str, Reserver] = {}
+        self.calls: list[ReserveCall] = []
+
+    async def reserve(self, address: str, call: ReserveCall, *, timeout_s: float) -> ReserveReply:
+        """Ask the peer."""
+        self.calls.append(call)
+        if address not in self.reservers:
+            raise PeerError("gone")
+        return await self.reservers[address].reserve(call)
+
+
+class TwoPlaces:
+    """Leaseholders `a` with 100 and `b` with 900 tokens of a budget of 1,000; nothing ungranted."""
+
+    def __init__(self) -> None:
+        self.clock = FakeClock()
+        self.peers = DirectPeers()
+        self.silent_s = {A.name: 0.0, B.name: 0.0}
+        self.writers: dict[str, FakeWriter[LedgerRecord]] = {}
+        self.states: dict[str, ShardState] = {}
+        for me, other in ((A, B), (B, A)):
+            self._start(me, other)
+
+    def _start(self, me: Member, other: Member) -> None:
+        beliefs = FakeBeliefs(me, DataCentre(f"sto-{me.name}"))
+        beliefs.believed_elsewhere = {other.name: other}
+        context = ShardContext(
+            membership=beliefs,
+            calls=self.peers,
+            clock=self.clock,
+            timing=TimingSection.model_validate({}),
+            config=FleetConfig,
+            log_silent_s=lambda: self.silent_s[me.name],
+            data_centres=lambda: 2,
+        )
+        state = self.states[me.name] = ShardState(SHARD, context)
+        for offset, record in enumerate(records(), start=1):
+            state.fold.apply(offset, record)
+        epoch = EPOCHS[me.name]
+        state.holders[epoch] = HolderAccount(epoch, witnessed=False)
+        reserver = self.peers.reservers[me.address] = Reserver(state)
+        writer = self.writers[me.name] = FakeWriter(me.incarnation)
+        reserver.attach(EscrowAgent(state, writer, reserver.want_mirror))  # type: ignore[arg-type]
+
+    async def append(self) -> None:
+        """Let `b` append what it has queued, again and again."""
+        offset = len(records()) + 1
+        while True:
+            await anyio.lowlevel.checkpoint()
+            queue = self.writers[B.name].queue
+            while queue:
+                offset += 1
+                self.states[B.name].fold.apply(offset, queue.pop(0))
+                self.states[B.name].announce()
+
+    @property
+    def here(self) -> Reserver:
+        """The reserver of `a`."""
+        return self.peers.reservers[A.address]
+
+    def beliefs(self) -> FakeBeliefs:
+        """Return whom `a` believes to be alive."""
+        membership = self.states[A.name].context.membership
+        assert isinstance(membership, FakeBeliefs)
+        return membership
+
+    def spent(self, name: str) -> int:
+        """Return what a leaseholder's account has spent or reserved."""
+        account = self.states[name].holders[EPOCHS[name]]
+        return sum(spend.own_tokens for spend in account.spends())
+
+
+def records() -> list[LedgerRecord]:
+    """Return the log of the shard."""
+    return [
+        BudgetPaid(RecordId("o", 1), LUND, 1000),
+        EpochOpened(RecordId("seed:a", 1), SHARD, DataCentre("sto-a"), A, None, NO_EPOCH),
+        EpochOpened(RecordId("seed:b", 1), SHARD, DataCentre("sto-b"), B, None, NO_EPOCH),
+        GrantAsked(RecordId("seed:a", 2), EPOCHS["a"], (GrantAsk(LUND, 100, 0, 0, 0),)),
+        GrantAsked(RecordId("seed:b", 2), EPOCHS["b"], (GrantAsk(LUND, 900, 0, 0, 0),)),
+    ]
+
+
+def run(test: Callable[[TwoPlaces], Awaitable[None]]) -> None:
+    """Run a test on a loop of its own, with time moving on."""
+
+    async def main() -> None:
+        places = TwoPlaces()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(pass_time, places.clock)
+            await test(places)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+async def pass_time(clock: FakeClock) -> None:
+    """Let a little fake time pass with each turn of the loop."""
+    while True:
+        await anyio.lowlevel.checkpoint()
+        clock.advance(0.01)
+
+
+class TestElsewhere:
+    def test_other_data_centre_s_leaseholder_reserves(self) -> None:
+        """Symptom: a request that is paid for is refused, since its tokens are held elsewhere.
+
+        Sequence: a budget nears its end; one data centre holds nearly all of the rest.
+        Cause: tokens had to move through the log before they could be spent here.
+        """
+
+        async def test(places: TwoPlaces) -> None:
+            ticket = await places.here.reserve(CALL)
+            assert isinstance(ticket, Ticket)
+            assert ticket.holder == B.address
+            assert ticket.home == ""
+            assert places.spent(B.name) == 500
+            assert places.spent(A.name) == 0
+
+        run(test)
+
+    def test_also_while_the_platform_is_out(self) -> None:
+        async def test(places: TwoPlaces) -> None:
+            places.silent_s = {A.name: 60.0, B.name: 60.0}
+            assert isinstance(await places.here.reserve(CALL), Ticket)
+            second = await places.here.reserve(replace(CALL, request_id="r2"))
+            assert isinstance(second, Refusal)
+            assert second.kind is ErrorKind.BUDGET_OUT_OF_REACH
+
+        run(test)
+
+    def test_it_asks_the_log_for_one_that_cannot(self) -> None:
+        """Symptom: a data centre that is cut off from the platform alone runs out of escrow.
+
+        Sequence: a cut from the platform that is longer than the ride-through, or a leaseholder
+        that dies in it; the log has tokens, other data centres can reach it.
+        Cause: only what others held already could be reserved there.
+        """
+
+        async def test(places: TwoPlaces) -> None:
+            places.silent_s[A.name] = 60.0
+            paid = BudgetPaid(RecordId("o", 2), LUND, 2000)
+            places.states[B.name].fold.apply(len(records()) + 1, paid)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(places.append)
+                ticket = await places.here.reserve(replace(CALL, bound_tokens=990))
+                tasks.cancel_scope.cancel()
+            assert isinstance(ticket, Ticket)
+            assert places.spent(B.name) == 990
+
+        run(test)
+
+    def test_key_stays_known_here_until_the_request_ends(self) -> None:
+        """Symptom: a retry runs again, or is told for ever that its request still runs.
+
+        Sequence: a keyed request is reserved elsewhere, retried while it runs, and ends.
+        Cause it guards against: a key that only the other data centre knows, or that nobody ends.
+        """
+
+        async def test(places: TwoPlaces) -> None:
+            call = replace(CALL, keyed=True)
+            ticket = await places.here.reserve(call)
+            assert isinstance(ticket, Ticket)
+            assert ticket.home == A.address
+            places.beliefs().believed_alive["entry"] = Member("entry", "entry:x", "e:0")
+            assert await places.here.reserve(call) == KnownKey("entry:x", finished=False)
+            assert places.peers.reservers[B.address].settle(ticket, 50, "r1")
+            assert places.spent(B.name) == 50
+            assert places.here.settle(ticket, 50, "r1")
+            assert await places.here.reserve(call) == KnownKey("entry:x", finished=True)
+
+        run(test)
+
+    def test_silent_data_centre_is_not_asked(self) -> None:
+        """Symptom: refusals come seconds late in a partition.
+
+        Sequence: the data centres are cut off from each other, a budget is short here.
+        Cause it guards against: waiting out a timeout to ask one who is not there.
+        """
+
+        async def test(places: TwoPlaces) -> None:
+            places.beliefs().believed_elsewhere = {}
+            refused = await places.here.reserve(CALL)
+            assert isinstance(refused, Refusal)
+            assert places.peers.calls == []
+
+        run(test)
+
+    def test_exhausted_budget_is_refused_without_asking(self) -> None:
+        async def test(places: TwoPlaces) -> None:
+            refused = await places.here.reserve(replace(CALL, bound_tokens=1001))
+            assert isinstance(refused, Refusal)
+            assert refused.kind is ErrorKind.BUDGET_EXHAUSTED
+            assert places.peers.calls == []
+
+        run(test)
+
+    def test_who_is_asked_asks_no_third(self) -> None:
+        """Symptom: one request goes round all data centres again and again.
+
+        Sequence: two data centres are both short and ask each other.
+        Cause it guards against: an ask from elsewhere treated as a request of its own.
+        """
+
+        async def test(places: TwoPlaces) -> None:
+            call = replace(CALL, bound_tokens=950, away=True)
+            refused = await places.peers.reservers[B.address].reserve(call)
+            assert isinstance(refused, Refusal)
+            assert places.peers.calls == []
+
+        run(test)
+
+    def test_lost_answer_is_no_reservation(self) -> None:
+        async def test(places: TwoPlaces) -> None:
+            del places.peers.reservers[B.address]
+            refused = await places.peers.reservers[A.address].reserve(CALL)
+            assert isinstance(refused, Refusal)
+            assert len(places.peers.calls) == 1
+
+        run(test)
--- a/mothstand/tests/test_places.py
+++ b/mothstand/tests/test_places.py
@@ -97,6 +97,9 @@
             ),
             "the witness serves",
         )
+        # More than the witness may spend alone: the other data centre's leaseholder reserves it.
+        large = chat(places.processes[witness].url, prompt="x", max_tokens=6_000)
+        assert large.status_code == 200, large.text
         places.set_faults("platform", mode="ok")
         time.sleep(2.0)
         answer = chat(places.processes[witness].url)
