Close an answer that is whole when its engine fails

Cause: test_killed_engine_under_load failed once in a clean checkout: one of the callers' streams ended as broken. The engine had been killed after its last token and before the end marker; nothing was left for another engine to make, so the answer was broken off.

Ruled out: a lost piece of text (the stream had all 16 tokens); the attempts' limit (one engine was killed).

Change: an answer whose finish_reason has passed, or that has max_tokens, is closed by the instance, with the usage that is known.

Conclusion: "nothing left" and "cannot go on" are not the same.

--- a/mothstand/core/stream_check.py
+++ b/mothstand/core/stream_check.py
@@ -45,6 +45,14 @@
         """Tokens to bill."""
         return self.prompt_tokens + self.completion_tokens
 
+    def as_json(self) -> dict[str, int]:
+        """Return the usage as callers get it."""
+        return {
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": self.completion_tokens,
+            "total_tokens": self.total_tokens,
+        }
+
 
 def read_usage(value: object) -> Usage | None:
     """Return the usage in an engine's JSON object, or None when it holds none that is valid."""
@@ -69,14 +77,20 @@
         The text, event by event.
     plain
         Whether text is all that has passed, so that the text alone is enough to go on from.
+    finished
+        Whether an engine has said why the answer ends.
     usage
         As the engines have reported it, all together.
+    head
+        Fields of the first event that all events share.
     """
 
     answer_id: str | None = None
     pieces: list[str] = field(default_factory=list)
     plain: bool = True
+    finished: bool = False
     usage: Usage | None = None
+    head: dict[str, Any] = field(default_factory=dict)
 
     @property
     def text(self) -> str:
@@ -86,14 +100,42 @@
     @property
     def can_continue(self) -> bool:
         """Whether another engine can go on: there is text, only text, and its cost is known."""
-        return self.plain and bool(self.pieces) and self.usage is not None
+        known = bool(self.pieces) and self.usage is not None
+        return self.plain and known and not self.finished
+
+    def is_whole(self, max_tokens: int) -> bool:
+        """Return whether nothing but the stream's end is missing.
 
-    def note(self, choices: Any) -> None:
-        """Take the choices of an event that passes."""
+        Parameters
+        ----------
+        max_tokens
+            Most tokens of the answer: one that has as many ends there.
+        """
+        if self.usage is None:
+            return False
+        return self.finished or (self.plain and self.usage.completion_tokens >= max_tokens)
+
+    def closing(self, *, wants_usage: bool) -> bytes:
+        """Return the events that end a whole answer whose engine is gone."""
+        events: list[dict[str, Any]] = []
+        if not self.finished:
+            choice = {"index": 0, "delta": {}, "finish_reason": "length"}
+            events.append({**self.head, "choices": [choice]})
+        if wants_usage and self.usage is not None:
+            events.append({**self.head, "choices": [], "usage": self.usage.as_json()})
+        lines = [_DATA + b" " + to_json(event) + _END for event in events]
+        return b"".join(lines) + _DONE + _END
+
+    def note(self, value: dict[str, Any]) -> None:
+        """Take an event that passes."""
+        if not self.head:
+            self.head = {key: value[key] for key in _HEAD_KEYS if key in value}
         try:
-            (choice,) = choices
+            (choice,) = value["choices"]
             delta = choice["delta"]
-            if choice.get("finish_reason") is not None or not delta.keys() <= _PLAIN_KEYS:
+            if choice.get("finish_reason") is not None:
+                self.finished = True
+            if not delta.keys() <= _PLAIN_KEYS:
                 self.plain = False
             self.pieces.append(delta.get("content") or "")
         except (TypeError, ValueError, KeyError, AttributeError):
@@ -103,6 +145,9 @@
 #: Fields of an event's delta that text alone makes up for.
 _PLAIN_KEYS = frozenset({"role", "content"})
 
+#: Fields that all events of an answer share.
+_HEAD_KEYS = ("id", "object", "created", "model")
+
 
 class StreamCheck:
     """Passes events on while they belong to one answer.
@@ -196,7 +241,7 @@
         self._note_usage(value)
         choices = value.get("choices")
         if choices:
-            self.so_far.note(choices)
+            self.so_far.note(value)
         elif not self._wants_usage:
             return b""
         return self._as_first(value) if self._continues else event + _END
@@ -226,11 +271,7 @@
         value["id"] = self.so_far.answer_id
         usage = self.so_far.usage
         if value.get("usage") and usage is not None:
-            value["usage"] = {
-                "prompt_tokens": usage.prompt_tokens,
-                "completion_tokens": usage.completion_tokens,
-                "total_tokens": usage.total_tokens,
-            }
+            value["usage"] = usage.as_json()
         for choice in value.get("choices") or ():
             if isinstance(choice, dict) and isinstance(choice.get("delta"), dict):
                 choice["delta"].pop("role", None)
--- a/mothstand/entry/chat.py
+++ b/mothstand/entry/chat.py
@@ -130,6 +130,9 @@
                 raise
             except (MayHaveRunError, BrokenStreamError) as error:
                 attempt.fail(error)
+                if self._is_whole:
+                    await self._close_whole(sink)
+                    return
                 self._check_goes_on(sink, upstream, error)
                 raise MayHaveRunError(str(error)) from error
 
@@ -139,7 +142,7 @@
             self._so_far = None
             return
         left_tokens = self._left_tokens()
-        if not self._can_continue or left_tokens <= 0:
+        if not self._can_continue:
             raise RefusedError(Refusal(ErrorKind.ANSWER_BROKEN, str(error))) from error
         emit(
             Event.ANSWER_CONTINUED,
@@ -148,6 +151,21 @@
             left_tokens=left_tokens,
         )
 
+    @property
+    def _is_whole(self) -> bool:
+        """Whether the engine failed after all of the answer had passed."""
+        return self._so_far is not None and self._so_far.is_whole(self._max_tokens)
+
+    async def _close_whole(self, sink: AnswerSink) -> None:
+        assert self._so_far is not None
+        await sink.send(self._so_far.closing(wants_usage=self._wants_usage))
+        await sink.end()
+
+    @property
+    def _wants_usage(self) -> bool:
+        options = self._body.stream_options
+        return bool(options and options.include_usage)
+
     @property
     def _can_continue(self) -> bool:
         so_far = self._so_far
@@ -194,10 +212,7 @@
     async def _take_stream(
         self, response: httpx.Response, charge: Charge, sink: AnswerSink
     ) -> None:
-        options = self._body.stream_options
-        check = StreamCheck(
-            wants_usage=bool(options and options.include_usage), before=self._so_far
-        )
+        check = StreamCheck(wants_usage=self._wants_usage, before=self._so_far)
         self._so_far = check.so_far
         async for data in response.aiter_raw():
             try:
--- a/mothstand/tests/test_stream_check.py
+++ b/mothstand/tests/test_stream_check.py
@@ -94,6 +94,30 @@
         assert second.usage is not None
         assert second.usage.total_tokens == 3 + len(words)
 
+    @pytest.mark.parametrize("finished", [True, False])
+    def test_whole_answer_whose_engine_is_gone_is_closed(self, *, finished: bool) -> None:
+        """Symptom: an answer ends as an error though all of its text has come.
+
+        Sequence: an engine dies after its last token, before the end marker.
+        Cause: there was nothing left for another engine to make, so the answer was broken off.
+        """
+        check = StreamCheck(wants_usage=True)
+        sent = check.feed(event("ett", completion=1) + event("två", completion=2))
+        if finished:
+            choice = {"index": 0, "delta": {}, "finish_reason": "stop"}
+            value = {"id": "a", "choices": [choice]}
+            sent += check.feed(b"data: " + json.dumps(value).encode() + b"\n\n")
+        assert not check.so_far.is_whole(3) or finished
+        assert check.so_far.is_whole(2)
+        sent += check.so_far.closing(wants_usage=True)
+        lines = sent.decode().strip().split("\n\n")
+        assert lines[-1] == "data: [DONE]"
+        values = [json.loads(line[6:]) for line in lines[:-1]]
+        assert {value["id"] for value in values} == {"a"}
+        reason = values[-2]["choices"][0]["finish_reason"]
+        assert reason == ("stop" if finished else "length")
+        assert values[-1]["usage"]["total_tokens"] == 5
+
     def test_events_before_a_fault_count_as_sent(self) -> None:
         check = StreamCheck(wants_usage=False)
         with pytest.raises(BrokenStreamError) as broken:
