Release what dead processes hold back; first deployments of both users

Cause: what a silent side of an epoch may have spent stayed held back for good, with no way for an operator to give it back, nor to see whose it is; the examples had one user with two data centres and no orders.

Ruled out: a release by the fleet itself (a process that is only paused may have spent alone); declaring the least that is known as spent (bills tell more); a release after old bills are trimmed (what was spent cannot be told).

Figures: none but the tests': after a leaseholder's kill the stranded tokens go to 0, and free tokens stay within paid less billed.

Conclusion: a write-off has a way back. It rests on the operator's word.

--- /dev/null
+++ b/examples/deployment.py
@@ -0,0 +1,142 @@
+"""Runs a first deployment of one of the users on loopback, and kills an instance of it.
+
+Run ``.venv/bin/python examples/deployment.py kallhanvisa`` or ``doto``: three data centres with two
+entry instances each, and as many runners as the user has. It publishes the user's folder, lets the
+engines be ordered to load their model, asks in each data centre, kills an instance, asks again,
+and shows status and audit trail.
+"""
+
+from __future__ import annotations
+
+import shutil
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+import fire
+import httpx
+
+from mothstand.testing.fleet import Fleet, wait_until
+
+_EXAMPLES = Path(__file__).parent
+_INSTANCES_PER_PLACE = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """What a user runs.
+
+    Parameters
+    ----------
+    engines_per_place
+        Model runners of each data centre; plain services have one each.
+    key
+        A caller's key of the folder.
+    """
+
+    places: tuple[str, ...]
+    engines_per_place: int
+    model: str
+    service: str
+    key: str
+    prompt: str
+
+
+DEPLOYMENTS = {
+    "kallhanvisa": Deployment(
+        ("sto-a", "sto-b", "sto-c"),
+        3,
+        "citation-7b",
+        "format",
+        "consortium-key",
+        "Rewrite in APA: Andersson, K. Om källor. Lund 2019.",
+    ),
+    "doto": Deployment(
+        ("kushiro-hall", "obihiro-hall", "kitami-hall"),
+        2,
+        "eligibility-7b",
+        "renew",
+        "kushiro-key",
+        "Is a pass due for renewal in March still valid in April?",
+    ),
+}
+
+
+def start_upstreams(fleet: Fleet, deployment: Deployment, folder: Path) -> None:
+    """Start engines and services and write their sections; their ports are only known now."""
+    lines = []
+    for place in deployment.places:
+        for number in range(deployment.engines_per_place):
+            name = f"llm-{place}-{number}"
+            engine = fleet.start_engine(name, place, orders="fenced", load_s=0.2)
+            lines.append(
+                f"[upstream {name}]\nkind = engine\naddress = {engine.address}\n"
+                f"data_centre = {place}\nserves = {deployment.model}\n"
+                "orders = fenced\nresumes = yes\nslots = 16\n"
+            )
+        name = f"{deployment.service}-{place}"
+        service = fleet.start_service(name, place)
+        lines.append(
+            f"[upstream {name}]\nkind = service\naddress = {service.address}\n"
+            f"data_centre = {place}\nserves = {deployment.service}\n"
+        )
+    (folder / "20-upstreams.ini").write_text("\n".join(lines), encoding="utf-8")
+
+
+def start_instances(fleet: Fleet, deployment: Deployment) -> list[str]:
+    """Start the entry instances and return their names."""
+    names = []
+    for place in deployment.places:
+        for number in range(1, _INSTANCES_PER_PLACE + 1):
+            name = f"{place}-{number}"
+            fleet.start_instance(name, place, listed=False)
+            names.append(name)
+    fleet.publish_list()
+    return names
+
+
+def ask(fleet: Fleet, deployment: Deployment, name: str) -> int:
+    """Send a chat completion to an instance and return the answer's status."""
+    answer = httpx.post(
+        f"{fleet.processes[name].url}/v1/chat/completions",
+        headers={"authorization": f"Bearer {deployment.key}"},
+        json={
+            "model": deployment.model,
+            "messages": [{"role": "user", "content": deployment.prompt}],
+            "max_tokens": 24,
+        },
+        timeout=30.0,
+        trust_env=False,
+    )
+    return answer.status_code
+
+
+def main(user: str) -> None:
+    """Run the deployment of ``kallhanvisa`` or ``doto``."""
+    deployment = DEPLOYMENTS[user]
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = Path(temporary) / "folder"
+        shutil.copytree(_EXAMPLES / user, folder)
+        with Fleet(Path(temporary), timing="bills_append_s = 0.5\norders_look_s = 0.2") as fleet:
+            fleet.start_platform()
+            start_upstreams(fleet, deployment, folder)
+            names = start_instances(fleet, deployment)
+            published = fleet.publish(folder)
+            print(published.stdout, published.stderr, sep="", end="")
+            fleet.wait_ready(*names)
+            for name in names:
+                wait_until(lambda n=name: ask(fleet, deployment, n) == 200, f"{name} serves", 60.0)
+                print(f"{name} serves")
+            fleet.processes[names[0]].kill()
+            print(f"{names[0]} was killed")
+            wait_until(lambda: ask(fleet, deployment, names[1]) == 200, f"{names[1]} goes on")
+            print(f"{names[1]} goes on")
+            settings = f"--settings={fleet.operator_settings()}"
+            print(fleet.run_command("status", settings).stdout, end="")
+            print(fleet.run_command("audit", settings, "--contains=ordered").stdout, end="")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
+    sys.exit(0)
--- a/examples/run.py
+++ b/examples/run.py
@@ -23,7 +23,7 @@
 
 def write_upstreams(fleet: Fleet, folder: Path) -> None:
     """Write the upstreams' sections; their ports are only known now."""
-    lines = ["[service format]\ntokens_per_call = 5\nidempotent = yes\n"]
+    lines = []
     for name, data_centre in PLACES.items():
         kind = "engine" if name.startswith("llm") else "service"
         serves = "citation-7b" if kind == "engine" else "format"
--- a/mothstand/cli.py
+++ b/mothstand/cli.py
@@ -20,13 +20,15 @@
 from .errors import SettingsError
 from .operators.log_view import read_all, read_config
 from .operators.publish import InForce, Publisher, wait_in_force
-from .operators.reports import audit_lines, budget_lines, epoch_lines
+from .operators.release import release
+from .operators.reports import audit_lines, budget_lines, epoch_lines, stranded_lines
 from .peers.client import GrpcPeers
 from .platform.instances import HttpInstanceList
 from .platform.log import HttpLog, LogError
 from .settings.folder import read_folder
 from .settings.instance import read_instance_settings
 from .settings.operator import OperatorSettings, read_operator_settings
+from .types import Epoch, Member, Shard
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -151,7 +153,7 @@
         async def run() -> int:
             view = await read_all(_open_log(operator), operator.operator.ledger_shards)
             print(f"configuration in force: {view.config.state.offset}")
-            for line in [*epoch_lines(view), *budget_lines(view)]:
+            for line in [*epoch_lines(view), *stranded_lines(view), *budget_lines(view)]:
                 print(line)
             return 0
 
@@ -177,6 +179,41 @@
 
         _run(run())
 
+    def release(self, shard: int, epoch: int, settings: str) -> None:
+        """Give back what an epoch holds back whose processes have ended for good.
+
+        Parameters
+        ----------
+        shard, epoch
+            As ``status`` shows them under "stranded".
+        settings
+            Path of the operator's INI file.
+        """
+        operator = read_operator_settings(Path(settings))
+        _run(_release(operator, Shard(shard), Epoch(epoch)))
+
+
+async def _release(operator: OperatorSettings, shard: Shard, epoch: Epoch) -> int:
+    peers = GrpcPeers(operator.secrets.fleet_key)
+    name = operator.operator.name
+    released = await release(
+        _open_log(operator),
+        peers,
+        SystemClock(),
+        operator=name,
+        me=Member(name, f"{name}:operator", ""),
+        shard_count=operator.operator.ledger_shards,
+        shard=shard,
+        epoch=epoch,
+    )
+    peers.close()
+    if not released.outcome.accepted:
+        print(f"refused: {released.outcome.reason}", file=sys.stderr)
+        return EXIT_REFUSED
+    for budget, tokens in released.tokens.items():
+        print(f"{budget}: {tokens} tokens given back")
+    return 0
+
 
 async def _publish(
     operator: OperatorSettings,
--- a/mothstand/core/ledger_fold.py
+++ b/mothstand/core/ledger_fold.py
@@ -19,6 +19,7 @@
     BudgetSpend,
     EpochClosed,
     EpochOpened,
+    EpochReleased,
     EscrowReturned,
     GrantAsk,
     GrantAsked,
@@ -76,6 +77,8 @@
                 return self._return(record)
             case EpochClosed():
                 return self._close(record)
+            case EpochReleased():
+                return self._release(record)
 
     def current_epoch(self, data_centre: DataCentre) -> EpochState | None:
         """Return the data centre's current epoch, or None before its first."""
@@ -245,12 +248,40 @@
             # A process restarted at the same address remembers nothing and would vouch for
             # "nothing spent".
             return refused(f"author is not the epoch's {record.side.value}")
+        if state.released:
+            # The declared spend is one sum: a side that wakes could only take its own part off it.
+            return refused(f"epoch {record.epoch} was released")
         before = {budget: state.consumed_tokens(budget) for budget in state.grants}
         self._take_spends(state, record)
         for budget, consumed in before.items():
             self._consumed[budget] += state.consumed_tokens(budget) - consumed
         return ACCEPTED
 
+    def _release(self, record: EpochReleased) -> Outcome:
+        """Take an operator's word in place of the silent sides'."""
+        state = self.epochs.get(record.epoch)
+        if state is None:
+            return refused(f"epoch {record.epoch} is unknown")
+        if self.current.get(state.data_centre) == record.epoch:
+            return refused(f"epoch {record.epoch} is current: its leaseholder may spend")
+        if state.settled:
+            return refused(f"epoch {record.epoch} holds nothing back")
+        declared = {spent.budget: spent.tokens for spent in record.spent}
+        for budget, grant in state.grants.items():
+            least = state.least_spent_tokens(budget)
+            most = grant.granted_tokens - grant.returned_tokens
+            if not least <= declared.get(budget, 0) <= most:
+                said = declared.get(budget, 0)
+                return refused(f"{budget}: {said} spent is not within {least} to {most}")
+        for budget, grant in state.grants.items():
+            before = state.consumed_tokens(budget)
+            # The sides count what was returned as spent.
+            tokens = declared.get(budget, 0) + grant.returned_tokens
+            grant.holder = grant.witness = BudgetSpend(budget, tokens, 0)
+            self._consumed[budget] += declared.get(budget, 0) - before
+        state.holder_closed = state.witness_closed = state.released = True
+        return ACCEPTED
+
     def _take_spends(self, state: EpochState, record: EpochClosed) -> None:
         if record.side is Side.HOLDER:
             first = not state.holder_closed
--- a/mothstand/core/ledger_state.py
+++ b/mothstand/core/ledger_state.py
@@ -64,13 +64,22 @@
             spent += holder.own_tokens + witness.own_tokens
         return min(self.granted_tokens, spent) - self.returned_tokens
 
+    def least_spent_tokens(self) -> int:
+        """Return what is known to be spent at the least, without what was returned."""
+        said = [
+            side.witnessed_tokens + side.own_tokens - self.returned_tokens
+            for side in (self.holder, self.witness)
+            if side is not None
+        ]
+        return max([self.reported_tokens, *said])
+
 
 _NOTHING_SPENT = BudgetSpend(budget=BudgetName(""), witnessed_tokens=0, own_tokens=0)
 
 
 @dataclass(slots=True)
 class EpochState:
-    """One epoch as the log tells it."""
+    """One epoch as the log tells it; `released` by an operator, in place of its silent sides."""
 
     epoch: Epoch
     data_centre: DataCentre
@@ -80,6 +89,7 @@
     grants: dict[BudgetName, Grant] = field(default_factory=dict)
     holder_closed: bool = False
     witness_closed: bool = False
+    released: bool = False
 
     @property
     def closed(self) -> bool:
@@ -91,6 +101,18 @@
         """Whether every side that exists has closed it, so that nothing is held back."""
         return self.holder_closed and (self.witness_closed or self.witness is None)
 
+    def silent(self) -> list[Member]:
+        """Return the processes that have not closed their sides."""
+        sides = ((self.holder, self.holder_closed), (self.witness, self.witness_closed))
+        return [member for member, closed in sides if member is not None and not closed]
+
+    def least_spent_tokens(self, budget: BudgetName) -> int:
+        """Return what the epoch is known to have spent of a budget at the least."""
+        grant = self.grants.get(budget)
+        if grant is None:
+            return 0
+        return grant.least_spent_tokens()
+
     def consumed_tokens(self, budget: BudgetName) -> int:
         """Return the upper bound of what the epoch spent of a budget."""
         grant = self.grants.get(budget)
@@ -116,6 +138,7 @@
         prior_epoch=state.prior_epoch,
         holder_closed=state.holder_closed,
         witness_closed=state.witness_closed,
+        released=state.released,
         grants=tuple(
             GrantImage(budget=budget, **_values(grant))
             for budget, grant in sorted(state.grants.items())
@@ -133,6 +156,7 @@
         prior_epoch=image.prior_epoch,
         holder_closed=image.holder_closed,
         witness_closed=image.witness_closed,
+        released=image.released,
         grants={grant.budget: Grant(**_values(grant)) for grant in image.grants},
     )
 
--- a/mothstand/core/records.py
+++ b/mothstand/core/records.py
@@ -6,7 +6,7 @@
     `ConfigPublished`: the operators' configuration.
 ``ledger-N``
     The grants of ledger shard N: `BudgetPaid`, `EpochOpened`, `GrantAsked`, `EscrowReturned`,
-    `EpochClosed`.
+    `EpochClosed`, `EpochReleased`.
 ``bills-N``
     `BillsPosted`: one line for each settled request of shard N.
 ``intents-N``
@@ -160,6 +160,34 @@
     kind: Literal["epoch_closed"] = "epoch_closed"
 
 
+@dataclass(frozen=True, slots=True)
+class SpentTokens:
+    """What an operator declares that an epoch spent of a budget."""
+
+    budget: BudgetName
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class EpochReleased:
+    """An operator's word that the silent processes of a superseded epoch will never speak.
+
+    What they may have spent beyond `spent` goes back to the budgets.
+
+    Parameters
+    ----------
+    spent
+        For each of the epoch's budgets.
+    """
+
+    record_id: RecordId
+    epoch: Epoch
+    spent: tuple[SpentTokens, ...]
+    operator: str
+    time_utc: str
+    kind: Literal["epoch_released"] = "epoch_released"
+
+
 @dataclass(frozen=True, slots=True)
 class BillLine:
     """The bill of one request; its request id is billed once, whoever posts it.
@@ -302,6 +330,7 @@
     holder_closed: bool
     witness_closed: bool
     grants: tuple[GrantImage, ...]
+    released: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -327,7 +356,7 @@
 
 
 SnapshotRecord = ConfigSnapshot | LedgerSnapshot
-LedgerRecord = BudgetPaid | EpochOpened | GrantAsked | EscrowReturned | EpochClosed
+LedgerRecord = BudgetPaid | EpochOpened | GrantAsked | EscrowReturned | EpochClosed | EpochReleased
 IntentRecord = RunIntended | RunEnded
 Record = (
     LedgerRecord | IntentRecord | BillsPosted | ConfigPublished | SnapshotRecord | EngineOrdered
--- /dev/null
+++ b/mothstand/operators/release.py
@@ -0,0 +1,114 @@
+"""Releases what a superseded epoch holds back, on the word that its processes are gone."""
+
+from __future__ import annotations
+
+import uuid
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..core.bills import Billed
+from ..core.records import EpochReleased, Outcome, RecordId, SpentTokens
+from ..errors import SettingsError
+from ..ledger.calls import PeerError
+from ..platform.codec import encode
+from ..streams import BILLS_STREAM, ledger_stream
+from .log_view import read_all
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+    from ..core.ledger_fold import LedgerFold
+    from ..core.ledger_state import EpochState
+    from ..peers.client import GrpcPeers
+    from ..platform.log import LogClient
+    from ..types import BudgetName, Epoch, Member, Shard
+    from .log_view import LogView
+
+_PROBE_TIMEOUT_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Released:
+    """What came of a release; `tokens` went back to each budget if it was accepted."""
+
+    outcome: Outcome
+    tokens: dict[BudgetName, int]
+
+
+def declared_spend(view: LogView, fold: LedgerFold, state: EpochState) -> tuple[SpentTokens, ...]:
+    """Return an upper bound of what an epoch spent, as the bills tell it.
+
+    Notes
+    -----
+    All of a budget's bills that no other epoch is known to have spent are taken for this one's. So
+    it errs towards holding back, as long as the bills are complete.
+    """
+    spent = []
+    for budget, grant in sorted(state.grants.items()):
+        billed = view.bills.billed.get(budget, Billed()).tokens
+        others = fold.reported_tokens(budget, without=state.epoch)
+        least = state.least_spent_tokens(budget)
+        most = state.consumed_tokens(budget)
+        tokens = min(max(least, billed - others), max(least, most))
+        spent.append(SpentTokens(budget, min(tokens, grant.granted_tokens - grant.returned_tokens)))
+    return tuple(spent)
+
+
+async def release(
+    log: LogClient,
+    peers: GrpcPeers,
+    clock: Clock,
+    *,
+    operator: str,
+    me: Member,
+    shard_count: int,
+    shard: Shard,
+    epoch: Epoch,
+) -> Released:
+    """Append a release and return what the fold decided about it.
+
+    Raises
+    ------
+    SettingsError
+        If there is no such epoch, one of its processes still answers, or old bills are trimmed.
+    LogError
+        If the log does not answer.
+    """
+    view = await read_all(log, shard_count)
+    fold = view.ledgers.get(shard)
+    state = None if fold is None else fold.epochs.get(epoch)
+    if fold is None or state is None:
+        raise SettingsError(f"epoch {epoch} of shard {shard} is unknown; see 'mothstand audit'")
+    await _check_silent(peers, me, state)
+    page = await log.read(BILLS_STREAM, 1, wait_s=0.0)
+    if page.first_offset > 1:
+        raise SettingsError(
+            f"bills before offset {page.first_offset} are trimmed: what epoch {epoch} spent cannot"
+            " be told any more; leave it"
+        )
+    spent = declared_spend(view, fold, state)
+    tokens = {s.budget: state.consumed_tokens(s.budget) - s.tokens for s in spent}
+    record = EpochReleased(
+        record_id=RecordId(f"{operator}:{uuid.uuid4().hex[:12]}", 1),
+        epoch=epoch,
+        spent=spent,
+        operator=operator,
+        time_utc=clock.now().isoformat(timespec="seconds"),
+    )
+    await log.append(ledger_stream(shard), encode((record,)))
+    after = await read_all(log, shard_count)
+    entry = next(e for e in after.ledger_entries if e.record.record_id == record.record_id)
+    return Released(entry.outcome, tokens)
+
+
+async def _check_silent(peers: GrpcPeers, me: Member, state: EpochState) -> None:
+    """Refuse while a process that has not closed its side answers: it will do so by itself."""
+    for member in state.silent():
+        try:
+            found = await peers.probe(member.address, me, timeout_s=_PROBE_TIMEOUT_S)
+        except PeerError:
+            continue
+        if found.member.incarnation == member.incarnation:
+            raise SettingsError(
+                f"{member.name} still answers and closes its side by itself;"
+                " release what belongs to processes that have ended for good"
+            )
--- a/mothstand/operators/reports.py
+++ b/mothstand/operators/reports.py
@@ -10,6 +10,7 @@
     BudgetPaid,
     EpochClosed,
     EpochOpened,
+    EpochReleased,
     EscrowReturned,
     GrantAsked,
 )
@@ -46,6 +47,23 @@
             yield f"shard {shard} {data_centre}: {state.holder.name} leads, witness {witness}"
 
 
+def stranded_lines(view: LogView) -> Iterator[str]:
+    """Return a line for each superseded epoch that holds tokens back."""
+    for shard, fold in sorted(view.ledgers.items()):
+        for epoch, state in sorted(fold.epochs.items()):
+            if fold.current.get(state.data_centre) == epoch or state.settled:
+                continue
+            held = sum(
+                state.consumed_tokens(budget) - state.least_spent_tokens(budget)
+                for budget in state.grants
+            )
+            silent = ", ".join(member.name for member in state.silent())
+            yield (
+                f"stranded: shard {shard} epoch {epoch} {state.data_centre} up to {held} tokens,"
+                f" silent: {silent}"
+            )
+
+
 def audit_lines(view: LogView, *, contains: str = "") -> Iterator[str]:
     """Return the audit trail: of the configuration, engines, ledger; filtered by a text."""
     lines = [_config_line(entry) for entry in view.config.audit]
@@ -100,3 +118,6 @@
                 f"{s.budget} {s.witnessed_tokens}+{s.own_tokens}" for s in record.spends
             )
             return f"{author} epoch {record.epoch} closed by its {record.side.value}: {spends}"
+        case EpochReleased():
+            declared = ", ".join(f"{s.budget} {s.tokens}" for s in record.spent)
+            return f"{record.time_utc} {author} released epoch {record.epoch}, spent: {declared}"
--- a/mothstand/tests/test_failures.py
+++ b/mothstand/tests/test_failures.py
@@ -14,6 +14,7 @@
 import pytest
 
 from ..clock import SystemClock
+from ..core.membership import shard_of
 from ..operators.publish import Publisher
 from ..platform.log import HttpLog
 from ..settings.folder import read_folder
@@ -21,12 +22,13 @@
 from ..testing.examples import chat, write_folder
 from ..testing.fleet import Fleet, wait_until
 from ..testing.load import Got, Load
-from ..testing.views import holder_of, view_of
-from ..types import BudgetName, DataCentre
+from ..testing.views import epoch_of, holder_of, view_of
+from ..types import BudgetName, DataCentre, Epoch, Shard
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from ..core.ledger_state import EpochState
     from ..operators.log_view import LogView
 
 pytestmark = pytest.mark.processes
@@ -232,6 +234,44 @@
         )
 
 
+class TestRelease:
+    def test_what_a_dead_leaseholder_holds_back(self, pair: Fleet) -> None:
+        """Symptom: tokens that are paid for can never be spent, or are given back too early.
+
+        Sequence: an operator releases an epoch while its leaseholder lives, and after its death.
+        Cause it guards against: a write-off without a way back, or one that asks nobody.
+        """
+        for _ in range(20):
+            assert chat(pair.processes["sto-a-1"].url).status_code == 200
+        holder, witness = holder_of(pair, LUND, PLACE)
+        shard = shard_of(LUND, pair.shards)
+        epoch = epoch_of(pair, LUND, PLACE).epoch
+        settings = f"--settings={pair.operator_settings()}"
+        command = ("release", f"--shard={shard}", f"--epoch={epoch}", settings)
+        early = pair.run_command(*command)
+        assert early.returncode != 0
+        assert f"{holder} still answers" in early.stderr
+
+        pair.processes[holder].kill()
+        wait_until(lambda: holder_of(pair, LUND, PLACE)[0] == witness, "takeover")
+        wait_until(lambda: epoch_of_number(pair, shard, epoch).closed, "the witness closes")
+        assert "stranded: shard" in pair.run_command("status", settings).stdout
+        time.sleep(1.0)
+        released = pair.run_command(*command)
+        assert released.returncode == 0, released.stderr
+        fold = view_of(pair).ledgers[Shard(shard)]
+        assert fold.stranded_tokens(LUND) == 0
+        billed = view_of(pair).bills.billed[LUND].tokens
+        assert fold.ungranted_tokens(LUND) <= 1_000_000 - billed
+        assert "released epoch" in pair.run_command("audit", settings).stdout
+        assert pair.run_command(*command).returncode != 0
+
+
+def epoch_of_number(fleet: Fleet, shard: int, epoch: Epoch) -> EpochState:
+    """Return an epoch of a shard."""
+    return view_of(fleet).ledgers[Shard(shard)].epochs[epoch]
+
+
 class TestTrimming:
     def test_instance_that_starts_after_trimming(self, empty_fleet: Fleet, tmp_path: Path) -> None:
         """Symptom: a replacement has no configuration, or grants what was granted before.
--- a/mothstand/tests/test_ledger_fold.py
+++ b/mothstand/tests/test_ledger_fold.py
@@ -10,6 +10,7 @@
     BudgetSpend,
     EpochClosed,
     EpochOpened,
+    EpochReleased,
     EscrowReturned,
     GrantAsk,
     GrantAsked,
@@ -17,6 +18,7 @@
     Outcome,
     RecordId,
     Side,
+    SpentTokens,
 )
 from ..types import BudgetName, DataCentre, Epoch, Member, Shard
 
@@ -262,3 +264,62 @@
         assert stream.fold.reported_tokens(LUND) == 300
         loaded = LedgerFold.load(Shard(0), stream.fold.snapshot(RecordId("x", 1)))
         assert loaded.ungranted_tokens(LUND) == 700
+
+
+class TestRelease:
+    def release(self, stream: Stream, epoch: int, spent: int) -> Outcome:
+        """Release an epoch as an operator."""
+        declared = (SpentTokens(LUND, spent),)
+        record_id = stream.next_id("ito:1")
+        return stream.apply(EpochReleased(record_id, Epoch(epoch), declared, "ito", "2026"))
+
+    def test_silent_sides_share_goes_back(self, stream: Stream) -> None:
+        stream.open(prior=2, holder=WITNESS, witness=None)
+        stream.close(2, Side.WITNESS, 150, 0)
+        assert stream.fold.ungranted_tokens(LUND) == 1000 - 150 - 20
+        assert self.release(stream, 2, 160).accepted
+        assert stream.fold.ungranted_tokens(LUND) == 1000 - 160
+        assert stream.fold.stranded_tokens(LUND) == 0
+        assert not self.release(stream, 2, 150).accepted
+
+    def test_both_sides_silent(self, stream: Stream) -> None:
+        stream.apply(EscrowReturned(stream.next_id(HOLDER.incarnation), Epoch(2), LUND, 50))
+        stream.open(prior=2, holder=WITNESS, witness=None)
+        assert stream.fold.ungranted_tokens(LUND) == 1000 - 350
+        assert self.release(stream, 2, 200).accepted
+        assert stream.fold.ungranted_tokens(LUND) == 1000 - 200
+
+    def test_open_epoch_is_not_released(self, stream: Stream) -> None:
+        """Symptom: tokens are spent twice, once by a leaseholder that is alive.
+
+        Sequence: an operator releases the wrong epoch.
+        Cause it guards against: taking an operator's word for what the log knows better.
+        """
+        assert not self.release(stream, 2, 0).accepted
+        assert stream.fold.ungranted_tokens(LUND) == 600
+
+    @pytest.mark.parametrize("spent", [149, 401])
+    def test_less_than_known_or_more_than_granted(self, stream: Stream, spent: int) -> None:
+        stream.open(prior=2, holder=WITNESS, witness=None)
+        stream.close(2, Side.WITNESS, 150, 0)
+        assert not self.release(stream, 2, spent).accepted
+
+    def test_side_that_wakes_after_a_release(self, stream: Stream) -> None:
+        """Symptom: a budget is overspent by what a process spent without its witness.
+
+        Sequence: an epoch is released, its leaseholder was only paused, wakes and closes its side.
+        Cause it guards against: lowering the declared sum by one part of it.
+        """
+        stream.open(prior=2, holder=WITNESS, witness=None)
+        stream.close(2, Side.WITNESS, 150, 0)
+        assert self.release(stream, 2, 170).accepted
+        assert not stream.close(2, Side.HOLDER, 100, 20).accepted
+        assert stream.fold.ungranted_tokens(LUND) == 1000 - 170
+
+    def test_snapshot_keeps_it(self, stream: Stream) -> None:
+        stream.open(prior=2, holder=WITNESS, witness=None)
+        assert self.release(stream, 2, 200).accepted
+        snapshot = stream.fold.snapshot(stream.next_id("s"))
+        loaded = LedgerFold.load(Shard(0), snapshot)
+        assert loaded.epochs[Epoch(2)].released
+        assert loaded.ungranted_tokens(LUND) == stream.fold.ungranted_tokens(LUND)
