Call what plans orders a planner

Cause: OrderDesk is a metaphor; a newcomer looks for what plans. Ruled out: nothing. Change: OrderPlanner, and names after it. Conclusion: a rename only.

--- a/benchmarks/orders.py
+++ b/benchmarks/orders.py
@@ -11,7 +11,7 @@
 import fire
 
 from mothstand.core.config import ConfigState, OrderCheck
-from mothstand.core.orders import Order, OrderDesk, wanted_setup
+from mothstand.core.orders import Order, OrderPlanner, wanted_setup
 from mothstand.testing.orders import HERE, FakeEngine, engine, state
 
 _LOAD_S = 30.0
@@ -48,7 +48,7 @@
             for n in range(size.engines)
         }
         names = [f"sto-a-{n}" for n in range(size.instances)]
-        self._desks = {name: OrderDesk(name, HERE) for name in names}
+        self._planners = {name: OrderPlanner(name, HERE) for name in names}
         upstreams = [found.upstream for found in self._engines.values()]
         self._old = state(1, *upstreams, weight_loads=size.loads)
         self._new = state(2, *upstreams, weight_loads=size.loads)
@@ -83,16 +83,16 @@
     def _round(self, config: ConfigState, now_s: float) -> None:
         loading = sum(found.report(now_s).loading for found in self._engines.values())
         self.figures.most_loading = max(self.figures.most_loading, loading)
-        alive = [name for name in self._desks if name != self._paused]
+        alive = [name for name in self._planners if name != self._paused]
         for name in alive:
             self._act(name, alive, config, now_s)
 
     def _act(self, name: str, alive: list[str], config: ConfigState, now_s: float) -> None:
-        desk = self._desks[name]
-        for upstream in desk.engines(config.config, alive, self._size.loads, now_s):
+        planner = self._planners[name]
+        for upstream in planner.engines(config.config, alive, self._size.loads, now_s):
             found = self._engines[upstream.name]
             self.figures.looks += 1
-            order = desk.decide(upstream, found.report(now_s), config, now_s)
+            order = planner.decide(upstream, found.report(now_s), config, now_s)
             if order is None:
                 continue
             self.figures.orders += 1
--- a/mothstand/core/orders.py
+++ b/mothstand/core/orders.py
@@ -137,7 +137,7 @@
 
 
 @dataclass(slots=True)
-class OrderDesk:
+class OrderPlanner:
     """Decides on orders for one instance.
 
     Parameters
--- a/mothstand/entry/instance.py
+++ b/mothstand/entry/instance.py
@@ -12,7 +12,7 @@
 from hypercorn.config import Config as HypercornConfig
 
 from ..core.membership import Membership
-from ..core.orders import OrderDesk
+from ..core.orders import OrderPlanner
 from ..core.records import (
     ConfigPublished,
     ConfigSnapshot,
@@ -140,7 +140,7 @@
         self._readers = self._make_readers()
         self._engine_control = HttpEngineControl(timing.connect_timeout_s)
         self._orders = OrderIssuer(
-            OrderDesk(name, settings.data_centre),
+            OrderPlanner(name, settings.data_centre),
             self._engine_control,
             self._membership,
             lambda: self._configuration.state,
--- a/mothstand/entry/orders.py
+++ b/mothstand/entry/orders.py
@@ -14,7 +14,7 @@
     from ..clock import Clock
     from ..core.config import ConfigState, Upstream
     from ..core.membership import Membership
-    from ..core.orders import Order, OrderDesk
+    from ..core.orders import Order, OrderPlanner
     from ..platform.writer import LogWriter
 
 
@@ -31,7 +31,7 @@
 
     def __init__(
         self,
-        desk: OrderDesk,
+        planner: OrderPlanner,
         control: EngineControl,
         membership: Membership,
         config: Callable[[], ConfigState],
@@ -39,7 +39,7 @@
         clock: Clock,
         look_every_s: float,
     ) -> None:
-        self._desk = desk
+        self._planner = planner
         self._control = control
         self._membership = membership
         self._config = config
@@ -59,7 +59,7 @@
         state = self._config()
         now_s = self._clock.monotonic_s()
         alive = self._membership.alive_here(now_s)
-        engines = self._desk.engines(state.config, alive, state.config.weight_loads, now_s)
+        engines = self._planner.engines(state.config, alive, state.config.weight_loads, now_s)
         for engine in engines:
             await self._look_at(engine)
 
@@ -75,16 +75,16 @@
         # Read again: both may have changed while the engine was looked at.
         state, now_s = self._config(), self._clock.monotonic_s()
         known = state.config.upstreams.get(engine.name)
-        order = None if known is None else self._desk.decide(known, report, state, now_s)
+        order = None if known is None else self._planner.decide(known, report, state, now_s)
         if order is not None:
             await self._send(order)
 
     async def _send(self, order: Order) -> None:
-        if not self._desk.may_send(order, self._clock.monotonic_s()):
+        if not self._planner.may_send(order, self._clock.monotonic_s()):
             return
         outcome = await self._control.order(order)
         self._record(order, outcome)
-        if self._desk.is_contested(order.engine.name):
+        if self._planner.is_contested(order.engine.name):
             emit(Event.ENGINE_CONTESTED, upstream=order.engine.name, fencing=order.fencing)
 
     def _record(self, order: Order, outcome: OrderOutcome) -> None:
--- a/mothstand/testing/orders.py
+++ b/mothstand/testing/orders.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..core.config import ConfigState, FleetConfig, Model, OrderCheck, Upstream, UpstreamKind
-from ..core.orders import EngineReport, EngineSetup, Order, OrderDesk
+from ..core.orders import EngineReport, EngineSetup, Order, OrderPlanner
 from ..types import DataCentre
 
 if TYPE_CHECKING:
@@ -70,7 +70,7 @@
         kinds = (OrderCheck.FENCED, OrderCheck.UNFENCED)
         self.engines = [FakeEngine(engine(f"e{n}", kinds[n % 2])) for n in range(4)]
         self.states = [self._state(1)]
-        self.desks = {name: OrderDesk(name, HERE) for name in NAMES}
+        self.planners = {name: OrderPlanner(name, HERE) for name in NAMES}
         self.seen = dict.fromkeys(NAMES, 0)
         self.held_up: list[Order] = []
 
@@ -104,11 +104,11 @@
 
     def _round(self, name: str, alive: set[str], *, hold_up: float) -> None:
         config = self.states[self.seen[name]]
-        desk = self.desks[name]
-        for upstream in desk.engines(config.config, alive, 2, self.now_s):
+        planner = self.planners[name]
+        for upstream in planner.engines(config.config, alive, 2, self.now_s):
             found = next(e for e in self.engines if e.upstream.name == upstream.name)
-            order = desk.decide(upstream, found.report(self.now_s), config, self.now_s)
-            if order is None or not desk.may_send(order, self.now_s):
+            order = planner.decide(upstream, found.report(self.now_s), config, self.now_s)
+            if order is None or not planner.may_send(order, self.now_s):
                 continue
             if self.rng.random() < hold_up:
                 # The process stops right after the check, or the network holds the order up.
--- a/mothstand/tests/test_orders.py
+++ b/mothstand/tests/test_orders.py
@@ -13,7 +13,7 @@
 from ..core.orders import (
     EngineReport,
     EngineSetup,
-    OrderDesk,
+    OrderPlanner,
     OrderTiming,
     issuers,
     wanted_setup,
@@ -35,28 +35,30 @@
     return EngineReport(setup, fencing, loading)
 
 
-class TestDesk:
+class TestPlanner:
     A, B = engine("a", OrderCheck.FENCED), engine("b", OrderCheck.FENCED)
 
-    def desk(self, config: ConfigState, now_s: float = 0.0, name: str = NAMES[0]) -> OrderDesk:
-        """Return the desk of the only live instance."""
-        desk = OrderDesk(name, HERE)
-        desk.engines(config.config, [name], config.config.weight_loads, now_s)
-        return desk
+    def planner(
+        self, config: ConfigState, now_s: float = 0.0, name: str = NAMES[0]
+    ) -> OrderPlanner:
+        """Return the planner of the only live instance."""
+        planner = OrderPlanner(name, HERE)
+        planner.engines(config.config, [name], config.config.weight_loads, now_s)
+        return planner
 
     def test_whole_setup_under_the_configuration_s_offset(self) -> None:
         config = state(7, self.A)
-        order = self.desk(config).decide(self.A, report(), config, 0.0)
+        order = self.planner(config).decide(self.A, report(), config, 0.0)
         assert order is not None
         assert order.fencing == 7
         assert str(order.setup) == "mixed: m@7"
 
     def test_nothing_to_do(self) -> None:
         config = state(7, self.A)
-        desk = self.desk(config)
+        planner = self.planner(config)
         done = wanted_setup(config.config, self.A)
-        assert desk.decide(self.A, report(done, fencing=3), config, 0.0) is None
-        assert desk.decide(self.A, report(loading=True), config, 0.0) is None
+        assert planner.decide(self.A, report(done, fencing=3), config, 0.0) is None
+        assert planner.decide(self.A, report(loading=True), config, 0.0) is None
 
     def test_instance_that_is_behind_orders_nothing(self) -> None:
         """Symptom: an engine goes back to an old version.
@@ -65,7 +67,7 @@
         Cause it guards against: taking what differs for what is old.
         """
         config = state(7, self.A)
-        assert self.desk(config).decide(self.A, report(fencing=9), config, 0.0) is None
+        assert self.planner(config).decide(self.A, report(fencing=9), config, 0.0) is None
 
     def test_engines_of_a_data_centre_load_in_turn(self) -> None:
         """Symptom: a new version takes all engines away at once, and the weight store's limit.
@@ -74,22 +76,22 @@
         Cause it guards against: ordering each engine as soon as it differs.
         """
         config = state(7, self.A, self.B)
-        desk = self.desk(config)
-        assert desk.decide(self.A, report(), config, 0.0) is not None
-        assert desk.decide(self.B, report(), config, 0.0) is None
-        assert desk.decide(self.A, report(loading=True), config, 1.0) is None
-        assert desk.decide(self.B, report(), config, 1.0) is None
+        planner = self.planner(config)
+        assert planner.decide(self.A, report(), config, 0.0) is not None
+        assert planner.decide(self.B, report(), config, 0.0) is None
+        assert planner.decide(self.A, report(loading=True), config, 1.0) is None
+        assert planner.decide(self.B, report(), config, 1.0) is None
         done = wanted_setup(config.config, self.A)
-        assert desk.decide(self.A, report(done), config, 2.0) is None
-        assert desk.decide(self.B, report(), config, 2.0) is not None
+        assert planner.decide(self.A, report(done), config, 2.0) is None
+        assert planner.decide(self.B, report(), config, 2.0) is not None
 
     def test_new_issuer_waits_before_an_engine_that_does_not_check(self) -> None:
         unchecked = engine("a")
         config = state(7, unchecked)
-        desk = self.desk(config)
+        planner = self.planner(config)
         wait_s = OrderTiming().wait_s
-        assert desk.decide(unchecked, report(), config, wait_s - 0.1) is None
-        assert desk.decide(unchecked, report(), config, wait_s) is not None
+        assert planner.decide(unchecked, report(), config, wait_s - 0.1) is None
+        assert planner.decide(unchecked, report(), config, wait_s) is not None
 
     def test_order_that_was_held_up_is_not_sent(self) -> None:
         """Symptom: an engine that takes any order goes back to an old version.
@@ -99,11 +101,11 @@
         Cause it guards against: acting on a decision of any age.
         """
         config = state(7, self.A)
-        desk = self.desk(config)
-        order = desk.decide(self.A, report(), config, 0.0)
+        planner = self.planner(config)
+        order = planner.decide(self.A, report(), config, 0.0)
         assert order is not None
-        assert desk.may_send(order, 0.5)
-        assert not desk.may_send(order, 60.0)
+        assert planner.may_send(order, 0.5)
+        assert not planner.may_send(order, 60.0)
 
     def test_contested_engine_is_ordered_ever_less_often(self) -> None:
         """Symptom: an engine loads weights again and again, and serves nothing.
@@ -112,21 +114,21 @@
         Cause it guards against: an answer to each difference, at once.
         """
         config = state(7, self.A)
-        desk = self.desk(config)
+        planner = self.planner(config)
         orders = sum(
-            desk.decide(self.A, report(), config, float(second)) is not None
+            planner.decide(self.A, report(), config, float(second)) is not None
             for second in range(600)
         )
         assert orders <= 8
-        assert desk.is_contested("a")
+        assert planner.is_contested("a")
 
     def test_issuers_are_no_more_than_may_load_at_once(self) -> None:
         assert len(issuers(NAMES, HERE, 2)) == 2
         assert len(issuers(NAMES, HERE, 1)) == 1
         engines = [engine(f"e{n}") for n in range(6)]
         config = state(1, *engines, weight_loads=2).config
-        desks = [OrderDesk(name, HERE) for name in NAMES]
-        looked = [e.name for desk in desks for e in desk.engines(config, NAMES, 2, 0.0)]
+        planners = [OrderPlanner(name, HERE) for name in NAMES]
+        looked = [e.name for planner in planners for e in planner.engines(config, NAMES, 2, 0.0)]
         assert sorted(looked) == [e.name for e in engines]
 
 
