Say once what stood twice: back-offs, stranded epochs, cut scenarios, models

Four back-offs doubled by hand; LoadedModel repeated the configuration's Model field by field; stranded epochs were picked out in two places, other data centres' epochs in two more; three cut scenarios differed in their middle only; the answer so far could be None and kept an id that its head has; a promoted epoch was looked up twice.

Ruled out: sharing what only looks alike (data classes, constructors, the two random worlds); reading the bills once less in "mothstand release", which runs by hand; the judgement "out after 2 s", which ledger and log health each make of their own source.

Tests without processes pass, and the process tests of resume, cuts, overflow, release, orders and deployments (12); the other process tests were not run on this commit.

Conclusion: a reading, no new behaviour.

--- a/benchmarks/escrow.py
+++ b/benchmarks/escrow.py
@@ -67,38 +67,30 @@
     return act
 
 
-def _cut(*, alone: bool) -> Callable[[World], None]:
+def _cut(during: Callable[[World], None], *, alone: bool) -> Callable[[World], None]:
     def act(world: World) -> None:
         world.ledger.cut(PLACES[0], off=True, alone=alone)
-        world.run(HOUR_S)
+        during(world)
         world.ledger.cut(PLACES[0], off=False)
         world.run(AFTER_S)
 
     return act
 
 
-def _cut_and_top_up(*, alone: bool) -> Callable[[World], None]:
-    def act(world: World) -> None:
-        world.ledger.cut(PLACES[0], off=True, alone=alone)
-        world.run(HOUR_S / 2)
-        world.top_up(percent=50)
-        world.run(HOUR_S / 2)
-        world.ledger.cut(PLACES[0], off=False)
-        world.run(AFTER_S)
+def _hour(world: World) -> None:
+    world.run(HOUR_S)
 
-    return act
 
+def _top_up(world: World) -> None:
+    world.run(HOUR_S / 2)
+    world.top_up(percent=50)
+    world.run(HOUR_S / 2)
 
-def _cut_and_kill(*, alone: bool) -> Callable[[World], None]:
-    def act(world: World) -> None:
-        world.ledger.cut(PLACES[0], off=True, alone=alone)
-        world.run(60.0)
-        world.ledger.kill(PLACES[0], "holder")
-        world.run(600.0)
-        world.ledger.cut(PLACES[0], off=False)
-        world.run(AFTER_S)
 
-    return act
+def _kill_holder(world: World) -> None:
+    world.run(60.0)
+    world.ledger.kill(PLACES[0], "holder")
+    world.run(600.0)
 
 
 SCENARIOS = (
@@ -106,12 +98,12 @@
     Scenario("kill holder", _kill("holder")),
     Scenario("kill witness", _kill("witness")),
     Scenario("kill both", _kill("both")),
-    Scenario("hour's cut", _cut(alone=False)),
-    Scenario("hour's cut, top-up", _cut_and_top_up(alone=False), budget_hours=0.7),
-    Scenario("cut, then kill holder", _cut_and_kill(alone=False)),
-    Scenario("hour alone", _cut(alone=True)),
-    Scenario("hour alone, top-up", _cut_and_top_up(alone=True), budget_hours=0.7),
-    Scenario("alone, then kill holder", _cut_and_kill(alone=True)),
+    Scenario("hour's cut", _cut(_hour, alone=False)),
+    Scenario("hour's cut, top-up", _cut(_top_up, alone=False), budget_hours=0.7),
+    Scenario("cut, then kill holder", _cut(_kill_holder, alone=False)),
+    Scenario("hour alone", _cut(_hour, alone=True)),
+    Scenario("hour alone, top-up", _cut(_top_up, alone=True), budget_hours=0.7),
+    Scenario("alone, then kill holder", _cut(_kill_holder, alone=True)),
     Scenario("budgets end", _steady, budget_hours=0.1),
     Scenario("budgets end, kill holder", _kill("holder"), budget_hours=0.1),
 )
--- a/benchmarks/fleet_ledger.py
+++ b/benchmarks/fleet_ledger.py
@@ -282,9 +282,8 @@
 
     def _reserve_elsewhere(self, node: ShardNode, request: Request) -> bool:
         """Ask other data centres' leaseholders, where the log has less than is needed."""
-        out = node.state.context.log_is_out
-        free = node.state.fold.ungranted_tokens(request.budget)
-        if request.place in self._alone or not (out or free < request.bound_tokens):
+        call = _call(node, request)
+        if request.place in self._alone or not node.reserver.log_has_less(call):
             return False
         found = epochs_with_room(node.state, request.budget, request.bound_tokens)
         for epoch in found:
@@ -296,12 +295,9 @@
                 request.held_at = holder.place
                 self.result.reserved_elsewhere += 1
                 return True
-            free = asked.state.fold.ungranted_tokens(request.budget)
-            if not asked.state.context.log_is_out and free >= request.bound_tokens:
+            if not asked.reserver.log_has_less(call):
                 # It asks the log on behalf of this request, which is back in the next step.
-                needed = asked.state.needed_tokens
-                needed[request.budget] = needed.get(request.budget, 0) + request.bound_tokens
-                asked.agent.ask(request.budget)
+                self._ask(asked, request)
                 request.waits_elsewhere = True
                 return False
         return False
@@ -311,15 +307,16 @@
         if request.waits_elsewhere:
             request.waits_elsewhere = False
             return False
-        shard = node.state.shard
-        call = ReserveCall(shard, "", request.budget, request.bound_tokens, "", keyed=False)
-        if node.reserver.shortage(call, waited=False) is not None:
+        if node.reserver.shortage(_call(node, request), waited=False) is not None:
             request.deadline_s = 0.0
             return False
+        self._ask(node, request)
+        return False
+
+    def _ask(self, node: ShardNode, request: Request) -> None:
         needed = node.state.needed_tokens
         needed[request.budget] = needed.get(request.budget, 0) + request.bound_tokens
         node.agent.ask(request.budget)
-        return False
 
     def _reserve_promoted(self, node: ShardNode, request: Request) -> bool:
         promoted = node.state.promoted()
@@ -333,6 +330,11 @@
         return True
 
 
+def _call(node: ShardNode, request: Request) -> ReserveCall:
+    shard = node.state.shard
+    return ReserveCall(shard, "", request.budget, request.bound_tokens, "", keyed=False)
+
+
 class EvenSplitLedger(Ledger):
     """Baseline: each data centre gets an equal share of every budget, once and for all.
 
--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -9,14 +9,13 @@
 from __future__ import annotations
 
 import shutil
-import sys
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
 
 import fire
-import httpx
 
+from mothstand.testing.examples import chat
 from mothstand.testing.fleet import Fleet, wait_until
 
 _EXAMPLES = Path(__file__).parent
@@ -98,16 +97,12 @@
 
 def ask(fleet: Fleet, deployment: Deployment, name: str) -> int:
     """Send a chat completion to an instance and return the answer's status."""
-    answer = httpx.post(
-        f"{fleet.processes[name].url}/v1/chat/completions",
-        headers={"authorization": f"Bearer {deployment.key}"},
-        json={
-            "model": deployment.model,
-            "messages": [{"role": "user", "content": deployment.prompt}],
-            "max_tokens": 24,
-        },
-        timeout=30.0,
-        trust_env=False,
+    answer = chat(
+        fleet.processes[name].url,
+        prompt=deployment.prompt,
+        key=deployment.key,
+        max_tokens=24,
+        model=deployment.model,
     )
     return answer.status_code
 
@@ -139,4 +134,3 @@
 
 if __name__ == "__main__":
     fire.Fire(main)
-    sys.exit(0)
--- /dev/null
+++ b/mothstand/core/backoff.py
@@ -0,0 +1,36 @@
+"""Ever longer delays between tries of the same thing."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Backoff:
+    """Delays that double, up to a most.
+
+    Parameters
+    ----------
+    first_s, most_s
+        The first delay, and the longest.
+    tries
+        How many delays have been taken since the start or the last `reset`.
+    """
+
+    first_s: float
+    most_s: float
+    tries: int = 0
+
+    def next_s(self) -> float:
+        """Return the delay before the next try, and count it."""
+        delay_s = min(self.most_s, self.first_s * 2 ** min(self.tries, _MOST_DOUBLINGS))
+        self.tries += 1
+        return delay_s
+
+    def reset(self) -> None:
+        """Start again with the first delay."""
+        self.tries = 0
+
+
+#: More than any delay needs; keeps the power from growing without end.
+_MOST_DOUBLINGS = 30
--- a/mothstand/core/ledger_fold.py
+++ b/mothstand/core/ledger_fold.py
@@ -113,14 +113,20 @@
     def stranded_tokens(self, budget: BudgetName) -> int:
         """Return what superseded epochs hold back and may never give: the written-off part."""
         total = 0
-        for state in self.epochs.values():
+        for state in self.stranded_epochs():
             grant = state.grants.get(budget)
-            if grant is None or self.current.get(state.data_centre) == state.epoch:
-                continue
-            if not state.settled:
+            if grant is not None:
                 total += state.consumed_tokens(budget) - grant.reported_tokens
         return max(0, total)
 
+    def stranded_epochs(self) -> list[EpochState]:
+        """Return the superseded epochs in which a side is silent."""
+        return [
+            state
+            for epoch, state in sorted(self.epochs.items())
+            if self.current.get(state.data_centre) != epoch and not state.settled
+        ]
+
     def _is_new(self, record_id: RecordId) -> bool:
         last = self._last_sequence.get(record_id.author, 0)
         if record_id.sequence <= last:
@@ -251,12 +257,16 @@
         if state.released:
             # The declared spend is one sum: a side that wakes could only take its own part off it.
             return refused(f"epoch {record.epoch} was released")
-        before = {budget: state.consumed_tokens(budget) for budget in state.grants}
+        self._add_consumed(state, sign=-1)
         self._take_spends(state, record)
-        for budget, consumed in before.items():
-            self._consumed[budget] += state.consumed_tokens(budget) - consumed
+        self._add_consumed(state, sign=1)
         return ACCEPTED
 
+    def _add_consumed(self, state: EpochState, *, sign: int) -> None:
+        """Take an epoch out of the budgets' sums (-1), before its sides change, or back in (1)."""
+        for budget in state.grants:
+            self._consumed[budget] += sign * state.consumed_tokens(budget)
+
     def _release(self, record: EpochReleased) -> Outcome:
         """Take an operator's word in place of the silent sides'."""
         state = self.epochs.get(record.epoch)
@@ -268,18 +278,18 @@
             return refused(f"epoch {record.epoch} holds nothing back")
         declared = {spent.budget: spent.tokens for spent in record.spent}
         for budget, grant in state.grants.items():
-            least = state.least_spent_tokens(budget)
+            least = grant.least_spent_tokens()
             most = grant.granted_tokens - grant.returned_tokens
             if not least <= declared.get(budget, 0) <= most:
                 said = declared.get(budget, 0)
                 return refused(f"{budget}: {said} spent is not within {least} to {most}")
+        self._add_consumed(state, sign=-1)
         for budget, grant in state.grants.items():
-            before = state.consumed_tokens(budget)
             # The sides count what was returned as spent.
             tokens = declared.get(budget, 0) + grant.returned_tokens
             grant.holder = grant.witness = BudgetSpend(budget, tokens, 0)
-            self._consumed[budget] += declared.get(budget, 0) - before
         state.holder_closed = state.witness_closed = state.released = True
+        self._add_consumed(state, sign=1)
         return ACCEPTED
 
     def _take_spends(self, state: EpochState, record: EpochClosed) -> None:
--- a/mothstand/core/ledger_state.py
+++ b/mothstand/core/ledger_state.py
@@ -65,7 +65,10 @@
         return min(self.granted_tokens, spent) - self.returned_tokens
 
     def least_spent_tokens(self) -> int:
-        """Return what is known to be spent at the least, without what was returned."""
+        """Return the least that may be declared as spent, without what was returned.
+
+        A closed side's word counts whole, though it is an upper bound of the witnessed part.
+        """
         said = [
             side.witnessed_tokens + side.own_tokens - self.returned_tokens
             for side in (self.holder, self.witness)
@@ -106,13 +109,6 @@
         sides = ((self.holder, self.holder_closed), (self.witness, self.witness_closed))
         return [member for member, closed in sides if member is not None and not closed]
 
-    def least_spent_tokens(self, budget: BudgetName) -> int:
-        """Return what the epoch is known to have spent of a budget at the least."""
-        grant = self.grants.get(budget)
-        if grant is None:
-            return 0
-        return grant.least_spent_tokens()
-
     def consumed_tokens(self, budget: BudgetName) -> int:
         """Return the upper bound of what the epoch spent of a budget."""
         grant = self.grants.get(budget)
--- a/mothstand/core/orders.py
+++ b/mothstand/core/orders.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .backoff import Backoff
 from .config import OrderCheck
 from .membership import rank
 
@@ -20,23 +21,14 @@
     from collections.abc import Collection
 
     from ..types import DataCentre
-    from .config import ConfigState, FleetConfig, Upstream
-
-
-@dataclass(frozen=True, slots=True)
-class LoadedModel:
-    """A model or adapter at an engine; `base` is the adapter's model, empty for a model."""
-
-    name: str
-    version: str
-    base: str = ""
+    from .config import ConfigState, FleetConfig, Model, Upstream
 
 
 @dataclass(frozen=True, slots=True)
 class EngineSetup:
     """What an engine has, or should have: `models` in order of their names."""
 
-    models: tuple[LoadedModel, ...]
+    models: tuple[Model, ...]
     role: str
 
     def __str__(self) -> str:
@@ -79,9 +71,8 @@
 
 def wanted_setup(config: FleetConfig, engine: Upstream) -> EngineSetup:
     """Return what an engine should have loaded."""
-    models = (config.models[name] for name in sorted(engine.serves))
-    loaded = tuple(LoadedModel(model.name, model.version, model.base) for model in models)
-    return EngineSetup(loaded, engine.role)
+    models = tuple(config.models[name] for name in sorted(engine.serves))
+    return EngineSetup(models, engine.role)
 
 
 def issuers(alive: Collection[str], data_centre: DataCentre, loads: int) -> list[str]:
@@ -100,18 +91,18 @@
     ----------
     since_s
         Since when the instance has had it without a break.
-    tries
-        Orders of one number that were sent.
+    backoff
+        Counts the orders of one number that were sent.
     settled
         What the engine had when it was last looked at, if that was what it should have.
     """
 
     since_s: float
+    backoff: Backoff
     looked_at_s: float = -math.inf
     settled: EngineSetup | None = None
     loading: bool = False
     fencing: int = 0
-    tries: int = 0
     again_at_s: float = -math.inf
 
 
@@ -179,7 +170,8 @@
         names = {engine.name for engine in mine}
         self._duties = {name: duty for name, duty in self._duties.items() if name in names}
         for name in names - self._duties.keys():
-            self._duties[name] = _Duty(since_s=now_s)
+            backoff = Backoff(self.timing.retry_first_s, self.timing.retry_most_s)
+            self._duties[name] = _Duty(now_s, backoff)
         return sorted(mine, key=lambda engine: self._urgency(config, engine))[:LOOKS_AT_ONCE]
 
     def decide(
@@ -191,9 +183,12 @@
             return None
         duty.looked_at_s = now_s
         duty.loading = report.loading
+        duty.settled = None
+        if report.loading:
+            return None
         wanted = wanted_setup(state.config, engine)
-        duty.settled = wanted if report.setup == wanted and not report.loading else None
-        if report.loading or report.setup == wanted:
+        if report.setup == wanted:
+            duty.settled = wanted
             return None
         if report.fencing > state.offset:
             # A newer configuration than this instance's is in force.
@@ -215,7 +210,7 @@
     def is_contested(self, engine: str) -> bool:
         """Return whether an engine keeps losing what it was ordered."""
         duty = self._duties.get(engine)
-        return duty is not None and duty.tries > _CONTESTED_TRIES
+        return duty is not None and duty.backoff.tries > _CONTESTED_TRIES
 
     def _urgency(self, config: FleetConfig, engine: Upstream) -> tuple[bool, float]:
         duty = self._duties[engine.name]
@@ -230,11 +225,10 @@
         return sum(other.loading for other in self._duties.values()) >= self._loads
 
     def _note_try(self, duty: _Duty, offset: int, now_s: float) -> None:
-        duty.tries = duty.tries + 1 if duty.fencing == offset else 1
+        if duty.fencing != offset:
+            duty.backoff.reset()
         duty.fencing = offset
-        timing = self.timing
-        delay_s = timing.retry_first_s * 2 ** min(duty.tries - 1, _MOST_DOUBLINGS)
-        duty.again_at_s = now_s + min(timing.retry_most_s, delay_s)
+        duty.again_at_s = now_s + duty.backoff.next_s()
         # Until the engine is looked at again, it counts as loading.
         duty.loading = True
 
@@ -243,4 +237,3 @@
 LOOKS_AT_ONCE = 8
 
 _CONTESTED_TRIES = 3
-_MOST_DOUBLINGS = 20
--- a/mothstand/core/routing.py
+++ b/mothstand/core/routing.py
@@ -244,14 +244,10 @@
         for upstream in elsewhere:
             health = self._health(upstream.name)
             known = self._load_by_report(health, now_s)
-            if alone:
-                room = upstream.slots - (health.in_flight if known is None else known)
-            elif known is None:
-                room = 1 - health.in_flight
-            else:
-                room = upstream.slots - known
-            if room > 0:
-                free.append(_Candidate(upstream, known or health.in_flight, room))
+            load = health.in_flight if known is None else known
+            most = 1 if known is None and not alone else upstream.slots
+            if load < most:
+                free.append(_Candidate(upstream, load, most - load))
         return self._by_affinity(call, free) if free else None
 
     def _candidate(
--- a/mothstand/core/stream_check.py
+++ b/mothstand/core/stream_check.py
@@ -71,8 +71,6 @@
 
     Parameters
     ----------
-    answer_id
-        The id that the caller knows the answer by; None before the first event.
     pieces
         The text, event by event.
     plain
@@ -85,13 +83,17 @@
         Fields of the first event that all events share.
     """
 
-    answer_id: str | None = None
     pieces: list[str] = field(default_factory=list)
     plain: bool = True
     finished: bool = False
     usage: Usage | None = None
     head: dict[str, Any] = field(default_factory=dict)
 
+    @property
+    def begun(self) -> bool:
+        """Whether an event of it has passed."""
+        return bool(self.head)
+
     @property
     def text(self) -> str:
         """The answer's text as far as it has passed."""
@@ -123,8 +125,7 @@
             events.append({**self.head, "choices": [choice]})
         if wants_usage and self.usage is not None:
             events.append({**self.head, "choices": [], "usage": self.usage.as_json()})
-        lines = [_DATA + b" " + to_json(event) + _END for event in events]
-        return b"".join(lines) + _DONE + _END
+        return b"".join(_event(event) for event in events) + _DONE + _END
 
     def note(self, value: dict[str, Any]) -> None:
         """Take an event that passes."""
@@ -157,7 +158,7 @@
     wants_usage
         Whether the caller asked for the closing usage event; else it is held back.
     before
-        What another engine has sent of the same answer; None for a first one.
+        What another engine has sent of the same answer, if any.
 
     Attributes
     ----------
@@ -175,7 +176,7 @@
         self.done = False
         self.reports_usage = False
         self._wants_usage = wants_usage
-        self._continues = before is not None
+        self._continues = self.so_far.begun
         self._usage_before = self.so_far.usage
         self._engine_answer_id: str | None = None
         self._rest = b""
@@ -251,7 +252,6 @@
             raise BrokenStreamError("an event has no id")
         if self._engine_answer_id is None:
             self._engine_answer_id = answer_id
-            self.so_far.answer_id = self.so_far.answer_id or answer_id
         elif self._engine_answer_id != answer_id:
             raise BrokenStreamError(f"an event of {answer_id!r} in {self._engine_answer_id!r}")
 
@@ -268,11 +268,15 @@
 
     def _as_first(self, value: dict[str, Any]) -> bytes:
         """Return an event of a later engine as one of the first engine's."""
-        value["id"] = self.so_far.answer_id
+        value["id"] = self.so_far.head["id"]
         usage = self.so_far.usage
         if value.get("usage") and usage is not None:
             value["usage"] = usage.as_json()
         for choice in value.get("choices") or ():
             if isinstance(choice, dict) and isinstance(choice.get("delta"), dict):
                 choice["delta"].pop("role", None)
-        return _DATA + b" " + to_json(value) + _END
+        return _event(value)
+
+
+def _event(value: dict[str, Any]) -> bytes:
+    return _DATA + b" " + to_json(value) + _END
--- a/mothstand/entry/chat.py
+++ b/mothstand/entry/chat.py
@@ -42,7 +42,7 @@
         self._started_s = context.clock.monotonic_s()
         self._config: FleetConfig = context.config().config
         self._body = self._parse(request.body)
-        self._so_far: AnswerSoFar | None = None
+        self._so_far = AnswerSoFar()
         self._max_tokens = (
             self._body.max_completion_tokens
             or self._body.max_tokens
@@ -93,7 +93,7 @@
             prefix=self._body.prefix,
             priority=self._request.caller.workspace.priority,
             tried=tried,
-            resumes=self._so_far is not None,
+            resumes=self._so_far.begun,
         )
 
     async def _dispatch(self, charge: Charge, sink: AnswerSink) -> None:
@@ -130,8 +130,9 @@
                 raise
             except (MayHaveRunError, BrokenStreamError) as error:
                 attempt.fail(error)
-                if self._is_whole:
-                    await self._close_whole(sink)
+                if self._so_far.is_whole(self._max_tokens):
+                    await sink.send(self._so_far.closing(wants_usage=self._wants_usage))
+                    await sink.end()
                     return
                 self._check_goes_on(sink, upstream, error)
                 raise MayHaveRunError(str(error)) from error
@@ -139,40 +140,24 @@
     def _check_goes_on(self, sink: AnswerSink, upstream: Upstream, error: Exception) -> None:
         """Refuse if an answer that has begun cannot be gone on with by another engine."""
         if not sink.started:
-            self._so_far = None
+            self._so_far = AnswerSoFar()
             return
-        left_tokens = self._left_tokens()
-        if not self._can_continue:
+        if not (self._so_far.can_continue and self._body.can_continue):
             raise RefusedError(Refusal(ErrorKind.ANSWER_BROKEN, str(error))) from error
         emit(
             Event.ANSWER_CONTINUED,
             request_id=self._request.request_id,
             upstream=upstream.name,
-            left_tokens=left_tokens,
+            left_tokens=self._left_tokens(),
         )
 
-    @property
-    def _is_whole(self) -> bool:
-        """Whether the engine failed after all of the answer had passed."""
-        return self._so_far is not None and self._so_far.is_whole(self._max_tokens)
-
-    async def _close_whole(self, sink: AnswerSink) -> None:
-        assert self._so_far is not None
-        await sink.send(self._so_far.closing(wants_usage=self._wants_usage))
-        await sink.end()
-
     @property
     def _wants_usage(self) -> bool:
         options = self._body.stream_options
         return bool(options and options.include_usage)
 
-    @property
-    def _can_continue(self) -> bool:
-        so_far = self._so_far
-        return so_far is not None and so_far.can_continue and self._body.can_continue
-
     def _left_tokens(self) -> int:
-        usage = self._so_far.usage if self._so_far is not None else None
+        usage = self._so_far.usage
         return self._max_tokens - (usage.completion_tokens if usage is not None else 0)
 
     def _engine_body(self) -> bytes:
@@ -181,7 +166,7 @@
             max_tokens=self._left_tokens(),
             priority=self._request.caller.workspace.priority,
             stream=self._body.stream,
-            text_so_far=self._so_far.text if self._so_far is not None else "",
+            text_so_far=self._so_far.text,
         )
 
     async def _take(self, response: httpx.Response, charge: Charge, sink: AnswerSink) -> None:
@@ -213,7 +198,6 @@
         self, response: httpx.Response, charge: Charge, sink: AnswerSink
     ) -> None:
         check = StreamCheck(wants_usage=self._wants_usage, before=self._so_far)
-        self._so_far = check.so_far
         async for data in response.aiter_raw():
             try:
                 kept = check.feed(data)
--- a/mothstand/entry/instance.py
+++ b/mothstand/entry/instance.py
@@ -288,9 +288,12 @@
 
     # -- loops ------------------------------------------------------------------------------------
 
-    async def _run_ticks(self) -> None:
+    async def _wait_until_ready_to_lead(self) -> None:
         while not self._ready_to_lead():
             await self._clock.sleep(_TICK_S)
+
+    async def _run_ticks(self) -> None:
+        await self._wait_until_ready_to_lead()
         while True:
             self._ledger.tick()
             self._context.answers.expire(self._clock.monotonic_s())
@@ -298,8 +301,7 @@
             await self._clock.sleep(_TICK_S)
 
     async def _run_orders(self) -> None:
-        while not self._ready_to_lead():
-            await self._clock.sleep(_TICK_S)
+        await self._wait_until_ready_to_lead()
         await self._orders.run()
 
     def _snapshot_config(self) -> None:
--- a/mothstand/ledger/elsewhere.py
+++ b/mothstand/ledger/elsewhere.py
@@ -63,15 +63,12 @@
     They may have less: their spend is known from their last asks only. While this data centre
     cannot reach the log, others may get from it what they do not have yet.
     """
-    here = state.context.membership.data_centre
     now_s = state.context.clock.monotonic_s()
-    fold = state.fold
     found: list[tuple[int, EpochState]] = []
-    for data_centre, number in fold.current.items():
-        epoch = fold.epochs[number]
-        grant = epoch.grants.get(budget)
-        if data_centre == here or epoch.closed or grant is None:
+    for epoch in state.elsewhere(budget):
+        if epoch.closed:
             continue
+        grant = epoch.grants[budget]
         free_tokens = grant.granted_tokens - grant.returned_tokens - grant.reported_tokens
         if free_tokens < bound_tokens and not state.context.log_is_out:
             continue
--- a/mothstand/ledger/escrow_agent.py
+++ b/mothstand/ledger/escrow_agent.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ..core.accounts import HolderAccount, Lane
+from ..core.backoff import Backoff
 from ..core.escrow import (
     Demand,
     EscrowView,
@@ -50,13 +51,12 @@
     At a budget's end they would go on for each request, two appends a time, in every data centre.
     """
 
-    delay_s: float = _UNMET_FIRST_S
+    backoff: Backoff = field(default_factory=lambda: Backoff(_UNMET_FIRST_S, _UNMET_MOST_S))
     again_at_s: float = 0.0
 
     def add(self, now_s: float) -> None:
         """Count one more, and wait longer before the next."""
-        self.again_at_s = now_s + self.delay_s
-        self.delay_s = min(_UNMET_MOST_S, 2 * self.delay_s)
+        self.again_at_s = now_s + self.backoff.next_s()
 
 
 class EscrowAgent:
@@ -186,16 +186,6 @@
         """Return what is on its way back, waiting for the witness's word."""
         return sum(tokens for name, tokens in self._returning.values() if name == budget)
 
-    def held_by_others(self, budget: BudgetName) -> bool:
-        """Return whether another data centre's open epoch holds escrow of the budget."""
-        here = self._state.context.membership.data_centre
-        fold = self._state.fold
-        return any(
-            budget in fold.epochs[epoch].grants
-            for data_centre, epoch in fold.current.items()
-            if data_centre != here
-        )
-
     def _ask_one(
         self, leading: tuple[EpochState, HolderAccount], budget: BudgetName, *, along: bool
     ) -> GrantAsk | None:
@@ -226,7 +216,7 @@
 
     def _may_move_others(self, budget: BudgetName, view: EscrowView) -> bool:
         """Return whether an ask that gets nothing is worth its append: others may give back."""
-        if view.needed_tokens <= view.free_tokens or not self.held_by_others(budget):
+        if view.needed_tokens <= view.free_tokens or not self._state.elsewhere(budget):
             return False
         now_s = self._state.context.clock.monotonic_s()
         unmet = self._unmet.get(budget)
--- a/mothstand/ledger/reserver.py
+++ b/mothstand/ledger/reserver.py
@@ -15,6 +15,7 @@
 from .elsewhere import away_wait_s, reserve_elsewhere
 
 if TYPE_CHECKING:
+    from ..core.accounts import WitnessAccount
     from ..types import BudgetName, Epoch
     from .escrow_agent import EscrowAgent
     from .state import ShardState
@@ -67,15 +68,17 @@
             known = self._find_key(call)
             if known is not None:
                 return known
-        if state.leading() is None and state.promoted() is None:
+        leads = state.leading() is not None
+        promoted = None if leads else state.promoted()
+        if not leads and promoted is None:
             return NotHolder(self._hint())
         if call.keyed:
             # Before the first await, so that a second request of the same key finds it.
             state.requests.start(call.request_id, call.owner)
-        if state.leading() is not None:
+        if promoted is None:
             reply = await self._reserve_leading(call)
         else:
-            reply = await self._reserve_promoted(call)
+            reply = await self._reserve_promoted(promoted, call)
         if call.keyed and not isinstance(reply, Ticket):
             state.requests.forget(call.request_id)
         return reply
@@ -83,11 +86,11 @@
     def settle(self, ticket: Ticket, used_tokens: int, request_id: str) -> bool:
         """Settle a reservation; return False if this instance cannot, now or ever."""
         state = self._state
-        holder = state.holders.get(ticket.epoch)
-        witness = state.witnesses.get(ticket.epoch)
         if ticket.home == state.context.membership.me.address:
             self._end_key(request_id, used_tokens)
             return True
+        holder = state.holders.get(ticket.epoch)
+        witness = state.witnesses.get(ticket.epoch)
         if holder is not None and ticket.number > 0:
             settled = holder.settle(ticket.number, used_tokens)
             if settled is not None:
@@ -229,10 +232,9 @@
             witness=witness.address if witness else "",
         )
 
-    async def _reserve_promoted(self, call: ReserveCall) -> ReserveReply:
-        promoted = self._state.promoted()
-        if promoted is None:
-            return NotHolder(self._hint())
+    async def _reserve_promoted(
+        self, promoted: tuple[EpochState, WitnessAccount], call: ReserveCall
+    ) -> ReserveReply:
         epoch_state, account = promoted
         grant = epoch_state.grants.get(call.budget, Grant())
         taken = account.reserve_own(
@@ -270,9 +272,9 @@
                 return ticket
             left_s = deadline_s - state.context.clock.monotonic_s()
             # Nobody waits here for another data centre's request, unless the log can help.
-            waited = left_s <= 0 or (call.away and self._log_has_less(call))
+            waited = left_s <= 0 or (call.away and self.log_has_less(call))
             refused = self.shortage(call, waited=waited)
-            if may_ask_elsewhere and not self._is_exhausted(refused) and self._log_has_less(call):
+            if may_ask_elsewhere and not self._is_exhausted(refused) and self.log_has_less(call):
                 may_ask_elsewhere = False
                 elsewhere = await reserve_elsewhere(state, call)
                 if elsewhere is not None:
@@ -286,7 +288,7 @@
     def _is_exhausted(refused: Refusal | None) -> bool:
         return refused is not None and refused.kind is ErrorKind.BUDGET_EXHAUSTED
 
-    def _log_has_less(self, call: ReserveCall) -> bool:
+    def log_has_less(self, call: ReserveCall) -> bool:
         """Return whether asking the log cannot bring what the call needs, or not now."""
         free = self._state.fold.ungranted_tokens(call.budget)
         return self._state.context.log_is_out or free < call.bound_tokens
--- a/mothstand/ledger/service.py
+++ b/mothstand/ledger/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -129,8 +128,7 @@
             await self._settle_until_taken(ticket, request_id, used_tokens)
             if ticket.home:
                 # Best effort: at the worst a retry is told for longer than need be to join.
-                home = replace(ticket, holder=ticket.home)
-                await self._settle_at(ticket.home, home, request_id, used_tokens)
+                await self._settle_at(ticket.home, ticket, request_id, used_tokens)
         finally:
             self._unsettled -= 1
 
--- a/mothstand/ledger/state.py
+++ b/mothstand/ledger/state.py
@@ -79,6 +79,12 @@
         """Return the current epoch of this data centre."""
         return self.fold.current_epoch(self.context.membership.data_centre)
 
+    def elsewhere(self, budget: BudgetName) -> list[EpochState]:
+        """Return other data centres' current epochs that were granted escrow of a budget."""
+        here = self.context.membership.data_centre
+        epochs = (self.fold.epochs[e] for place, e in self.fold.current.items() if place != here)
+        return [state for state in epochs if budget in state.grants]
+
     def pair(self) -> set[str]:
         """Return the names of the current epoch's leaseholder and witness."""
         current = self.current()
--- a/mothstand/operators/release.py
+++ b/mothstand/operators/release.py
@@ -46,7 +46,7 @@
     for budget, grant in sorted(state.grants.items()):
         billed = view.bills.billed.get(budget, Billed()).tokens
         others = fold.reported_tokens(budget, without=state.epoch)
-        least = state.least_spent_tokens(budget)
+        least = grant.least_spent_tokens()
         most = state.consumed_tokens(budget)
         tokens = min(max(least, billed - others), max(least, most))
         spent.append(SpentTokens(budget, min(tokens, grant.granted_tokens - grant.returned_tokens)))
--- a/mothstand/operators/reports.py
+++ b/mothstand/operators/reports.py
@@ -50,17 +50,15 @@
 def stranded_lines(view: LogView) -> Iterator[str]:
     """Return a line for each superseded epoch that holds tokens back."""
     for shard, fold in sorted(view.ledgers.items()):
-        for epoch, state in sorted(fold.epochs.items()):
-            if fold.current.get(state.data_centre) == epoch or state.settled:
-                continue
+        for state in fold.stranded_epochs():
             held = sum(
-                state.consumed_tokens(budget) - state.least_spent_tokens(budget)
-                for budget in state.grants
+                state.consumed_tokens(budget) - grant.least_spent_tokens()
+                for budget, grant in state.grants.items()
             )
             silent = ", ".join(member.name for member in state.silent())
             yield (
-                f"stranded: shard {shard} epoch {epoch} {state.data_centre} up to {held} tokens,"
-                f" silent: {silent}"
+                f"stranded: shard {shard} epoch {state.epoch} {state.data_centre}"
+                f" up to {held} tokens, silent: {silent}"
             )
 
 
--- a/mothstand/platform/log.py
+++ b/mothstand/platform/log.py
@@ -85,7 +85,6 @@
     next: int
 
 
-_TOO_MANY_REQUESTS = 429
 _APPENDED = TypeAdapter(_Appended)
 _PAGE = TypeAdapter(_Page)
 
@@ -125,7 +124,7 @@
             answer = await self._http.post(
                 f"/streams/{stream}/records", content=payload, timeout=self._timeout_s
             )
-            if answer.status_code == _TOO_MANY_REQUESTS:
+            if answer.status_code == httpx.codes.TOO_MANY_REQUESTS:
                 raise LogBusyError(f"append to {stream}: above the log's rate limit")
             answer.raise_for_status()
             return _APPENDED.validate_json(answer.content).offset
--- a/mothstand/platform/reader.py
+++ b/mothstand/platform/reader.py
@@ -5,6 +5,7 @@
 import random
 from typing import TYPE_CHECKING
 
+from ..core.backoff import Backoff
 from ..core.records import SnapshotRecord
 from ..events import Event, emit
 from .codec import decode
@@ -52,7 +53,7 @@
         self.stream = stream
         self.next_offset = 1
         self.caught_up = False
-        self._retry_s = _RETRY_FIRST_S
+        self._backoff = Backoff(_RETRY_FIRST_S, _RETRY_MOST_S)
         self._log = log
         self._apply = apply
         self._clock = clock
@@ -65,11 +66,10 @@
         while True:
             try:
                 await self.read_once(wait_s=self._wait_s)
-                self._retry_s = _RETRY_FIRST_S
+                self._backoff.reset()
             except LogError:
                 # Jitter, lest all readers of all instances come back to a recovering log in step.
-                await self._clock.sleep(self._retry_s * random.uniform(0.5, 1.5))
-                self._retry_s = min(_RETRY_MOST_S, 2 * self._retry_s)
+                await self._clock.sleep(self._backoff.next_s() * random.uniform(0.5, 1.5))
 
     @property
     def _wait_s(self) -> float:
@@ -77,8 +77,7 @@
 
         On a quiet stream a waiting read would say only seconds later that the log is back.
         """
-        failed = self._retry_s > _RETRY_FIRST_S
-        return READ_WAIT_S if self.caught_up and not failed else 0.0
+        return READ_WAIT_S if self.caught_up and not self._backoff.tries else 0.0
 
     async def read_once(self, *, wait_s: float) -> None:
         """Read and apply one page."""
--- a/mothstand/platform/writer.py
+++ b/mothstand/platform/writer.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from ..core.backoff import Backoff
 from ..core.records import Record, RecordId
 from .codec import encode
 from .log import LogClient, LogError
@@ -136,7 +137,7 @@
             tasks.cancel_scope.cancel()
 
     async def _append(self, payload: bytes) -> None:
-        backoff_s = _BACKOFF_FIRST_S
+        backoff = Backoff(_BACKOFF_FIRST_S, _BACKOFF_MOST_S)
         while True:
             try:
                 self.appends += 1
@@ -144,5 +145,4 @@
                 return
             except LogError:
                 # Jitter, lest all instances come back to a recovering log in step.
-                await self._clock.sleep(backoff_s * random.uniform(0.5, 1.5))
-                backoff_s = min(_BACKOFF_MOST_S, backoff_s * 2)
+                await self._clock.sleep(backoff.next_s() * random.uniform(0.5, 1.5))
--- a/mothstand/upstreams/orders.py
+++ b/mothstand/upstreams/orders.py
@@ -17,7 +17,8 @@
 import httpx
 from pydantic import BaseModel, ValidationError
 
-from ..core.orders import EngineReport, EngineSetup, LoadedModel
+from ..core.config import Model
+from ..core.orders import EngineReport, EngineSetup
 
 if TYPE_CHECKING:
     from ..core.config import Upstream
@@ -97,7 +98,7 @@
             body = _ReportBody.model_validate_json(answer.content)
         except (httpx.HTTPError, ValidationError) as error:
             raise EngineError(f"{engine.name}: {error!r}") from error
-        models = sorted((LoadedModel(**m.model_dump()) for m in body.models), key=lambda m: m.name)
+        models = sorted((Model(**m.model_dump()) for m in body.models), key=lambda m: m.name)
         return EngineReport(EngineSetup(tuple(models), body.role), body.fencing, body.loading)
 
     async def order(self, order: Order) -> OrderOutcome:
