Move the log's client to mothstand/log, so that platform/ is free for translation

Cause: the users' platform needs one folder that only translates; mothstand/platform held the client of the product's own log instead.

--- a/benchmarks/in_force.py
+++ b/benchmarks/in_force.py
@@ -14,10 +14,10 @@
 import fire
 
 from mothstand.clock import SystemClock
+from mothstand.log.client import HttpLog
+from mothstand.log.instances import HttpInstanceList
 from mothstand.operators.publish import Publisher, wait_in_force
 from mothstand.peers.client import GrpcPeers
-from mothstand.platform.instances import HttpInstanceList
-from mothstand.platform.log import HttpLog
 from mothstand.settings.folder import read_folder
 from mothstand.testing.examples import write_folder
 from mothstand.testing.fleet import FLEET_KEY, Fleet
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -32,7 +32,7 @@
 )
 from mothstand.ledger.escrow_agent import EscrowAgent
 from mothstand.ledger.state import ShardContext, ShardState
-from mothstand.platform.codec import decode, encode
+from mothstand.log.codec import decode, encode
 from mothstand.settings.folder import validate_sections
 from mothstand.settings.instance import TimingSection
 from mothstand.testing.examples import write_folder
--- a/mothstand/cli.py
+++ b/mothstand/cli.py
@@ -18,13 +18,13 @@
 from .core.config import diff_sections
 from .entry.instance import Instance
 from .errors import SettingsError
+from .log.client import HttpLog, LogError
+from .log.instances import HttpInstanceList
 from .operators.log_view import read_all, read_config
 from .operators.publish import InForce, Publisher, wait_in_force
 from .operators.release import release
 from .operators.reports import audit_lines, budget_lines, epoch_lines, stranded_lines
 from .peers.client import GrpcPeers
-from .platform.instances import HttpInstanceList
-from .platform.log import HttpLog, LogError
 from .settings.folder import read_folder
 from .settings.instance import read_instance_settings
 from .settings.operator import OperatorSettings, read_operator_settings
--- a/mothstand/entry/configuration.py
+++ b/mothstand/entry/configuration.py
@@ -13,8 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..log.writer import LogWriter
     from ..peers.client import GrpcPeers
-    from ..platform.writer import LogWriter
 
 
 #: Records of the stream, and seconds, between two snapshots.
--- a/mothstand/entry/heartbeats.py
+++ b/mothstand/entry/heartbeats.py
@@ -9,7 +9,7 @@
 from ..core.membership import PeerState, ProbePace
 from ..events import Event, emit
 from ..ledger.calls import PeerError
-from ..platform.instances import InstanceList, ListError
+from ..log.instances import InstanceList, ListError
 from ..types import DataCentre
 
 if TYPE_CHECKING:
--- a/mothstand/entry/instance.py
+++ b/mothstand/entry/instance.py
@@ -24,13 +24,13 @@
 from ..events import Event, emit
 from ..ledger.service import LedgerService
 from ..ledger.state import ShardContext
+from ..log.client import HttpLog
+from ..log.health import LogHealth, WatchedLog
+from ..log.instances import HttpInstanceList
+from ..log.reader import LogReader
+from ..log.writer import LogWriter, Pace
 from ..peers.client import GrpcPeers
 from ..peers.server import PeerService, make_server
-from ..platform.health import LogHealth, WatchedLog
-from ..platform.instances import HttpInstanceList
-from ..platform.log import HttpLog
-from ..platform.reader import LogReader
-from ..platform.writer import LogWriter, Pace
 from ..settings.folder import data_centres
 from ..settings.instance import Address, InstanceSettings
 from ..streams import (
--- a/mothstand/entry/intents.py
+++ b/mothstand/entry/intents.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from ..clock import Clock
-    from ..platform.writer import LogWriter
+    from ..log.writer import LogWriter
     from ..types import Member
 
 #: Longest wait for a claim to come back from the log.
--- a/mothstand/entry/orders.py
+++ b/mothstand/entry/orders.py
@@ -15,7 +15,7 @@
     from ..core.config import ConfigState, Upstream
     from ..core.membership import Membership
     from ..core.orders import Order, OrderPlanner
-    from ..platform.writer import LogWriter
+    from ..log.writer import LogWriter
 
 
 class OrderIssuer:
--- a/mothstand/ledger/escrow_agent.py
+++ b/mothstand/ledger/escrow_agent.py
@@ -30,7 +30,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..platform.writer import LogWriter
+    from ..log.writer import LogWriter
     from ..types import BudgetName, Epoch
     from .state import ShardState
 
--- a/mothstand/ledger/service.py
+++ b/mothstand/ledger/service.py
@@ -18,7 +18,7 @@
     from collections.abc import Callable
 
     from ..core.accounts import MirrorAnswer, MirrorBatch
-    from ..platform.writer import LogWriter
+    from ..log.writer import LogWriter
     from ..types import BudgetName
     from .calls import ReserveReply
     from .state import ShardContext
--- a/mothstand/ledger/shard.py
+++ b/mothstand/ledger/shard.py
@@ -32,7 +32,7 @@
     from collections.abc import Callable
 
     from ..core.ledger_state import EpochState
-    from ..platform.writer import LogWriter
+    from ..log.writer import LogWriter
     from ..types import BudgetName, Shard
     from .state import ShardContext
 
--- a/mothstand/ledger/state.py
+++ b/mothstand/ledger/state.py
@@ -9,7 +9,7 @@
 
 from ..core.ledger_fold import LedgerFold
 from ..core.requests import RequestIndex
-from ..platform.health import LOG_OUT_AFTER_S
+from ..log.health import LOG_OUT_AFTER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/mothstand/platform/health.py
+++ b/mothstand/log/health.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..events import Event, emit
-from .log import LogBusyError, LogClient, LogError, LogPage
+from .client import LogBusyError, LogClient, LogError, LogPage
 
 if TYPE_CHECKING:
     from ..clock import Clock
--- a/mothstand/platform/reader.py
+++ b/mothstand/log/reader.py
@@ -8,8 +8,8 @@
 from ..core.backoff import Backoff
 from ..core.records import SnapshotRecord
 from ..events import Event, emit
+from .client import LogClient, LogError
 from .codec import decode
-from .log import LogClient, LogError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/mothstand/platform/writer.py
+++ b/mothstand/log/writer.py
@@ -10,8 +10,8 @@
 
 from ..core.backoff import Backoff
 from ..core.records import Record, RecordId
+from .client import LogClient, LogError
 from .codec import encode
-from .log import LogClient, LogError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/mothstand/operators/log_view.py
+++ b/mothstand/operators/log_view.py
@@ -19,13 +19,13 @@
     Record,
     SnapshotRecord,
 )
-from ..platform.codec import decode
+from ..log.codec import decode
 from ..settings.folder import validate_sections
 from ..streams import BILLS_STREAM, CONFIG_STREAM, ORDERS_STREAM, ledger_stream
 from ..types import Shard
 
 if TYPE_CHECKING:
-    from ..platform.log import LogClient
+    from ..log.client import LogClient
 
 
 @dataclass(frozen=True, slots=True)
--- a/mothstand/operators/publish.py
+++ b/mothstand/operators/publish.py
@@ -12,9 +12,9 @@
 from ..core.records import ConfigPublished, Outcome, RecordId
 from ..errors import SettingsError
 from ..ledger.calls import PeerError
-from ..platform.codec import encode
-from ..platform.instances import InstanceList, ListError
-from ..platform.log import LogClient, LogError
+from ..log.client import LogClient, LogError
+from ..log.codec import encode
+from ..log.instances import InstanceList, ListError
 from ..streams import CONFIG_STREAM
 from ..types import Member
 from .log_view import read_config, read_stream
--- a/mothstand/operators/release.py
+++ b/mothstand/operators/release.py
@@ -10,7 +10,7 @@
 from ..core.records import EpochReleased, Outcome, RecordId, SpentTokens
 from ..errors import SettingsError
 from ..ledger.calls import PeerError
-from ..platform.codec import encode
+from ..log.codec import encode
 from ..streams import BILLS_STREAM, ledger_stream
 from .log_view import read_all
 
@@ -18,8 +18,8 @@
     from ..clock import Clock
     from ..core.ledger_fold import LedgerFold
     from ..core.ledger_state import EpochState
+    from ..log.client import LogClient
     from ..peers.client import GrpcPeers
-    from ..platform.log import LogClient
     from ..types import BudgetName, Epoch, Member, Shard
     from .log_view import LogView
 
--- a/mothstand/testing/fakes.py
+++ b/mothstand/testing/fakes.py
@@ -11,7 +11,7 @@
 from ..core.membership import Membership
 from ..core.records import Record, RecordId
 from ..ledger.calls import PeerCalls, PeerError, ReserveCall, ReserveReply, Ticket
-from ..platform.log import LogClient, LogError, LogPage
+from ..log.client import LogClient, LogError, LogPage
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/mothstand/testing/histories.py
+++ b/mothstand/testing/histories.py
@@ -26,7 +26,7 @@
 from ..ledger.calls import Ticket
 from ..ledger.shard import ShardNode
 from ..ledger.state import ShardContext
-from ..platform.health import LOG_OUT_AFTER_S
+from ..log.health import LOG_OUT_AFTER_S
 from ..settings.instance import TimingSection
 from ..types import BudgetName, DataCentre, Epoch, Member, Shard
 from .fakes import FakeBeliefs, FakeClock, FakeWriter, NoPeers
--- a/mothstand/testing/views.py
+++ b/mothstand/testing/views.py
@@ -6,8 +6,8 @@
 
 import anyio
 
+from ..log.client import HttpLog
 from ..operators.log_view import LogView, read_all
-from ..platform.log import HttpLog
 
 if TYPE_CHECKING:
     from ..core.ledger_state import EpochState
--- a/mothstand/tests/test_failures.py
+++ b/mothstand/tests/test_failures.py
@@ -15,8 +15,8 @@
 
 from ..clock import SystemClock
 from ..core.membership import shard_of
+from ..log.client import HttpLog
 from ..operators.publish import Publisher
-from ..platform.log import HttpLog
 from ..settings.folder import read_folder
 from ..testing.checker import JournalLine, RunHistory, find_violations
 from ..testing.examples import chat, write_folder
--- a/mothstand/tests/test_platform.py
+++ b/mothstand/tests/test_platform.py
@@ -10,11 +10,11 @@
 from hypothesis import strategies as st
 
 from ..core.records import BillLine, BillsPosted, Record, RecordId
-from ..platform.codec import decode, encode
-from ..platform.health import LOG_OUT_AFTER_S, LogHealth, WatchedLog
-from ..platform.log import LogBusyError, LogError
-from ..platform.reader import LogReader
-from ..platform.writer import LogWriter, Pace
+from ..log.client import LogBusyError, LogError
+from ..log.codec import decode, encode
+from ..log.health import LOG_OUT_AFTER_S, LogHealth, WatchedLog
+from ..log.reader import LogReader
+from ..log.writer import LogWriter, Pace
 from ..testing.fakes import FakeClock, FakeLog
 from ..types import BudgetName
 
