--- /dev/null
+++ b/mothstand/core/loans.py
@@ -0,0 +1,98 @@
+"""Loans of tokens between instances: whom to ask, how much to give, and each loan once."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..types import BudgetName
+    from .claims import ClaimTable, HeldBudget
+
+#: Part of what a lender holds that it gives beyond the need of the requests that wait: without
+#: some, each request of a borrower costs a call; with all, the two would ask each other in turns.
+EXTRA_SHARE = 0.5
+
+#: Loans that a lender remembers, so that a repeated call moves tokens once. A caller repeats
+#: within a minute; ten a second for that long are far more than instances ask for.
+_MOST_REMEMBERED = 5000
+
+#: A peer that did not answer is not asked again for this long: each further try would cost the
+#: waiting request another timeout.
+PEER_PAUSE_S = 2.0
+
+
+@dataclass(slots=True)
+class LoanBook:
+    """The loans that this instance has given.
+
+    Notes
+    -----
+    When a reply is lost the borrower does not know whether the tokens are its own. It asks again
+    under the same id; without a memory of the first answer the lender would give twice, and the
+    first loan would be lost to everyone.
+    """
+
+    _given: OrderedDict[str, int] = field(default_factory=OrderedDict)
+
+    def lend(self, held: HeldBudget, loan_id: str, *, needed_tokens: int, extra_tokens: int) -> int:
+        """Take tokens out of what is held, and return how many."""
+        if loan_id in self._given:
+            return self._given[loan_id]
+        share = int(held.available_tokens * EXTRA_SHARE)
+        wanted = max(needed_tokens, min(needed_tokens + extra_tokens, share))
+        given = held.give(wanted)
+        self._given[loan_id] = given
+        while len(self._given) > _MOST_REMEMBERED:
+            self._given.popitem(last=False)
+        return given
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Another instance of the fleet."""
+
+    instance: str
+    incarnation: str
+    address: str
+
+
+@dataclass(slots=True)
+class PeerChoice:
+    """Whom to ask for a loan: who is believed to hold most, and answers."""
+
+    _silent_until_s: dict[str, float] = field(default_factory=dict)
+    _dry_until_s: dict[tuple[str, str], float] = field(default_factory=dict)
+
+    def order(
+        self, peers: list[Peer], table: ClaimTable, budget: BudgetName, now_s: float
+    ) -> list[Peer]:
+        """Return the peers to ask, in order."""
+        unspent: dict[str, int] = {}
+        for holder, claim in table.claims[budget].items():
+            rest = claim.claimed_tokens - claim.spent_tokens
+            # Only a living process can give; what a dead one of the same name held it cannot.
+            if any(
+                p.instance == holder.instance and p.incarnation == holder.incarnation for p in peers
+            ):
+                unspent[holder.instance] = rest
+        asked = [
+            p
+            for p in peers
+            if self._silent_until_s.get(p.instance, 0.0) <= now_s
+            and self._dry_until_s.get((p.instance, budget), 0.0) <= now_s
+        ]
+        return sorted(asked, key=lambda p: -unspent.get(p.instance, 0))
+
+    def silent(self, peer: Peer, now_s: float) -> None:
+        """Note that a peer did not answer."""
+        self._silent_until_s[peer.instance] = now_s + PEER_PAUSE_S
+
+    def dry(self, peer: Peer, budget: BudgetName, now_s: float) -> None:
+        """Note that a peer had nothing of a budget; requests that end there free some again."""
+        self._dry_until_s[peer.instance, budget] = now_s + DRY_PAUSE_S
+
+
+#: A peer that had nothing is not asked again for this long; about as long as a request runs.
+DRY_PAUSE_S = 0.3
--- a/mothstand/entry/instance.py
+++ b/mothstand/entry/instance.py
@@ -25,9 +25,10 @@
 from ..ledger.service import LedgerService
 from ..ledger.state import ShardContext
 from ..log.client import HttpLog
-from ..log.health import LogHealth, WatchedLog
+from ..log.health import LogHealth
 from ..log.instances import HttpInstanceList
 from ..log.reader import LogReader
+from ..log.watched import WatchedLog
 from ..log.writer import LogWriter, Pace
 from ..peers.client import GrpcPeers
 from ..peers.server import PeerService, make_server
--- /dev/null
+++ b/mothstand/gateway/borrowing.py
@@ -0,0 +1,130 @@
+"""Borrows tokens from other instances when what is held here does not do."""
+
+from __future__ import annotations
+
+import uuid
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..core.loans import LoanBook, Peer, PeerChoice
+from ..events import Event, emit
+from .lending import LoanRequest, PeerError, PeerLink
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..clock import Clock
+    from ..types import BudgetName
+    from .claim_keeper import ClaimKeeper
+
+#: Seconds of one's own demand that are asked for on top of what waits.
+_EXTRA_S = 2.0
+
+#: A loan whose answer was lost is asked for again for this long; after that its tokens stay with
+#: nobody, which costs them but overspends nothing.
+_DOUBT_KEPT_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class _DoubtfulLoan:
+    """A loan without an answer: the peer may have taken the tokens out."""
+
+    peer: Peer
+    request: LoanRequest
+    until_s: float
+
+
+class Borrower:
+    """Asks peers for tokens of the budgets of one keeper, one round at a time for each."""
+
+    def __init__(
+        self,
+        keeper: ClaimKeeper,
+        me: Peer,
+        link: PeerLink,
+        peers: Callable[[], list[Peer]],
+        clock: Clock,
+        changed: Callable[[], None],
+    ) -> None:
+        self.loans = LoanBook()
+        self._keeper = keeper
+        self._me = me
+        self._link = link
+        self._peers = peers
+        self._clock = clock
+        self._changed = changed
+        self._choice = PeerChoice()
+        self._running: set[BudgetName] = set()
+        self._doubtful: list[_DoubtfulLoan] = []
+
+    def is_running(self, budget: BudgetName) -> bool:
+        """Return whether a round for a budget is under way."""
+        return budget in self._running
+
+    def lend(self, request: LoanRequest) -> int:
+        """Give tokens to a peer."""
+        given = self.loans.lend(
+            self._keeper.book.of(request.budget),
+            request.loan_id,
+            needed_tokens=request.needed_tokens,
+            extra_tokens=request.extra_tokens,
+        )
+        emit(Event.TOKENS_LENT, budget=request.budget, tokens=given, loan=request.loan_id)
+        return given
+
+    async def round(self, budget: BudgetName) -> None:
+        """Ask one peer after the other until what waits can be served."""
+        if budget in self._running:
+            return
+        self._running.add(budget)
+        try:
+            now_s = self._clock.monotonic_s()
+            table = self._keeper.book.table
+            for peer in self._choice.order(self._peers(), table, budget, now_s):
+                missing = self._missing(budget)
+                if missing <= 0:
+                    break
+                await self._ask(peer, budget, missing)
+        finally:
+            self._running.discard(budget)
+            self._changed()
+
+    async def ask_again(self) -> None:
+        """Ask for the loans whose answers were lost."""
+        doubtful, self._doubtful = self._doubtful, []
+        for doubt in doubtful:
+            if doubt.until_s > self._clock.monotonic_s():
+                await self._borrow(doubt.peer, doubt.request, doubt.until_s)
+
+    def _missing(self, budget: BudgetName) -> int:
+        waiting = self._keeper.waiting.get(budget, 0)
+        return waiting - self._keeper.book.of(budget).available_tokens
+
+    async def _ask(self, peer: Peer, budget: BudgetName, missing: int) -> None:
+        now_s = self._clock.monotonic_s()
+        demand = self._keeper.demand.get(budget)
+        extra = 0 if demand is None else int(demand.rate(now_s) * _EXTRA_S)
+        request = LoanRequest(budget, missing, extra, uuid.uuid4().hex)
+        given = await self._borrow(peer, request, now_s + _DOUBT_KEPT_S)
+        if given < missing:
+            self._choice.dry(peer, budget, self._clock.monotonic_s())
+
+    async def _borrow(self, peer: Peer, request: LoanRequest, until_s: float) -> int:
+        try:
+            given = await self._link.borrow(peer.address, request)
+        except PeerError as error:
+            self._choice.silent(peer, self._clock.monotonic_s())
+            self._doubtful.append(_DoubtfulLoan(peer, request, until_s))
+            emit(Event.PEER_SUSPECTED, peer=peer.instance, error=str(error))
+            return 0
+        self._keeper.book.of(request.budget).receive(given)
+        emit(
+            Event.TOKENS_BORROWED,
+            budget=request.budget,
+            peer=peer.instance,
+            tokens=given,
+            needed=request.needed_tokens,
+            loan=request.loan_id,
+        )
+        self._changed()
+        return given
--- /dev/null
+++ b/mothstand/gateway/claim_keeper.py
@@ -0,0 +1,217 @@
+"""Keeps this instance's claims on one shard of budgets filled, by conditional appends."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ..core.backoff import Backoff
+from ..core.claim_policy import ClaimPolicy, Demand, view_of, wanted_claim_tokens
+from ..core.claims import Claim, ClaimBook, ClaimTable, Holder
+from ..core.loans import Peer
+from ..events import Event, emit
+from .ledger_records import claims_stream, decode, encode_claim, encode_peer
+from .store import Store, StoreConflictError, StoreError, StoreSilentError, StoreTrimmedError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..clock import Clock
+    from ..log.health import LogHealth
+    from ..types import BudgetName, Shard
+    from .store import KeyedRecord
+
+#: Appends tried in a row against other writers before the next look; each costs one read, too.
+_MOST_CONFLICTS = 8
+
+#: Least time between two looks, however many requests wait: what they wait for is then mostly
+#: held elsewhere, and each look is two calls of the store.
+_LEAST_PAUSE_S = 0.05
+
+_BACKOFF_FIRST_S = 0.1
+_BACKOFF_MOST_S = 0.5
+
+
+class ClaimKeeper:
+    """Reads the claims of a shard and writes one's own.
+
+    Parameters
+    ----------
+    prepaid
+        Returns the prepaid totals of the shard's budgets.
+    changed
+        Called when there may be more to reserve.
+    """
+
+    def __init__(
+        self,
+        shard: Shard,
+        me: Peer,
+        store: Store,
+        clock: Clock,
+        health: LogHealth,
+        policy: ClaimPolicy,
+        prepaid: Callable[[], dict[BudgetName, int]],
+        look_every_s: float,
+        changed: Callable[[], None],
+    ) -> None:
+        self.book = ClaimBook(Holder(me.instance, me.incarnation))
+        self.peers: dict[str, Peer] = {}
+        self.waiting: dict[BudgetName, int] = {}
+        self.demand: dict[BudgetName, Demand] = {}
+        self.looked_s = float("-inf")
+        self._me = me
+        self._stream = claims_stream(shard)
+        self._store = store
+        self._clock = clock
+        self._health = health
+        self._policy = policy
+        self.prepaid = prepaid
+        self._look_every_s = look_every_s
+        self._changed = changed
+        self._written: dict[BudgetName, Claim] = {}
+        self._listed = False
+        self._wake = anyio.Event()
+
+    @property
+    def is_listed(self) -> bool:
+        """Whether the claims of all holders were read."""
+        return self._listed
+
+    def wake(self) -> None:
+        """Look at the claims now."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Keep claims filled until cancelled."""
+        backoff = Backoff(_BACKOFF_FIRST_S, _BACKOFF_MOST_S)
+        while True:
+            self._wake = anyio.Event()
+            try:
+                began_s = self._clock.monotonic_s()
+                await self._look()
+                self.looked_s = began_s
+                backoff.reset()
+                self._changed()
+                await self._clock.sleep(_LEAST_PAUSE_S)
+                with anyio.move_on_after(self._look_every_s):
+                    await self._wake.wait()
+            except StoreError as error:
+                self._health.failed(error)
+                self._changed()
+                # Jitter, lest all instances come back to a recovering store in step.
+                await self._clock.sleep(backoff.next_s() * random.uniform(0.5, 1.5))
+
+    async def _look(self) -> None:
+        """Read on, and write the claims that should change."""
+        for _ in range(_MOST_CONFLICTS):
+            await self._read()
+            claims = self._plan()
+            records = [encode_claim(claim) for claim in claims]
+            if self.peers.get(self._me.instance) != self._me:
+                records.append(encode_peer(self._me))
+            if not records or await self._append(claims, tuple(records)):
+                return
+            await self._clock.sleep(random.uniform(0.0, 0.01))
+
+    async def _read(self) -> None:
+        try:
+            if not self._listed:
+                await self._list()
+            page = await self._store.read(self._stream, self.book.table.next_offset)
+        except StoreTrimmedError:
+            await self._list()
+            page = await self._store.read(self._stream, self.book.table.next_offset)
+        self._health.answered()
+        self._apply(page.records)
+        self.book.took(page.next_offset)
+
+    async def _list(self) -> None:
+        """Read the newest claims of all holders, at the start or after a gap."""
+        page = await self._store.newest(self._stream)
+        self._health.answered()
+        self.book.table = ClaimTable(read_at_s=self.book.table.read_at_s)
+        self._apply(page.records)
+        self.book.took(page.next_offset)
+        self._listed = True
+
+    def _apply(self, records: tuple[KeyedRecord, ...]) -> None:
+        now_s = self._clock.monotonic_s()
+        for record in records:
+            if record.value is None:
+                continue
+            try:
+                decoded = decode(record)
+            except ValueError as error:
+                # Every reader skips it alike, so all keep the same table.
+                emit(Event.RECORD_SKIPPED, offset=record.offset, error=str(error))
+                continue
+            if isinstance(decoded, Peer):
+                self.peers[decoded.instance] = decoded
+            else:
+                self.book.table.put(decoded, now_s)
+
+    async def _append(self, claims: tuple[Claim, ...], records: tuple[KeyedRecord, ...]) -> bool:
+        """Write claims; return False if another writer came first."""
+        doubt = self.book.begin(claims)
+        try:
+            await self._store.append(self._stream, records, at_offset=doubt.at_offset)
+        except StoreSilentError:
+            raise
+        except StoreConflictError:
+            self.book.rejected(doubt)
+            return False
+        except StoreError:
+            self.book.rejected(doubt)
+            raise
+        self._health.answered()
+        self._apply(records)
+        self.book.took(doubt.at_offset + len(records))
+        self._written.update({claim.budget: claim for claim in claims})
+        emit(
+            Event.CLAIMS_WRITTEN,
+            offset=doubt.at_offset,
+            claims={c.budget: [c.claimed_tokens, c.spent_tokens] for c in claims},
+        )
+        return True
+
+    def _plan(self) -> tuple[Claim, ...]:
+        prepaid = self.prepaid()
+        planned = [self._plan_one(budget, tokens) for budget, tokens in prepaid.items()]
+        # Guards the promise itself: whatever the policy wants, no claim goes out that does not
+        # fit, so a fault of the policy costs refusals and never tokens that nobody paid for.
+        return tuple(c for c in planned if c is not None and self.book.fits((c,), prepaid))
+
+    def _plan_one(self, budget: BudgetName, prepaid_tokens: int) -> Claim | None:
+        now_s = self._clock.monotonic_s()
+        held = self.book.of(budget)
+        demand = self.demand.setdefault(budget, Demand())
+        view = view_of(
+            self.book.table,
+            held,
+            demand,
+            self.book.me,
+            prepaid_tokens=prepaid_tokens,
+            waiting_tokens=self.waiting.get(budget, 0),
+            instances=max(1, len(self.peers)),
+            now_s=now_s,
+            policy=self._policy,
+        )
+        wanted = wanted_claim_tokens(view, self._policy)
+        claim = Claim(
+            budget=budget,
+            holder=self.book.me,
+            claimed_tokens=held.limit_tokens if wanted is None else wanted,
+            spent_tokens=held.spent_tokens,
+            demand_tokens_per_s=demand.rate(now_s),
+        )
+        return claim if wanted is not None or self._is_news(claim) else None
+
+    def _is_news(self, claim: Claim) -> bool:
+        """Return whether others should hear of spend and demand, for their fair shares."""
+        written = self._written.get(claim.budget)
+        if written is None:
+            return claim.spent_tokens > 0
+        return written.spent_tokens != claim.spent_tokens
--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -110,6 +110,7 @@
     ) -> None:
         super().__init__(store, stream, clock, health)
         self.config: GatewayConfig | None = None
+        self.raw = b""
         self._key = key
         self._decode = decode
         self._in_force = in_force
@@ -132,22 +133,21 @@
         """Take later records, in order."""
         for record in records:
             if record.key == self._key and record.value is not None:
-                self._take(record)
+                self.offer(record)
 
-    def _take(self, record: KeyedRecord) -> None:
+    def offer(self, record: KeyedRecord) -> None:
+        """Put a configuration in force if it is valid and later than the one that is."""
+        raw = record.value or b""
         try:
-            config = self._decode(record.value or b"")
+            config = self._decode(raw)
         except ValueError as error:
             # The last good one stays in force.
             emit(Event.RECORD_SKIPPED, key=record.key, offset=record.offset, error=str(error))
             return
-        self.offer(config)
-
-    def offer(self, config: GatewayConfig) -> None:
-        """Put a configuration in force unless a later one is."""
         if self.config is not None and config.version <= self.config.version:
             return
         self.config = config
+        self.raw = raw
         emit(Event.CONFIG_IN_FORCE, version=config.version, routes=len(config.routes))
         self._in_force(config)
 
@@ -175,6 +175,7 @@
     ) -> None:
         super().__init__(store, stream, clock, health)
         self.directory = UpstreamDirectory()
+        self._raw: dict[str, bytes] = {}
         self._decode = decode
         self._gone = gone
         self._every_s = every_s
@@ -204,6 +205,7 @@
         self.directory.read(now_s)
         for record in records:
             if record.value is None:
+                self._raw.pop(record.key, None)
                 self.directory.remove(record.key, now_s)
                 emit(Event.UPSTREAM_LEFT, upstream=record.key, offset=record.offset)
                 if record.key not in self.directory.known:
@@ -226,11 +228,17 @@
             emit(Event.UPSTREAM_LEFT, upstream=upstream_id, after="grace")
             self._gone(upstream_id)
 
+    def raw_records(self) -> tuple[tuple[str, bytes], ...]:
+        """Return the registrations that are in force, as the upstreams wrote them."""
+        return tuple((i, self._raw[i]) for i in self.directory.known if i in self._raw)
+
     def _decoded(self, record: KeyedRecord) -> RegisteredUpstream | None:
         if record.value is None:
             return None
         try:
-            return self._decode(record.key, record.value)
+            upstream = self._decode(record.key, record.value)
         except ValueError as error:
             emit(Event.RECORD_SKIPPED, key=record.key, offset=record.offset, error=str(error))
             return None
+        self._raw[record.key] = record.value
+        return upstream
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -9,7 +9,7 @@
 import anyio
 from aiohttp import web
 
-from ..core.claims import Holder
+from ..core.loans import Peer
 from ..core.placement import Placement
 from ..core.retry_budget import RetryBudgetSettings
 from ..events import Event, emit
@@ -19,6 +19,7 @@
 from .accounts import Accounts
 from .feeds import ConfigFeed, UpstreamFeed
 from .forward import Forwarder
+from .lending import GrpcPeerLink, Knowledge, LendingService, serve_peers
 from .metrics import GatewayMetrics
 from .server import GatewayServer
 from .upstream_client import UpstreamClient
@@ -50,7 +51,7 @@
         self._settings = settings
         self._clock = clock
         self._stopping = False
-        self._me = Holder(settings.instance.name, uuid.uuid4().hex[:12])
+        self._me = Peer(settings.instance.name, uuid.uuid4().hex[:12], settings.listen.peers)
         self._metrics = GatewayMetrics()
         self._health = LogHealth(clock)
         self._store = parts.store
@@ -74,8 +75,9 @@
             self._placement.forget,
             settings.timing.registrations_s,
         )
+        self._link = GrpcPeerLink()
         self._accounts = Accounts(
-            settings, self._me, parts.store, clock, self._health, self._prepaid
+            settings, self._me, parts.store, self._link, clock, self._health, self._prepaid
         )
         self._client = UpstreamClient(settings, translator)
         forwarder = Forwarder(
@@ -87,7 +89,7 @@
             RetryBudgetSettings(
                 settings.retries.ratio, settings.retries.burst, settings.retries.window_s
             ),
-            lambda: 6,
+            lambda: len(self._accounts.peers()) + 1,
             clock,
             self._metrics,
         )
@@ -111,6 +113,8 @@
         await _listen(runner, listen.callers)
         await _listen(checks, listen.ready)
         await _listen(checks, listen.metrics)
+        service = LendingService(self._accounts.lend, self._knowledge)
+        peer_server = await serve_peers(service, listen.peers)
         emit(
             Event.INSTANCE_STARTED,
             instance=self._me.instance,
@@ -120,12 +124,13 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._keep, "config", self._config_feed.run)
             tasks.start_soon(self._keep, "upstreams", self._upstream_feed.run)
-            for shard in self._accounts.shards:
-                tasks.start_soon(self._keep, "claims", shard.run)
+            tasks.start_soon(self._keep, "claims", self._accounts.run)
             await self._wait_for_stop()
             tasks.cancel_scope.cancel()
         await runner.cleanup()
         await checks.cleanup()
+        peer_server.close()
+        self._link.close()
         await self._client.aclose()
         await self._store.aclose()
         emit(Event.INSTANCE_STOPPED, instance=self._me.instance)
@@ -164,12 +169,16 @@
         ready = self._config() is not None and not self._stopping
         return web.Response(status=200 if ready else 503)
 
+    def _knowledge(self) -> Knowledge:
+        """Return what a process that starts while the store is out needs to know."""
+        addresses = tuple(peer.address for peer in self._accounts.peers())
+        return Knowledge(self._config_feed.raw, self._upstream_feed.raw_records(), addresses)
+
     def _config(self) -> GatewayConfig | None:
         return self._config_feed.config
 
     def _config_in_force(self, config: GatewayConfig) -> None:
-        for shard in self._accounts.shards:
-            shard.wake()
+        self._accounts.config_changed()
 
     def _prepaid(self) -> dict[BudgetName, int]:
         config = self._config()
--- a/mothstand/gateway/claim_records.py
+++ b/mothstand/gateway/ledger_records.py
@@ -1,4 +1,4 @@
-"""Claims as records of the store: one key for each budget and holder."""
+"""Claims and announcements of instances as records of the store."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from pydantic import BaseModel, ValidationError
 
 from ..core.claims import Claim, Holder
+from ..core.loans import Peer
 from ..types import BudgetName
 from .store import KeyedRecord, Stream
 
@@ -16,9 +17,12 @@
 #: The fleet's own topic in the platform's store.
 CLAIMS_TOPIC = "keyed.mothstand-claims"
 
+_CLAIM_KEY = "claim/"
+_INSTANCE_KEY = "instance/"
 
-class _Value(BaseModel):
-    """A claim's value; the key has no room for long names, so they stand here."""
+
+class _ClaimValue(BaseModel):
+    """A claim's value; the key only has to be its own."""
 
     budget: str
     instance: str
@@ -28,6 +32,14 @@
     demand: float
 
 
+class _InstanceValue(BaseModel):
+    """An instance's latest start, and where its peers reach it."""
+
+    instance: str
+    incarnation: str
+    address: str
+
+
 def claims_stream(shard: Shard) -> Stream:
     """Return where a shard's claims stand."""
     return Stream(CLAIMS_TOPIC, shard)
@@ -35,7 +47,7 @@
 
 def encode_claim(claim: Claim) -> KeyedRecord:
     """Return a claim as a record."""
-    value = _Value(
+    value = _ClaimValue(
         budget=claim.budget,
         instance=claim.holder.instance,
         incarnation=claim.holder.incarnation,
@@ -43,12 +55,20 @@
         spent=claim.spent_tokens,
         demand=round(claim.demand_tokens_per_s, 1),
     )
-    key = f"{claim.budget}/{claim.holder.instance}/{claim.holder.incarnation}"
+    key = f"{_CLAIM_KEY}{claim.budget}/{claim.holder.instance}/{claim.holder.incarnation}"
     return KeyedRecord(key, value.model_dump_json().encode())
 
 
-def decode_claim(record: KeyedRecord) -> Claim:
-    """Return a record's claim.
+def encode_peer(peer: Peer) -> KeyedRecord:
+    """Return an instance's announcement as a record."""
+    value = _InstanceValue(
+        instance=peer.instance, incarnation=peer.incarnation, address=peer.address
+    )
+    return KeyedRecord(_INSTANCE_KEY + peer.instance, value.model_dump_json().encode())
+
+
+def decode(record: KeyedRecord) -> Claim | Peer:
+    """Return what a record of the topic says.
 
     Raises
     ------
@@ -56,9 +76,18 @@
         Naming the key and what is wrong.
     """
     try:
-        value = _Value.model_validate_json(record.value or b"")
+        if record.key.startswith(_INSTANCE_KEY):
+            return _peer(_InstanceValue.model_validate_json(record.value or b""))
+        return _claim(_ClaimValue.model_validate_json(record.value or b""))
     except ValidationError as error:
-        raise ValueError(f"{record.key!r} holds no claim: {error.error_count()} faults") from error
+        raise ValueError(f"{record.key!r}: {error.error_count()} faults") from error
+
+
+def _peer(value: _InstanceValue) -> Peer:
+    return Peer(value.instance, value.incarnation, value.address)
+
+
+def _claim(value: _ClaimValue) -> Claim:
     return Claim(
         budget=BudgetName(value.budget),
         holder=Holder(value.instance, value.incarnation),
--- /dev/null
+++ b/mothstand/gateway/lending.py
@@ -0,0 +1,202 @@
+"""Calls between instances: loans of tokens, and what a fresh process needs to know."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server
+
+from ..peers import lending_pb2 as pb
+from ..peers.lending_grpc import LendingBase, LendingStub
+from ..settings.instance import Address
+from ..types import BudgetName
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from grpclib.server import Stream
+
+#: A peer in the same region answers within a few milliseconds; a waiting request can spare this.
+LOAN_TIMEOUT_S = 0.25
+KNOWLEDGE_TIMEOUT_S = 0.6
+
+
+class PeerError(Exception):
+    """A peer did not answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoanRequest:
+    """What an instance asks of another.
+
+    Parameters
+    ----------
+    needed_tokens
+        For requests that wait.
+    extra_tokens
+        Welcome on top.
+    loan_id
+        Repeated calls with the same id move tokens once.
+    """
+
+    budget: BudgetName
+    needed_tokens: int
+    extra_tokens: int
+    loan_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Knowledge:
+    """What an instance knows of configuration, upstreams and peers, in the store's own form."""
+
+    config: bytes
+    upstreams: tuple[tuple[str, bytes], ...]
+    peer_addresses: tuple[str, ...]
+
+
+class PeerLink(ABC):
+    """Calls to other instances."""
+
+    @abstractmethod
+    async def borrow(self, address: str, request: LoanRequest) -> int:
+        """Ask a peer for tokens and return how many it gave.
+
+        Raises
+        ------
+        PeerError
+            If it did not answer; it may have given them.
+        """
+
+    @abstractmethod
+    async def knowledge(self, address: str) -> Knowledge:
+        """Return what a peer knows.
+
+        Raises
+        ------
+        PeerError
+            If it did not answer.
+        """
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close all connections."""
+
+
+class GrpcPeerLink(PeerLink):
+    """Calls over grpclib, on one channel for each address.
+
+    Notes
+    -----
+    An open connection may go silent for good without a reset while new ones work, so a channel
+    on which a call had no answer is closed, and the next call opens another one.
+    """
+
+    def __init__(self) -> None:
+        self._channels: dict[str, Channel] = {}
+
+    async def borrow(self, address: str, request: LoanRequest) -> int:
+        """Ask a peer for tokens and return how many it gave."""
+        message = pb.LoanRequest(
+            budget=request.budget,
+            needed_tokens=request.needed_tokens,
+            extra_tokens=request.extra_tokens,
+            loan_id=request.loan_id,
+        )
+        with self._call(address) as stub, anyio.fail_after(LOAN_TIMEOUT_S):
+            reply = await stub.Lend(message)
+        return int(reply.given_tokens)
+
+    async def knowledge(self, address: str) -> Knowledge:
+        """Return what a peer knows."""
+        with self._call(address) as stub, anyio.fail_after(KNOWLEDGE_TIMEOUT_S):
+            reply = await stub.Knowledge(pb.KnowledgeRequest())
+        return Knowledge(
+            config=reply.config,
+            upstreams=tuple((record.key, record.value) for record in reply.upstreams),
+            peer_addresses=tuple(reply.peer_addresses),
+        )
+
+    def close(self) -> None:
+        """Close all connections."""
+        for address in list(self._channels):
+            self._drop(address)
+
+    def _call(self, address: str) -> _Call:
+        return _Call(self, address)
+
+    def stub(self, address: str) -> LendingStub:
+        """Return a peer's stub."""
+        if address not in self._channels:
+            target = Address.parse(address)
+            self._channels[address] = Channel(target.host, target.port)
+        return LendingStub(self._channels[address])
+
+    def _drop(self, address: str) -> None:
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+
+class _Call:
+    """Turns failures of one call into `PeerError`, and drops the channel that had them."""
+
+    def __init__(self, link: GrpcPeerLink, address: str) -> None:
+        self._link = link
+        self._address = address
+
+    def __enter__(self) -> LendingStub:
+        return self._link.stub(self._address)
+
+    def __exit__(self, kind: object, error: BaseException | None, _: object) -> None:
+        if isinstance(error, (TimeoutError, GRPCError, StreamTerminatedError, OSError)):
+            self._link._drop(self._address)
+            raise PeerError(f"{self._address}: {error!r}") from error
+
+
+class LendingService(LendingBase):
+    """What an instance serves to others."""
+
+    def __init__(
+        self, lend: Callable[[LoanRequest], int], knowledge: Callable[[], Knowledge]
+    ) -> None:
+        self._lend = lend
+        self._knowledge = knowledge
+
+    async def Lend(self, stream: Stream[pb.LoanRequest, pb.LoanReply]) -> None:  # noqa: N802
+        """Move tokens to the caller."""
+        message = await stream.recv_message()
+        if message is None:
+            return
+        request = LoanRequest(
+            BudgetName(message.budget),
+            message.needed_tokens,
+            message.extra_tokens,
+            message.loan_id,
+        )
+        await stream.send_message(pb.LoanReply(given_tokens=self._lend(request)))
+
+    async def Knowledge(  # noqa: N802
+        self, stream: Stream[pb.KnowledgeRequest, pb.KnowledgeReply]
+    ) -> None:
+        """Tell what this instance knows."""
+        await stream.recv_message()
+        known = self._knowledge()
+        reply = pb.KnowledgeReply(
+            config=known.config,
+            upstreams=[pb.StoredRecord(key=k, value=v) for k, v in known.upstreams],
+            peer_addresses=known.peer_addresses,
+        )
+        await stream.send_message(reply)
+
+
+async def serve_peers(service: LendingService, address: str) -> Server:
+    """Listen for other instances."""
+    server = Server([service])
+    target = Address.parse(address)
+    await server.start(target.host, target.port)
+    return server
--- a/mothstand/tests/test_platform.py
+++ b/mothstand/tests/test_platform.py
@@ -12,8 +12,9 @@
 from ..core.records import BillLine, BillsPosted, Record, RecordId
 from ..log.client import LogBusyError, LogError
 from ..log.codec import decode, encode
-from ..log.health import LOG_OUT_AFTER_S, LogHealth, WatchedLog
+from ..log.health import LOG_OUT_AFTER_S, LogHealth
 from ..log.reader import LogReader
+from ..log.watched import WatchedLog
 from ..log.writer import LogWriter, Pace
 from ..testing.fakes import FakeClock, FakeLog
 from ..types import BudgetName
