--- a/mothstand/core/claim_policy.py
+++ b/mothstand/core/claim_policy.py
@@ -34,8 +34,8 @@
         A holder whose claims have not changed for this long counts as gone for fair shares.
     """
 
-    ride_through_s: float = 14.0
-    spare_requests: float = 3.0
+    ride_through_s: float = 9.0
+    spare_requests: float = 1.5
     start_s: float = 40.0
     slack: float = 0.15
     silent_after_s: float = 4.0
--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -32,6 +32,7 @@
     CLAIMS_WRITTEN = (4009, logging.INFO, "Claims on budgets were written to the store.")
     TOKENS_LENT = (4010, logging.INFO, "Tokens of a budget were given to another instance.")
     TOKENS_BORROWED = (4011, logging.INFO, "Tokens of a budget came from another instance.")
+    CLAIMS_STRANDED = (4012, logging.WARNING, "A stopping instance could not give claims back.")
     LOG_UNREACHABLE = (5001, logging.WARNING, "The platform's log does not answer.")
     LOG_REACHABLE = (5002, logging.INFO, "The platform's log answers again.")
     RECORD_SKIPPED = (5003, logging.ERROR, "A log record cannot be read; every reader skips it.")
--- a/mothstand/gateway/accounts.py
+++ b/mothstand/gateway/accounts.py
@@ -164,6 +164,11 @@
                 for shard in self.shards:
                     await shard.borrower.ask_again()
 
+    async def give_back(self) -> None:
+        """Give back what is not used, at a stop."""
+        for shard in self.shards:
+            await shard.keeper.give_back()
+
     def peers(self) -> list[Peer]:
         """Return the other instances that announced themselves."""
         known = self.shards[0].keeper.peers.values()
--- a/mothstand/gateway/claim_keeper.py
+++ b/mothstand/gateway/claim_keeper.py
@@ -74,6 +74,7 @@
         self._written: dict[BudgetName, Claim] = {}
         self._listed = False
         self._wake = anyio.Event()
+        self._leaving = False
 
     @property
     def is_listed(self) -> bool:
@@ -84,6 +85,15 @@
         """Look at the claims now."""
         self._wake.set()
 
+    async def give_back(self) -> None:
+        """Lower all claims to what was used, at a stop: the rest would be lost to everyone."""
+        self._leaving = True
+        try:
+            await self._look()
+        except StoreError as error:
+            self._health.failed(error)
+            emit(Event.CLAIMS_STRANDED, error=str(error))
+
     async def run(self) -> None:
         """Keep claims filled until cancelled."""
         backoff = Backoff(_BACKOFF_FIRST_S, _BACKOFF_MOST_S)
@@ -199,7 +209,12 @@
             now_s=now_s,
             policy=self._policy,
         )
-        wanted = wanted_claim_tokens(view, self._policy)
+        if self._leaving:
+            wanted = (
+                view.limit_tokens - view.available_tokens if view.available_tokens > 0 else None
+            )
+        else:
+            wanted = wanted_claim_tokens(view, self._policy)
         claim = Claim(
             budget=budget,
             holder=self.book.me,
--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -148,7 +148,13 @@
             return
         self.config = config
         self.raw = raw
-        emit(Event.CONFIG_IN_FORCE, version=config.version, routes=len(config.routes))
+        emit(
+            Event.CONFIG_IN_FORCE,
+            version=config.version,
+            offset=record.offset,
+            routes=len(config.routes),
+            prepaid={w.name: w.prepaid_tokens for w in config.workspaces.values()},
+        )
         self._in_force(config)
 
 
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -38,7 +38,10 @@
 _LAME_DUCK_S = 3.2
 
 #: Seconds before SIGKILL at which the process ends by itself.
-_STOP_MARGIN_S = 0.4
+_STOP_MARGIN_S = 1.2
+
+#: Longest try to give back claims at a stop, within that margin.
+_GIVE_BACK_S = 0.7
 
 _BACKLOG = 512
 _RESTART_TASK_S = 0.2
@@ -127,6 +130,8 @@
             tasks.start_soon(self._keep, "claims", self._accounts.run)
             await self._wait_for_stop()
             tasks.cancel_scope.cancel()
+        with anyio.move_on_after(_GIVE_BACK_S):
+            await self._accounts.give_back()
         await runner.cleanup()
         await checks.cleanup()
         peer_server.close()
--- a/mothstand/gateway/sockets.py
+++ b/mothstand/gateway/sockets.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+import functools
 import socket
 from typing import TYPE_CHECKING
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 
 if TYPE_CHECKING:
     from typing import Any
@@ -32,6 +35,30 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES)
 
 
+class StrictResponseHandler(ResponseHandler):
+    """A client connection that takes no broken body for a whole one.
+
+    Notes
+    -----
+    The library ends a body without a length when its connection ends, also when it ends by a
+    reset: an answer cut short by a crash would reach its caller as complete. And it uses an idle
+    connection again on which bytes have come meanwhile: they would be taken for the answer to the
+    next request.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail the body that is being read if the connection was reset."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"connection lost: {exc!r}"))
+            self._parser = None
+        super().connection_lost(exc)
+
+    def is_connected(self) -> bool:
+        """Return whether the connection can take a request."""
+        return super().is_connected() and not self._buffer and not self._tail
+
+
 def connector(
     *, connect_limit: int, user_timeout_s: float, keepalive_s: float = 15.0
 ) -> aiohttp.TCPConnector:
@@ -52,7 +79,7 @@
         set_timeouts(sock, user_timeout_s)
         return sock
 
-    return aiohttp.TCPConnector(
+    pool = aiohttp.TCPConnector(
         limit=0,
         limit_per_host=connect_limit,
         keepalive_timeout=keepalive_s,
@@ -60,3 +87,8 @@
         use_dns_cache=False,
         happy_eyeballs_delay=None,
     )
+    # The library has no public way to choose the class of its connections.
+    pool._factory = functools.partial(  # type: ignore[assignment]
+        StrictResponseHandler, loop=asyncio.get_running_loop()
+    )
+    return pool
