--- a/mothstand/core/claim_policy.py
+++ b/mothstand/core/claim_policy.py
@@ -26,6 +26,8 @@
         Seconds of one's own demand to hold; above the longest usual outage of the store.
     spare_requests
         Largest requests to hold on top, so that chance does not refuse the first ones.
+    held_share
+        Part of what is left of a budget that the fleet holds at most: what the dead hold is lost.
     start_s
         Before any demand was seen, a budget is taken to last this long, spread evenly.
     slack
@@ -36,6 +38,7 @@
 
     ride_through_s: float = 9.0
     spare_requests: float = 1.5
+    held_share: float = 0.5
     start_s: float = 40.0
     slack: float = 0.15
     silent_after_s: float = 4.0
@@ -170,6 +173,6 @@
         # An instance without callers now may get them with the next connection.
         mine = max(mine, 0.1 * (mine + others) / max(1, view.instances))
     left = view.free_tokens + view.available_tokens + view.others_unspent_tokens
-    share = left * mine / (mine + others)
+    share = policy.held_share * left * mine / (mine + others)
     ride = mine * policy.ride_through_s + policy.spare_requests * view.largest_tokens
     return max(0.0, min(share, ride))
