--- a/mothstand/core/claims.py
+++ b/mothstand/core/claims.py
@@ -121,9 +121,9 @@
         used = self.spent_tokens + self.reserved_tokens + self.given_tokens
         return used - self.received_tokens
 
-    def reserve(self, tokens: int) -> Reservation | None:
-        """Set tokens aside, or return None if they do not fit."""
-        if tokens > self.available_tokens:
+    def reserve(self, tokens: int, *, kept_tokens: int = 0) -> Reservation | None:
+        """Set tokens aside, or return None if they do not fit beside what is kept for others."""
+        if tokens > self.available_tokens - kept_tokens:
             return None
         self.reserved_tokens += tokens
         return Reservation(self.budget, tokens)
--- a/mothstand/core/loans.py
+++ b/mothstand/core/loans.py
@@ -36,13 +36,22 @@
 
     _given: OrderedDict[str, int] = field(default_factory=OrderedDict)
 
-    def lend(self, held: HeldBudget, loan_id: str, *, needed_tokens: int, extra_tokens: int) -> int:
+    def lend(
+        self,
+        held: HeldBudget,
+        loan_id: str,
+        *,
+        kept_tokens: int,
+        needed_tokens: int,
+        extra_tokens: int,
+    ) -> int:
         """Take tokens out of what is held, and return how many."""
         if loan_id in self._given:
             return self._given[loan_id]
-        share = int(held.available_tokens * EXTRA_SHARE)
+        spare = max(0, held.available_tokens - kept_tokens)
+        share = int(spare * EXTRA_SHARE)
         wanted = max(needed_tokens, min(needed_tokens + extra_tokens, share))
-        given = held.give(wanted)
+        given = held.give(min(wanted, spare))
         self._given[loan_id] = given
         while len(self._given) > _MOST_REMEMBERED:
             self._given.popitem(last=False)
--- a/mothstand/gateway/accounts.py
+++ b/mothstand/gateway/accounts.py
@@ -7,7 +7,8 @@
 import anyio
 import xxhash
 
-from ..core.claim_policy import ClaimPolicy, Demand
+from ..core.claim_policy import ClaimPolicy
+from ..core.urgency import BudgetDemand
 from ..errors import ErrorKind, Refusal
 from ..types import Shard
 from .borrowing import Borrower
@@ -68,34 +69,39 @@
         self.borrower = Borrower(self.keeper, me, link, peers, clock, self.announce)
 
     async def reserve(
-        self, budget: BudgetName, tokens: int, wait_s: float, tasks: TaskGroup
+        self, budget: BudgetName, tokens: int, priority: int, wait_s: float, tasks: TaskGroup
     ) -> Reservation | None:
         """Set tokens aside, waiting for a claim or a loan while there is hope of one."""
         keeper = self.keeper
-        keeper.demand.setdefault(budget, Demand()).ask(tokens, self._clock.monotonic_s())
-        held = keeper.book.of(budget)
-        reservation = held.reserve(tokens)
+        demand = keeper.demand.setdefault(budget, BudgetDemand())
+        demand.ask(tokens, priority, self._clock.monotonic_s())
+        reservation = self._try(budget, tokens, priority)
         if reservation is not None:
             return reservation
-        keeper.waiting[budget] = keeper.waiting.get(budget, 0) + tokens
+        waiting = keeper.waiting_of(budget)
+        waiting[priority] += tokens
         began_s = self._clock.monotonic_s()
-        tasks.start_soon(self.borrower.round, budget)
+        tasks.start_soon(self.borrower.round, budget, priority)
         keeper.wake()
         try:
             with anyio.move_on_after(wait_s):
                 while reservation is None:
                     await self._more.wait()
-                    reservation = held.reserve(tokens)
-                    if reservation is None and self._is_hopeless(budget, began_s):
+                    reservation = self._try(budget, tokens, priority)
+                    if reservation is None and self._is_hopeless(budget, priority, began_s):
                         break
         finally:
-            keeper.waiting[budget] -= tokens
+            waiting[priority] -= tokens
         return reservation
 
-    def _is_hopeless(self, budget: BudgetName, began_s: float) -> bool:
+    def _try(self, budget: BudgetName, tokens: int, priority: int) -> Reservation | None:
+        kept = self.keeper.kept_tokens(budget, priority)
+        return self.keeper.book.of(budget).reserve(tokens, kept_tokens=kept)
+
+    def _is_hopeless(self, budget: BudgetName, priority: int, began_s: float) -> bool:
         """Return whether peers and store were all asked since, in vain."""
         asked_store = self.keeper.looked_s >= began_s or self._health.is_failing
-        return asked_store and not self.borrower.is_running(budget)
+        return asked_store and not self.borrower.is_running(budget, priority)
 
     def is_exhausted(self, budget: BudgetName, tokens: int) -> bool:
         """Return whether a request surely does not fit any more.
@@ -106,11 +112,7 @@
         keeper = self.keeper
         if not keeper.is_listed:
             return False
-        me = keeper.book.me
-        claims = keeper.book.table.claims[budget]
-        spent = sum(c.spent_tokens for holder, c in claims.items() if holder != me)
-        spent += keeper.book.of(budget).spent_tokens
-        return tokens > keeper.prepaid().get(budget, 0) - spent
+        return tokens > keeper.prepaid().get(budget, 0) - keeper.spent_tokens(budget)
 
     def announce(self) -> None:
         """Wake the requests that wait for tokens."""
@@ -179,13 +181,13 @@
         return self.shards[xxhash.xxh3_64_intdigest(budget.encode()) % len(self.shards)]
 
     async def reserve(
-        self, budget: BudgetName, tokens: int, remaining_s: float
+        self, budget: BudgetName, tokens: int, priority: int, remaining_s: float
     ) -> Reservation | Refusal:
         """Set a request's upper bound aside, or say truthfully why not."""
         shard = self.shard_of(budget)
         wait_s = min(TOKENS_WAIT_S, remaining_s / 3)
         assert self._tasks is not None, "reserve() before run()"
-        reservation = await shard.reserve(budget, tokens, wait_s, self._tasks)
+        reservation = await shard.reserve(budget, tokens, priority, wait_s, self._tasks)
         if reservation is not None:
             return reservation
         if shard.is_exhausted(budget, tokens):
--- a/mothstand/gateway/borrowing.py
+++ b/mothstand/gateway/borrowing.py
@@ -54,39 +54,40 @@
         self._clock = clock
         self._changed = changed
         self._choice = PeerChoice()
-        self._running: set[BudgetName] = set()
+        self._running: set[tuple[BudgetName, int]] = set()
         self._doubtful: list[_DoubtfulLoan] = []
 
-    def is_running(self, budget: BudgetName) -> bool:
-        """Return whether a round for a budget is under way."""
-        return budget in self._running
+    def is_running(self, budget: BudgetName, priority: int) -> bool:
+        """Return whether a round for requests of a priority is under way."""
+        return (budget, priority) in self._running
 
     def lend(self, request: LoanRequest) -> int:
         """Give tokens to a peer."""
         given = self.loans.lend(
             self._keeper.book.of(request.budget),
             request.loan_id,
+            kept_tokens=self._keeper.kept_tokens(request.budget, request.priority),
             needed_tokens=request.needed_tokens,
             extra_tokens=request.extra_tokens,
         )
         emit(Event.TOKENS_LENT, budget=request.budget, tokens=given, loan=request.loan_id)
         return given
 
-    async def round(self, budget: BudgetName) -> None:
+    async def round(self, budget: BudgetName, priority: int) -> None:
         """Ask one peer after the other until what waits can be served."""
-        if budget in self._running:
+        if self.is_running(budget, priority):
             return
-        self._running.add(budget)
+        self._running.add((budget, priority))
         try:
             now_s = self._clock.monotonic_s()
             table = self._keeper.book.table
             for peer in self._choice.order(self._peers(), table, budget, now_s):
-                missing = self._missing(budget)
+                missing = self._missing(budget, priority)
                 if missing <= 0:
                     break
-                await self._ask(peer, budget, missing)
+                await self._ask(peer, budget, priority, missing)
         finally:
-            self._running.discard(budget)
+            self._running.discard((budget, priority))
             self._changed()
 
     async def ask_again(self) -> None:
@@ -96,15 +97,17 @@
             if doubt.until_s > self._clock.monotonic_s():
                 await self._borrow(doubt.peer, doubt.request, doubt.until_s)
 
-    def _missing(self, budget: BudgetName) -> int:
-        waiting = self._keeper.waiting.get(budget, 0)
-        return waiting - self._keeper.book.of(budget).available_tokens
+    def _missing(self, budget: BudgetName, priority: int) -> int:
+        waiting = self._keeper.waiting_of(budget)
+        needed = sum(tokens for p, tokens in waiting.items() if p <= priority)
+        kept = self._keeper.kept_tokens(budget, priority)
+        return needed + kept - self._keeper.book.of(budget).available_tokens
 
-    async def _ask(self, peer: Peer, budget: BudgetName, missing: int) -> None:
+    async def _ask(self, peer: Peer, budget: BudgetName, priority: int, missing: int) -> None:
         now_s = self._clock.monotonic_s()
         demand = self._keeper.demand.get(budget)
-        extra = 0 if demand is None else int(demand.rate(now_s) * _EXTRA_S)
-        request = LoanRequest(budget, missing, extra, uuid.uuid4().hex)
+        extra = 0 if demand is None else int(demand.total.rate(now_s) * _EXTRA_S)
+        request = LoanRequest(budget, priority, missing, extra, uuid.uuid4().hex)
         given = await self._borrow(peer, request, now_s + _DOUBT_KEPT_S)
         if given < missing:
             self._choice.dry(peer, budget, self._clock.monotonic_s())
--- a/mothstand/gateway/claim_keeper.py
+++ b/mothstand/gateway/claim_keeper.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import anyio
 
 from ..core.backoff import Backoff
-from ..core.claim_policy import ClaimPolicy, Demand, view_of, wanted_claim_tokens
+from ..core.claim_policy import ClaimPolicy, view_of, wanted_claim_tokens
 from ..core.claims import Claim, ClaimBook, ClaimTable, Holder
 from ..core.loans import Peer
+from ..core.urgency import BudgetDemand, Supply
 from ..events import Event, emit
 from .ledger_records import claims_stream, decode, encode_claim, encode_peer
 from .store import Store, StoreConflictError, StoreError, StoreSilentError, StoreTrimmedError
@@ -59,8 +61,8 @@
     ) -> None:
         self.book = ClaimBook(Holder(me.instance, me.incarnation))
         self.peers: dict[str, Peer] = {}
-        self.waiting: dict[BudgetName, int] = {}
-        self.demand: dict[BudgetName, Demand] = {}
+        self._waiting: dict[BudgetName, Counter[int]] = {}
+        self.demand: dict[BudgetName, BudgetDemand] = {}
         self.looked_s = float("-inf")
         self._me = me
         self._stream = claims_stream(shard)
@@ -81,6 +83,39 @@
         """Whether the claims of all holders were read."""
         return self._listed
 
+    def waiting_of(self, budget: BudgetName) -> Counter[int]:
+        """Return the tokens that requests wait for, by priority."""
+        return self._waiting.setdefault(budget, Counter())
+
+    def kept_tokens(self, budget: BudgetName, priority: int) -> int:
+        """Return what requests of a priority must leave for more urgent ones."""
+        demand = self.demand.get(budget)
+        if demand is None:
+            return 0
+        return demand.kept_tokens(priority, self.supply(budget), self._clock.monotonic_s())
+
+    def supply(self, budget: BudgetName) -> Supply:
+        """Return whether a budget can be refilled."""
+        claims = self.book.table.claims[budget]
+        stranded = sum(
+            claim.claimed_tokens - claim.spent_tokens
+            for holder, claim in claims.items()
+            if holder != self.book.me and not self._lives(holder)
+        )
+        unspent = self.prepaid().get(budget, 0) - self.spent_tokens(budget)
+        return Supply(self._health.silent_s(), unspent, stranded)
+
+    def spent_tokens(self, budget: BudgetName) -> int:
+        """Return what was surely spent of a budget; the truth is this or more."""
+        claims = self.book.table.claims[budget]
+        spent = sum(c.spent_tokens for holder, c in claims.items() if holder != self.book.me)
+        return spent + self.book.of(budget).spent_tokens
+
+    def _lives(self, holder: Holder) -> bool:
+        """Return whether a holder is the latest start of its instance."""
+        peer = self.peers.get(holder.instance)
+        return peer is not None and peer.incarnation == holder.incarnation
+
     def wake(self) -> None:
         """Look at the claims now."""
         self._wake.set()
@@ -197,14 +232,14 @@
     def _plan_one(self, budget: BudgetName, prepaid_tokens: int) -> Claim | None:
         now_s = self._clock.monotonic_s()
         held = self.book.of(budget)
-        demand = self.demand.setdefault(budget, Demand())
+        demand = self.demand.setdefault(budget, BudgetDemand()).total
         view = view_of(
             self.book.table,
             held,
             demand,
             self.book.me,
             prepaid_tokens=prepaid_tokens,
-            waiting_tokens=self.waiting.get(budget, 0),
+            waiting_tokens=self.waiting_of(budget).total(),
             instances=max(1, len(self.peers)),
             now_s=now_s,
             policy=self._policy,
--- a/mothstand/gateway/lending.py
+++ b/mothstand/gateway/lending.py
@@ -36,6 +36,8 @@
 
     Parameters
     ----------
+    priority
+        Of the requests that wait; the lender keeps what its own more urgent ones will need.
     needed_tokens
         For requests that wait.
     extra_tokens
@@ -45,6 +47,7 @@
     """
 
     budget: BudgetName
+    priority: int
     needed_tokens: int
     extra_tokens: int
     loan_id: str
@@ -103,6 +106,7 @@
         """Ask a peer for tokens and return how many it gave."""
         message = pb.LoanRequest(
             budget=request.budget,
+            priority=request.priority,
             needed_tokens=request.needed_tokens,
             extra_tokens=request.extra_tokens,
             loan_id=request.loan_id,
@@ -174,6 +178,7 @@
             return
         request = LoanRequest(
             BudgetName(message.budget),
+            message.priority,
             message.needed_tokens,
             message.extra_tokens,
             message.loan_id,
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -205,7 +205,7 @@
         started_s = self._clock.monotonic_s()
         remaining_s = call.deadline_s - started_s
         budget = BudgetName(workspace.name)
-        reserved = await self._accounts.reserve(budget, tokens, remaining_s)
+        reserved = await self._accounts.reserve(budget, tokens, call.route.priority, remaining_s)
         self._metrics.record_reserve(self._clock.monotonic_s() - started_s)
         if isinstance(reserved, Refusal):
             raise RefusedError(reserved)
