--- a/mothstand/clock.py
+++ b/mothstand/clock.py
@@ -20,6 +20,10 @@
     def monotonic_s(self) -> float:
         """Return seconds on a clock that never goes back, for every timeout and rate."""
 
+    def boot_s(self) -> float:
+        """Return seconds on a clock that also counts while the machine is suspended."""
+        return self.monotonic_s()
+
     @abstractmethod
     async def sleep(self, delay_s: float) -> None:
         """Return after `delay_s` seconds."""
@@ -36,6 +40,10 @@
         """Return the machine's monotonic clock in seconds."""
         return time.monotonic()
 
+    def boot_s(self) -> float:
+        """Return the machine's clock that counts suspension, in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     async def sleep(self, delay_s: float) -> None:
         """Sleep on the event loop."""
         await anyio.sleep(delay_s)
--- a/mothstand/core/claim_policy.py
+++ b/mothstand/core/claim_policy.py
@@ -27,7 +27,12 @@
     spare_requests
         Largest requests to hold on top, so that chance does not refuse the first ones.
     held_share
-        Part of what is left of a budget that the fleet holds at most: what the dead hold is lost.
+        Part of what is left of a budget that the fleet holds at most: the rest can be claimed at
+        once where it is wanted.
+    window_share
+        Part of what is left that the fleet's windows exceed its use by: that much is lost when
+        all die at once. Four rounds of writing of the usual demand while two thirds of a budget
+        are left.
     start_s
         Before any demand was seen, a budget is taken to last this long, spread evenly.
     slack
@@ -36,9 +41,10 @@
         A holder whose claims have not changed for this long counts as gone for fair shares.
     """
 
-    ride_through_s: float = 9.0
+    ride_through_s: float = 10.0
     spare_requests: float = 1.5
-    held_share: float = 0.3
+    held_share: float = 0.6
+    window_share: float = 0.12
     start_s: float = 40.0
     slack: float = 0.15
     silent_after_s: float = 4.0
@@ -62,7 +68,7 @@
 
     prepaid_tokens: int
     free_tokens: int
-    available_tokens: int
+    held_tokens: int
     needed_claim_tokens: int
     limit_tokens: int
     waiting_tokens: int
@@ -94,7 +100,7 @@
     return BudgetView(
         prepaid_tokens=prepaid_tokens,
         free_tokens=prepaid_tokens - table.claimed_tokens(held.budget),
-        available_tokens=held.available_tokens,
+        held_tokens=held.held_tokens,
         needed_claim_tokens=held.needed_claim_tokens,
         limit_tokens=held.limit_tokens,
         waiting_tokens=waiting_tokens,
@@ -115,30 +121,53 @@
     that is left. Near a budget's end the shares shrink with it; a rest that is too small for a
     request is moved to where it is wanted between instances, not through the store.
     """
-    if view.limit_tokens > 0 and view.free_tokens <= 0 and view.available_tokens <= 0:
-        return None
     target = _target_tokens(view, policy)
-    missing = max(target - view.available_tokens, view.waiting_tokens - view.available_tokens)
-    if missing > policy.slack * target or view.waiting_tokens > view.available_tokens:
+    missing = max(target - view.held_tokens, view.waiting_tokens - view.held_tokens)
+    if missing > policy.slack * target or view.waiting_tokens > view.held_tokens:
         raised = min(missing, view.free_tokens)
         return view.limit_tokens + int(raised) if raised >= 1 else None
-    excess = view.available_tokens - target
+    excess = view.held_tokens - target
     if excess > policy.slack * target + view.largest_tokens:
         return view.limit_tokens - int(excess)
     return None
 
 
+def wanted_window_tokens(view: BudgetView, claimed_tokens: int, policy: ClaimPolicy) -> int:
+    """Return the window to write with a claim."""
+    share = policy.window_share * _left_tokens(view) * _demand_share(view, policy)
+    slack = max(share, view.waiting_tokens)
+    return max(0, min(claimed_tokens, int(view.needed_claim_tokens + slack)))
+
+
 def _target_tokens(view: BudgetView, policy: ClaimPolicy) -> float:
-    floor = view.prepaid_tokens / policy.start_s / max(1, view.instances)
-    mine = view.demand_tokens_per_s
-    others = sum(view.others)
-    if mine + others <= 0:
-        mine = floor
-        others = floor * (view.instances - 1)
-    else:
-        # An instance without callers now may get them with the next connection.
-        mine = max(mine, 0.1 * (mine + others) / max(1, view.instances))
-    left = view.free_tokens + view.available_tokens + view.others_unspent_tokens
-    share = policy.held_share * left * mine / (mine + others)
+    share = policy.held_share * _left_tokens(view) * _demand_share(view, policy)
+    mine = max(view.demand_tokens_per_s, _first_demand(view, policy))
     ride = mine * policy.ride_through_s + policy.spare_requests * view.largest_tokens
     return max(0.0, min(share, ride))
+
+
+def _left_tokens(view: BudgetView) -> int:
+    return max(0, view.free_tokens + view.held_tokens + view.others_unspent_tokens)
+
+
+def _first_demand(view: BudgetView, policy: ClaimPolicy) -> float:
+    """Return what is assumed to be asked for while nobody has asked yet."""
+    if view.demand_tokens_per_s + sum(view.others) > 0:
+        return 0.0
+    return view.prepaid_tokens / policy.start_s / max(1, view.instances)
+
+
+def _demand_share(view: BudgetView, policy: ClaimPolicy) -> float:
+    """Return this instance's part of the demand on a budget, from 0 to 1."""
+    instances = max(1, view.instances)
+    mine = view.demand_tokens_per_s
+    total = mine + sum(view.others)
+    if total <= 0:
+        return 1 / instances
+    # An instance without callers now may get them with the next connection.
+    mine = max(mine, _IDLE_SHARE * total / instances)
+    return min(1.0, mine / total)
+
+
+#: What an instance without callers counts for, as a part of an equal share.
+_IDLE_SHARE = 0.1
--- a/mothstand/core/claims.py
+++ b/mothstand/core/claims.py
@@ -33,6 +33,9 @@
     ----------
     claimed_tokens
         The most that the holder consumes in its life, transfers to others included.
+    window_tokens
+        The most of these that it consumes before it has been out of touch with the store for
+        `renewals.UNLOCK_S`.
     spent_tokens
         Consumed by requests that have ended, as of the record; it only grows.
     demand_tokens_per_s
@@ -42,6 +45,7 @@
     budget: BudgetName
     holder: Holder
     claimed_tokens: int
+    window_tokens: int
     spent_tokens: int
     demand_tokens_per_s: float
 
@@ -80,6 +84,11 @@
         claim = self.claims[budget].get(holder)
         return 0 if claim is None else claim.claimed_tokens
 
+    def window_of(self, budget: BudgetName, holder: Holder) -> int:
+        """Return the window of one holder, 0 if it has no claim."""
+        claim = self.claims[budget].get(holder)
+        return 0 if claim is None else claim.window_tokens
+
 
 @dataclass(slots=True)
 class Reservation:
@@ -96,15 +105,19 @@
 
     Parameters
     ----------
-    limit_tokens
-        The claim that is surely in the store; where an append's fate is unknown, the lowest that
-        may be.
+    limit_tokens, window_tokens
+        Claim and window that are surely in the store; where an append's fate is unknown, the
+        lowest that may be.
+    unlocked
+        Whether all of the claim may be spent, not only its window.
     received_tokens, given_tokens
         Moved from and to other instances, without a change of the claims in the store.
     """
 
     budget: BudgetName
     limit_tokens: int = 0
+    window_tokens: int = 0
+    unlocked: bool = False
     spent_tokens: int = 0
     reserved_tokens: int = 0
     received_tokens: int = 0
@@ -112,7 +125,13 @@
 
     @property
     def available_tokens(self) -> int:
-        """What may still be reserved."""
+        """What may still be reserved now."""
+        limit = self.limit_tokens if self.unlocked else self.window_tokens
+        return limit - self.needed_claim_tokens
+
+    @property
+    def held_tokens(self) -> int:
+        """What is claimed and not used, whether or not it may be reserved now."""
         return self.limit_tokens - self.needed_claim_tokens
 
     @property
@@ -158,7 +177,7 @@
     """
 
     at_offset: int
-    claimed_tokens: dict[BudgetName, int]
+    claims: dict[BudgetName, Claim]
 
 
 @dataclass(slots=True)
@@ -191,7 +210,9 @@
 
     def begin(self, claims: tuple[Claim, ...]) -> DoubtfulAppend:
         """Note an append that is about to be sent; lowered claims bind from now on."""
-        doubt = DoubtfulAppend(self.table.next_offset, {c.budget: c.claimed_tokens for c in claims})
+        doubt = DoubtfulAppend(
+            self.table.next_offset, {c.budget: c for c in claims if c.holder == self.me}
+        )
         self.doubts.append(doubt)
         self._settle_limits()
         return doubt
@@ -201,16 +222,10 @@
         self.doubts = [d for d in self.doubts if d is not doubt]
         self._settle_limits()
 
-    def appended(self, claims: tuple[Claim, ...], now_s: float) -> None:
-        """Note that an append is in the store, and with it that no other one of its offset is."""
-        for claim in claims:
-            self.table.put(claim, now_s)
-        self.took(self.table.next_offset + len(claims))
-
     def fits(self, claims: tuple[Claim, ...], prepaid_tokens: dict[BudgetName, int]) -> bool:
         """Return whether raised claims still fit into what was paid."""
         for claim in claims:
-            before = self.table.claim_of(claim.budget, self.me)
+            before = self.table.claim_of(claim.budget, claim.holder)
             total = self.table.claimed_tokens(claim.budget) - before + claim.claimed_tokens
             raised = claim.claimed_tokens > before
             if raised and total > prepaid_tokens.get(claim.budget, 0):
@@ -219,6 +234,13 @@
 
     def _settle_limits(self) -> None:
         for budget, held in self.held.items():
-            claimed = [self.table.claim_of(budget, self.me)]
-            claimed += [d.claimed_tokens[budget] for d in self.doubts if budget in d.claimed_tokens]
-            held.limit_tokens = min(claimed)
+            doubtful = [d.claims[budget] for d in self.doubts if budget in d.claims]
+            claims = [self.table.claim_of(budget, self.me), *(c.claimed_tokens for c in doubtful)]
+            windows = [self.table.window_of(budget, self.me), *(c.window_tokens for c in doubtful)]
+            held.limit_tokens = min(claims)
+            held.window_tokens = min(windows)
+
+    def set_unlocked(self, unlocked: bool) -> None:
+        """Allow, or no longer allow, to spend claims past their windows."""
+        for held in self.held.values():
+            held.unlocked = unlocked
--- a/mothstand/gateway/accounts.py
+++ b/mothstand/gateway/accounts.py
@@ -50,6 +50,7 @@
         health: LogHealth,
         prepaid: Callable[[], dict[BudgetName, int]],
         peers: Callable[[], list[Peer]],
+        heartbeats: Callable[[], dict[str, int]],
         policy: ClaimPolicy,
     ) -> None:
         self._clock = clock
@@ -64,6 +65,7 @@
             policy,
             prepaid,
             settings.timing.claims_s,
+            heartbeats,
             self.announce,
         )
         self.borrower = Borrower(self.keeper, me, link, peers, clock, self.announce)
@@ -80,29 +82,50 @@
             return reservation
         waiting = keeper.waiting_of(budget)
         waiting[priority] += tokens
-        began_s = self._clock.monotonic_s()
-        tasks.start_soon(self.borrower.round, budget, priority)
-        keeper.wake()
         try:
             with anyio.move_on_after(wait_s):
-                while reservation is None:
-                    await self._more.wait()
-                    reservation = self._try(budget, tokens, priority)
-                    if reservation is None and self._is_hopeless(budget, priority, began_s):
-                        break
+                if keeper.may_help(budget):
+                    reservation = await self._look(budget, tokens, priority)
+                if reservation is None:
+                    reservation = await self._borrow(budget, tokens, priority, tasks)
         finally:
             waiting[priority] -= tokens
         return reservation
 
+    async def _look(self, budget: BudgetName, tokens: int, priority: int) -> Reservation | None:
+        """Wait for a look at the store that began after now."""
+        began_s = self._clock.monotonic_s()
+        self.keeper.wake()
+        return await self._wait(
+            budget,
+            tokens,
+            priority,
+            lambda: self.keeper.looked_s >= began_s or self._health.is_failing,
+        )
+
+    async def _borrow(
+        self, budget: BudgetName, tokens: int, priority: int, tasks: TaskGroup
+    ) -> Reservation | None:
+        """Wait for a round of loans."""
+        self.borrower.begin(budget, priority, tasks)
+        return await self._wait(
+            budget, tokens, priority, lambda: not self.borrower.is_running(budget, priority)
+        )
+
+    async def _wait(
+        self, budget: BudgetName, tokens: int, priority: int, is_over: Callable[[], bool]
+    ) -> Reservation | None:
+        while True:
+            reservation = self._try(budget, tokens, priority)
+            if reservation is not None or is_over():
+                return reservation
+            await self._more.wait()
+
     def _try(self, budget: BudgetName, tokens: int, priority: int) -> Reservation | None:
+        self.keeper.update_lock()
         kept = self.keeper.kept_tokens(budget, priority)
         return self.keeper.book.of(budget).reserve(tokens, kept_tokens=kept)
 
-    def _is_hopeless(self, budget: BudgetName, priority: int, began_s: float) -> bool:
-        """Return whether peers and store were all asked since, in vain."""
-        asked_store = self.keeper.looked_s >= began_s or self._health.is_failing
-        return asked_store and not self.borrower.is_running(budget, priority)
-
     def is_exhausted(self, budget: BudgetName, tokens: int) -> bool:
         """Return whether a request surely does not fit any more.
 
@@ -132,6 +155,7 @@
         clock: Clock,
         health: LogHealth,
         prepaid: Callable[[], dict[BudgetName, int]],
+        heartbeats: Callable[[], dict[str, int]],
         policy: ClaimPolicy | None = None,
     ) -> None:
         self._me = me
@@ -150,6 +174,7 @@
                 health,
                 lambda number=number: self._prepaid_of(number),  # type: ignore[misc]
                 self.peers,
+                heartbeats,
                 policy or ClaimPolicy(),
             )
             for number in range(settings.store.claim_shards)
--- a/mothstand/gateway/borrowing.py
+++ b/mothstand/gateway/borrowing.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from anyio.abc import TaskGroup
+
     from ..clock import Clock
     from ..types import BudgetName
     from .claim_keeper import ClaimKeeper
@@ -63,6 +65,7 @@
 
     def lend(self, request: LoanRequest) -> int:
         """Give tokens to a peer."""
+        self._keeper.update_lock()
         given = self.loans.lend(
             self._keeper.book.of(request.budget),
             request.loan_id,
@@ -73,11 +76,15 @@
         emit(Event.TOKENS_LENT, budget=request.budget, tokens=given, loan=request.loan_id)
         return given
 
-    async def round(self, budget: BudgetName, priority: int) -> None:
-        """Ask one peer after the other until what waits can be served."""
+    def begin(self, budget: BudgetName, priority: int, tasks: TaskGroup) -> None:
+        """Start a round unless one is under way."""
         if self.is_running(budget, priority):
             return
         self._running.add((budget, priority))
+        tasks.start_soon(self._round, budget, priority)
+
+    async def _round(self, budget: BudgetName, priority: int) -> None:
+        """Ask one peer after the other until what waits can be served."""
         try:
             now_s = self._clock.monotonic_s()
             table = self._keeper.book.table
--- a/mothstand/gateway/claim_keeper.py
+++ b/mothstand/gateway/claim_keeper.py
@@ -4,23 +4,30 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
 
 from ..core.backoff import Backoff
-from ..core.claim_policy import ClaimPolicy, view_of, wanted_claim_tokens
+from ..core.claim_policy import (
+    ClaimPolicy,
+    view_of,
+    wanted_claim_tokens,
+    wanted_window_tokens,
+)
 from ..core.claims import Claim, ClaimBook, ClaimTable, Holder
-from ..core.loans import Peer
+from ..core.renewals import UNLOCK_S, Renewal, proves_locked
 from ..core.urgency import BudgetDemand, Supply
 from ..events import Event, emit
-from .ledger_records import claims_stream, decode, encode_claim, encode_peer
+from .ledger_records import claims_stream, decode, encode_claim, encode_renewal
 from .store import Store, StoreConflictError, StoreError, StoreSilentError, StoreTrimmedError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..clock import Clock
+    from ..core.loans import Peer
     from ..log.health import LogHealth
     from ..types import BudgetName, Shard
     from .store import KeyedRecord
@@ -32,6 +39,9 @@
 #: held elsewhere, and each look is two calls of the store.
 _LEAST_PAUSE_S = 0.05
 
+#: Longest wait at the start for a first listing of the upstreams; the store answers in hundredths.
+_HEARTBEATS_WAIT_S = 1.0
+
 _BACKOFF_FIRST_S = 0.1
 _BACKOFF_MOST_S = 0.5
 
@@ -57,14 +67,19 @@
         policy: ClaimPolicy,
         prepaid: Callable[[], dict[BudgetName, int]],
         look_every_s: float,
+        heartbeats: Callable[[], dict[str, int]],
         changed: Callable[[], None],
     ) -> None:
         self.book = ClaimBook(Holder(me.instance, me.incarnation))
-        self.peers: dict[str, Peer] = {}
         self._waiting: dict[BudgetName, Counter[int]] = {}
         self.demand: dict[BudgetName, BudgetDemand] = {}
         self.looked_s = float("-inf")
         self._me = me
+        self._heartbeats = heartbeats
+        self._renewals: dict[str, Renewal] = {}
+        self._start: Renewal | None = None
+        self._started_wall_s = clock.now().timestamp()
+        self._sent_s = clock.boot_s()
         self._stream = claims_stream(shard)
         self._store = store
         self._clock = clock
@@ -77,6 +92,12 @@
         self._listed = False
         self._wake = anyio.Event()
         self._leaving = False
+        self._unlocked = False
+
+    @property
+    def peers(self) -> dict[str, Peer]:
+        """The latest start of each instance that announced itself, this one included."""
+        return {name: renewal.peer for name, renewal in self._renewals.items()}
 
     @property
     def is_listed(self) -> bool:
@@ -94,6 +115,13 @@
             return 0
         return demand.kept_tokens(priority, self.supply(budget), self._clock.monotonic_s())
 
+    def may_help(self, budget: BudgetName) -> bool:
+        """Return whether a look at the store can serve what waits."""
+        if self._health.is_failing:
+            return False
+        free = self.prepaid().get(budget, 0) - self.book.table.claimed_tokens(budget)
+        return max(0, free) + self.book.of(budget).held_tokens >= self.waiting_of(budget).total()
+
     def supply(self, budget: BudgetName) -> Supply:
         """Return whether a budget can be refilled."""
         claims = self.book.table.claims[budget]
@@ -131,6 +159,7 @@
 
     async def run(self) -> None:
         """Keep claims filled until cancelled."""
+        await self._wait_for_heartbeats()
         backoff = Backoff(_BACKOFF_FIRST_S, _BACKOFF_MOST_S)
         while True:
             self._wake = anyio.Event()
@@ -149,15 +178,20 @@
                 # Jitter, lest all instances come back to a recovering store in step.
                 await self._clock.sleep(backoff.next_s() * random.uniform(0.5, 1.5))
 
+    async def _wait_for_heartbeats(self) -> None:
+        """Wait for the upstreams' heartbeats, by which the end of the last start is dated."""
+        until_s = self._clock.monotonic_s() + _HEARTBEATS_WAIT_S
+        while not self._heartbeats() and self._clock.monotonic_s() < until_s:
+            await self._clock.sleep(_LEAST_PAUSE_S)
+
     async def _look(self) -> None:
         """Read on, and write the claims that should change."""
         for _ in range(_MOST_CONFLICTS):
             await self._read()
             claims = self._plan()
             records = [encode_claim(claim) for claim in claims]
-            if self.peers.get(self._me.instance) != self._me:
-                records.append(encode_peer(self._me))
-            if not records or await self._append(claims, tuple(records)):
+            records.append(encode_renewal(self._renewal(self._clock.now().timestamp())))
+            if await self._append(claims, tuple(records)):
                 return
             await self._clock.sleep(random.uniform(0.0, 0.01))
 
@@ -193,14 +227,16 @@
                 # Every reader skips it alike, so all keep the same table.
                 emit(Event.RECORD_SKIPPED, offset=record.offset, error=str(error))
                 continue
-            if isinstance(decoded, Peer):
-                self.peers[decoded.instance] = decoded
+            if isinstance(decoded, Renewal):
+                self._renewals[decoded.peer.instance] = decoded
             else:
                 self.book.table.put(decoded, now_s)
 
     async def _append(self, claims: tuple[Claim, ...], records: tuple[KeyedRecord, ...]) -> bool:
         """Write claims; return False if another writer came first."""
         doubt = self.book.begin(claims)
+        self._sent_s = self._clock.boot_s()
+        self.book.set_unlocked(False)
         try:
             await self._store.append(self._stream, records, at_offset=doubt.at_offset)
         except StoreSilentError:
@@ -227,8 +263,50 @@
         planned = [self._plan_one(budget, tokens) for budget, tokens in prepaid.items()]
         # Guards the promise itself: whatever the policy wants, no claim goes out that does not
         # fit, so a fault of the policy costs refusals and never tokens that nobody paid for.
+        planned += self._reclaim()
         return tuple(c for c in planned if c is not None and self.book.fits((c,), prepaid))
 
+    def update_lock(self) -> None:
+        """Allow to spend past the windows once the store has been out of touch for long.
+
+        The clock counts suspension: a process that was suspended has been out of touch, too. An
+        append that was sent counts as in touch, answered or not: it may be in the store.
+        """
+        unlocked = self._clock.boot_s() - self._sent_s >= UNLOCK_S
+        if unlocked != self._unlocked:
+            self._unlocked = unlocked
+            emit(Event.CLAIMS_UNLOCKED if unlocked else Event.CLAIMS_LOCKED)
+        self.book.set_unlocked(unlocked)
+
+    def _renewal(self, wall_s: float) -> Renewal:
+        return Renewal(self._me, wall_s, self._heartbeats())
+
+    def _reclaim(self) -> list[Claim]:
+        """Return the claims of this instance's last start, without what it surely did not spend."""
+        if self._start is None:
+            # As of the start: what came later does not tell when the last start ended.
+            self._start = self._renewal(self._started_wall_s)
+        last = self._renewals.get(self._me.instance)
+        if last is None or last.peer == self._me:
+            return []
+        proved = proves_locked(last, self._start)
+        holder = Holder(last.peer.instance, last.peer.incarnation)
+        claims = [
+            replace(claims[holder], claimed_tokens=claims[holder].window_tokens)
+            for claims in self.book.table.claims.values()
+            if holder in claims
+        ]
+        emit(
+            Event.CLAIMS_RECLAIMED if proved else Event.CLAIMS_STRANDED,
+            incarnation=holder.incarnation,
+            wall_s=round(self._start.wall_s - last.wall_s, 3),
+            heartbeats={
+                i: self._start.heartbeats.get(i, 0) - n for i, n in last.heartbeats.items()
+            },
+            budgets={c.budget: c.claimed_tokens for c in claims},
+        )
+        return claims if proved else []
+
     def _plan_one(self, budget: BudgetName, prepaid_tokens: int) -> Claim | None:
         now_s = self._clock.monotonic_s()
         held = self.book.of(budget)
@@ -245,15 +323,15 @@
             policy=self._policy,
         )
         if self._leaving:
-            wanted = (
-                view.limit_tokens - view.available_tokens if view.available_tokens > 0 else None
-            )
+            wanted = view.limit_tokens - view.held_tokens if view.held_tokens > 0 else None
         else:
             wanted = wanted_claim_tokens(view, self._policy)
+        claimed_tokens = held.limit_tokens if wanted is None else wanted
         claim = Claim(
             budget=budget,
             holder=self.book.me,
-            claimed_tokens=held.limit_tokens if wanted is None else wanted,
+            claimed_tokens=claimed_tokens,
+            window_tokens=wanted_window_tokens(view, claimed_tokens, self._policy),
             spent_tokens=held.spent_tokens,
             demand_tokens_per_s=demand.rate(now_s),
         )
@@ -264,4 +342,7 @@
         written = self._written.get(claim.budget)
         if written is None:
             return claim.spent_tokens > 0
-        return written.spent_tokens != claim.spent_tokens
+        return (written.spent_tokens, written.window_tokens) != (
+            claim.spent_tokens,
+            claim.window_tokens,
+        )
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -44,6 +44,9 @@
 _GIVE_BACK_S = 0.7
 
 _BACKLOG = 512
+
+#: Upstreams whose heartbeats date a renewal: enough that some of them may end meanwhile.
+_HEARTBEATS = 12
 _RESTART_TASK_S = 0.2
 
 
@@ -80,7 +83,14 @@
         )
         self._link = GrpcPeerLink()
         self._accounts = Accounts(
-            settings, self._me, parts.store, self._link, clock, self._health, self._prepaid
+            settings,
+            self._me,
+            parts.store,
+            self._link,
+            clock,
+            self._health,
+            self._prepaid,
+            lambda: self._upstream_feed.directory.heartbeats(_HEARTBEATS),
         )
         self._client = UpstreamClient(settings, translator)
         forwarder = Forwarder(
--- a/mothstand/gateway/ledger_records.py
+++ b/mothstand/gateway/ledger_records.py
@@ -8,6 +8,7 @@
 
 from ..core.claims import Claim, Holder
 from ..core.loans import Peer
+from ..core.renewals import Renewal
 from ..types import BudgetName
 from .store import KeyedRecord, Stream
 
@@ -28,16 +29,19 @@
     instance: str
     incarnation: str
     claimed: int
+    window: int
     spent: int
     demand: float
 
 
 class _InstanceValue(BaseModel):
-    """An instance's latest start, and where its peers reach it."""
+    """An instance's latest start, where its peers reach it, and when it last wrote this."""
 
     instance: str
     incarnation: str
     address: str
+    wall_s: float
+    heartbeats: dict[str, int]
 
 
 def claims_stream(shard: Shard) -> Stream:
@@ -52,6 +56,7 @@
         instance=claim.holder.instance,
         incarnation=claim.holder.incarnation,
         claimed=claim.claimed_tokens,
+        window=claim.window_tokens,
         spent=claim.spent_tokens,
         demand=round(claim.demand_tokens_per_s, 1),
     )
@@ -59,15 +64,20 @@
     return KeyedRecord(key, value.model_dump_json().encode())
 
 
-def encode_peer(peer: Peer) -> KeyedRecord:
-    """Return an instance's announcement as a record."""
+def encode_renewal(renewal: Renewal) -> KeyedRecord:
+    """Return an instance's renewal as a record."""
+    peer = renewal.peer
     value = _InstanceValue(
-        instance=peer.instance, incarnation=peer.incarnation, address=peer.address
+        instance=peer.instance,
+        incarnation=peer.incarnation,
+        address=peer.address,
+        wall_s=round(renewal.wall_s, 3),
+        heartbeats=dict(renewal.heartbeats),
     )
     return KeyedRecord(_INSTANCE_KEY + peer.instance, value.model_dump_json().encode())
 
 
-def decode(record: KeyedRecord) -> Claim | Peer:
+def decode(record: KeyedRecord) -> Claim | Renewal:
     """Return what a record of the topic says.
 
     Raises
@@ -77,14 +87,15 @@
     """
     try:
         if record.key.startswith(_INSTANCE_KEY):
-            return _peer(_InstanceValue.model_validate_json(record.value or b""))
+            return _renewal(_InstanceValue.model_validate_json(record.value or b""))
         return _claim(_ClaimValue.model_validate_json(record.value or b""))
     except ValidationError as error:
         raise ValueError(f"{record.key!r}: {error.error_count()} faults") from error
 
 
-def _peer(value: _InstanceValue) -> Peer:
-    return Peer(value.instance, value.incarnation, value.address)
+def _renewal(value: _InstanceValue) -> Renewal:
+    peer = Peer(value.instance, value.incarnation, value.address)
+    return Renewal(peer, value.wall_s, value.heartbeats)
 
 
 def _claim(value: _ClaimValue) -> Claim:
@@ -92,6 +103,7 @@
         budget=BudgetName(value.budget),
         holder=Holder(value.instance, value.incarnation),
         claimed_tokens=value.claimed,
+        window_tokens=value.window,
         spent_tokens=value.spent,
         demand_tokens_per_s=value.demand,
     )
