--- a/mothstand/core/renewals.py
+++ b/mothstand/core/renewals.py
@@ -3,44 +3,39 @@
 A process spends of a claim no more than its window until it has been out of touch with the store
 for `UNLOCK_S`; only then may it go past it, to serve through an outage. So a process that died
 before that spent at most its windows, and the rest of its claims is free again. The successor at
-the same address knows that it is dead. What it must show is that the time from the last record
-of the dead process to its own start is below `UNLOCK_S`.
+the same address knows that it is dead. What it must show is that less than `UNLOCK_S` passed
+from the last renewal of the dead process to its own start.
 
-Each record carries two clocks for that: the time of day, and the numbers of the upstreams'
-heartbeats. The time of day is exact but may jump by seconds. Heartbeats come about once a second
-from many machines and are numbered also while the store is away, but are coarse, and some stop
-when their upstream does. Both must agree; neither alone is believed.
+Renewals carry the time of day, which may jump by seconds on some machines. So the clocks of
+several machines must agree. The order of the records in the store says what another machine's
+clock can vouch for: a renewal that another instance wrote before the dead one's, and one that it
+wrote after the successor's, enclose the time in question.
 """
 
 from __future__ import annotations
 
-import statistics
-from dataclasses import dataclass
+from collections import defaultdict
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from .loans import Peer
 
 #: Seconds out of touch after which a process may spend its whole claims. Long enough for a
-#: process to be restarted within it, with a record each second: 1 s since the last one, up to 2 s
-#: until the restart, 0.7 s for the start. Each second more is a second of windows in an outage.
+#: process to be restarted within it, with a renewal each second: 1 s since the last one, up to
+#: 2 s until the restart, 0.7 s for the start, and 0.8 s between the renewals of others. Each
+#: second more is a second in which an outage is served from the windows.
 UNLOCK_S = 4.5
 
-#: The longest time by the time of day that counts as below `UNLOCK_S`; the clocks of a fleet
-#: differ by parts of a second.
-_MOST_WALL_S = 4.0
-
-#: The least: a start cannot come before the last record, but for small corrections of the clock.
-_LEAST_WALL_S = -0.2
+#: Kept between a measured time and `UNLOCK_S`, for clocks that run apart.
+_MARGIN_S = 0.2
 
-#: Median of the heartbeats seen since, at most. With one each 1.2 s, three mean less than 4.8 s
-#: since the last record, and at least 0.5 s of that passed while the successor was starting.
-_MOST_HEARTBEATS = 3
+#: Other machines whose clocks must agree. With one's own that makes three; the time of day jumps
+#: on fewer at once than half of six.
+_LEAST_WITNESSES = 2
 
-#: Upstreams that must be known to both; fewer could all have stopped.
-_LEAST_UPSTREAMS = 3
+#: Renewals kept of each instance: half a minute of them.
+_MOST_KEPT = 30
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,35 +46,64 @@
     ----------
     wall_s
         Time of day when it was written, in seconds since 1970.
-    heartbeats
-        Number of the latest heartbeat of upstreams that it knew of, by their ids.
+    offset
+        Where it stands in the stream.
     """
 
     peer: Peer
     wall_s: float
-    heartbeats: Mapping[str, int]
-
-
-def proves_locked(last: Renewal, start: Renewal) -> bool:
-    """Return whether a process surely never spent past its windows.
-
-    Parameters
-    ----------
-    last
-        The last record of the process that died.
-    start
-        Of its successor, as of its start, and the heartbeats that it read first.
-    """
-    if last.peer.address != start.peer.address:
-        return False
-    elapsed_s = start.wall_s - last.wall_s
-    if not _LEAST_WALL_S <= elapsed_s <= _MOST_WALL_S:
-        return False
-    seen = [
-        start.heartbeats[upstream] - number
-        for upstream, number in last.heartbeats.items()
-        if upstream in start.heartbeats
-    ]
-    if len(seen) < _LEAST_UPSTREAMS:
-        return False
-    return statistics.median_high(seen) <= _MOST_HEARTBEATS
+    offset: int = -1
+
+
+@dataclass(slots=True)
+class RenewalLog:
+    """The latest renewals of all instances, in the order of the stream."""
+
+    _by_instance: dict[str, list[Renewal]] = field(default_factory=lambda: defaultdict(list))
+
+    def note(self, renewal: Renewal) -> None:
+        """Take a renewal; one that is known already changes nothing."""
+        kept = self._by_instance[renewal.peer.instance]
+        if any(other.offset == renewal.offset for other in kept):
+            return
+        kept.append(renewal)
+        kept.sort(key=lambda r: r.offset)
+        del kept[:-_MOST_KEPT]
+
+    def peers(self) -> dict[str, Peer]:
+        """Return the latest start of each instance."""
+        return {name: kept[-1].peer for name, kept in self._by_instance.items() if kept}
+
+    def last(self, instance: str) -> Renewal | None:
+        """Return the latest renewal of an instance."""
+        kept = self._by_instance.get(instance)
+        return kept[-1] if kept else None
+
+    def enclosing_s(self, instance: str, from_offset: int, to_offset: int) -> float | None:
+        """Return the time between renewals of an instance just before and after two offsets."""
+        kept = self._by_instance.get(instance, [])
+        before = [r for r in kept if r.offset < from_offset]
+        after = [r for r in kept if r.offset > to_offset]
+        return after[0].wall_s - before[-1].wall_s if before and after else None
+
+    def proves_locked(self, last: Renewal, start: Renewal, started_wall_s: float) -> bool:
+        """Return whether a process surely never spent past its windows.
+
+        Parameters
+        ----------
+        last
+            The last renewal of the process that died.
+        start
+            The first renewal of its successor.
+        started_wall_s
+            Time of day on the successor's machine when it started.
+        """
+        if last.peer.address != start.peer.address:
+            return False
+        times = [started_wall_s - last.wall_s]
+        for instance in self._by_instance:
+            enclosing_s = self.enclosing_s(instance, last.offset, start.offset)
+            if instance != last.peer.instance and enclosing_s is not None:
+                times.append(enclosing_s)
+        short = [0.0 <= t + _MARGIN_S <= UNLOCK_S for t in times]
+        return short[0] and sum(short[1:]) >= _LEAST_WITNESSES
--- a/mothstand/core/upstreams.py
+++ b/mothstand/core/upstreams.py
@@ -27,8 +27,6 @@
         New at each start of the process.
     draining
         It finishes what it runs and takes nothing new.
-    heartbeats
-        Number of its latest heartbeat.
     """
 
     upstream_id: str
@@ -37,7 +35,6 @@
     data_centre: DataCentre
     slots: int
     draining: bool
-    heartbeats: int = field(default=0, compare=False)
 
 
 @dataclass(slots=True)
@@ -106,10 +103,6 @@
             self.known.pop(upstream_id, None)
         return gone
 
-    def heartbeats(self, most: int) -> dict[str, int]:
-        """Return the numbers of the latest heartbeats, of the same few upstreams everywhere."""
-        return {i: self.known[i].heartbeats for i in sorted(self.known)[:most]}
-
     def of_service(self, service: str) -> list[RegisteredUpstream]:
         """Return the upstreams of a service that take new requests."""
         return [u for u in self.known.values() if u.service == service and not u.draining]
--- a/mothstand/gateway/accounts.py
+++ b/mothstand/gateway/accounts.py
@@ -50,7 +50,6 @@
         health: LogHealth,
         prepaid: Callable[[], dict[BudgetName, int]],
         peers: Callable[[], list[Peer]],
-        heartbeats: Callable[[], dict[str, int]],
         policy: ClaimPolicy,
     ) -> None:
         self._clock = clock
@@ -65,7 +64,6 @@
             policy,
             prepaid,
             settings.timing.claims_s,
-            heartbeats,
             self.announce,
         )
         self.borrower = Borrower(self.keeper, me, link, peers, clock, self.announce)
@@ -155,7 +153,6 @@
         clock: Clock,
         health: LogHealth,
         prepaid: Callable[[], dict[BudgetName, int]],
-        heartbeats: Callable[[], dict[str, int]],
         policy: ClaimPolicy | None = None,
     ) -> None:
         self._me = me
@@ -174,7 +171,6 @@
                 health,
                 lambda number=number: self._prepaid_of(number),  # type: ignore[misc]
                 self.peers,
-                heartbeats,
                 policy or ClaimPolicy(),
             )
             for number in range(settings.store.claim_shards)
--- a/mothstand/gateway/claim_keeper.py
+++ b/mothstand/gateway/claim_keeper.py
@@ -17,10 +17,16 @@
     wanted_window_tokens,
 )
 from ..core.claims import Claim, ClaimBook, ClaimTable, Holder
-from ..core.renewals import UNLOCK_S, Renewal, proves_locked
+from ..core.renewals import UNLOCK_S, Renewal, RenewalLog
 from ..core.urgency import BudgetDemand, Supply
 from ..events import Event, emit
-from .ledger_records import claims_stream, decode, encode_claim, encode_renewal
+from .ledger_records import (
+    claims_stream,
+    decode,
+    encode_claim,
+    encode_renewal,
+    is_renewal,
+)
 from .store import Store, StoreConflictError, StoreError, StoreSilentError, StoreTrimmedError
 
 if TYPE_CHECKING:
@@ -39,8 +45,9 @@
 #: held elsewhere, and each look is two calls of the store.
 _LEAST_PAUSE_S = 0.05
 
-#: Longest wait at the start for a first listing of the upstreams; the store answers in hundredths.
-_HEARTBEATS_WAIT_S = 1.0
+#: Records read of the time before the start, for what they say of this instance's last start: ten
+#: seconds of ten budgets and six instances.
+_HISTORY_RECORDS = 700
 
 _BACKOFF_FIRST_S = 0.1
 _BACKOFF_MOST_S = 0.5
@@ -67,7 +74,6 @@
         policy: ClaimPolicy,
         prepaid: Callable[[], dict[BudgetName, int]],
         look_every_s: float,
-        heartbeats: Callable[[], dict[str, int]],
         changed: Callable[[], None],
     ) -> None:
         self.book = ClaimBook(Holder(me.instance, me.incarnation))
@@ -75,9 +81,9 @@
         self.demand: dict[BudgetName, BudgetDemand] = {}
         self.looked_s = float("-inf")
         self._me = me
-        self._heartbeats = heartbeats
-        self._renewals: dict[str, Renewal] = {}
-        self._start: Renewal | None = None
+        self._renewals = RenewalLog()
+        self._predecessor: Renewal | None = None
+        self._first_renewal: Renewal | None = None
         self._started_wall_s = clock.now().timestamp()
         self._sent_s = clock.boot_s()
         self._stream = claims_stream(shard)
@@ -97,7 +103,7 @@
     @property
     def peers(self) -> dict[str, Peer]:
         """The latest start of each instance that announced itself, this one included."""
-        return {name: renewal.peer for name, renewal in self._renewals.items()}
+        return self._renewals.peers()
 
     @property
     def is_listed(self) -> bool:
@@ -159,7 +165,6 @@
 
     async def run(self) -> None:
         """Keep claims filled until cancelled."""
-        await self._wait_for_heartbeats()
         backoff = Backoff(_BACKOFF_FIRST_S, _BACKOFF_MOST_S)
         while True:
             self._wake = anyio.Event()
@@ -178,19 +183,13 @@
                 # Jitter, lest all instances come back to a recovering store in step.
                 await self._clock.sleep(backoff.next_s() * random.uniform(0.5, 1.5))
 
-    async def _wait_for_heartbeats(self) -> None:
-        """Wait for the upstreams' heartbeats, by which the end of the last start is dated."""
-        until_s = self._clock.monotonic_s() + _HEARTBEATS_WAIT_S
-        while not self._heartbeats() and self._clock.monotonic_s() < until_s:
-            await self._clock.sleep(_LEAST_PAUSE_S)
-
     async def _look(self) -> None:
         """Read on, and write the claims that should change."""
         for _ in range(_MOST_CONFLICTS):
             await self._read()
             claims = self._plan()
             records = [encode_claim(claim) for claim in claims]
-            records.append(encode_renewal(self._renewal(self._clock.now().timestamp())))
+            records.append(encode_renewal(self._renewal()))
             if await self._append(claims, tuple(records)):
                 return
             await self._clock.sleep(random.uniform(0.0, 0.01))
@@ -214,8 +213,21 @@
         self.book.table = ClaimTable(read_at_s=self.book.table.read_at_s)
         self._apply(page.records)
         self.book.took(page.next_offset)
+        if not self._listed:
+            await self._read_history(page.next_offset)
         self._listed = True
 
+    async def _read_history(self, end_offset: int) -> None:
+        """Read the renewals from before the start."""
+        try:
+            from_offset = max(0, end_offset - _HISTORY_RECORDS)
+            page = await self._store.read(self._stream, from_offset)
+        except StoreTrimmedError:
+            # Nothing can be shown of the last start then, and its claims stay claimed.
+            return
+        renewals = [record for record in page.records if is_renewal(record)]
+        self._apply(tuple(r for r in renewals if r.offset < end_offset))
+
     def _apply(self, records: tuple[KeyedRecord, ...]) -> None:
         now_s = self._clock.monotonic_s()
         for record in records:
@@ -228,7 +240,7 @@
                 emit(Event.RECORD_SKIPPED, offset=record.offset, error=str(error))
                 continue
             if isinstance(decoded, Renewal):
-                self._renewals[decoded.peer.instance] = decoded
+                self._note_renewal(decoded)
             else:
                 self.book.table.put(decoded, now_s)
 
@@ -248,16 +260,21 @@
             self.book.rejected(doubt)
             raise
         self._health.answered()
-        self._apply(records)
+        placed = (replace(r, offset=doubt.at_offset + i) for i, r in enumerate(records))
+        self._apply(tuple(placed))
         self.book.took(doubt.at_offset + len(records))
-        self._written.update({claim.budget: claim for claim in claims})
-        emit(
-            Event.CLAIMS_WRITTEN,
-            offset=doubt.at_offset,
-            claims={c.budget: [c.claimed_tokens, c.spent_tokens] for c in claims},
-        )
+        mine = [claim for claim in claims if claim.holder == self.book.me]
+        self._written.update({claim.budget: claim for claim in mine})
+        self._tell(doubt.at_offset, Event.CLAIMS_WRITTEN, mine)
+        others = [claim for claim in claims if claim.holder != self.book.me]
+        self._tell(doubt.at_offset, Event.CLAIMS_RECLAIMED, others)
         return True
 
+    def _tell(self, offset: int, event: Event, claims: list[Claim]) -> None:
+        if claims:
+            told = {c.budget: [c.claimed_tokens, c.spent_tokens, c.window_tokens] for c in claims}
+            emit(event, offset=offset, holder=claims[0].holder, claims=told)
+
     def _plan(self) -> tuple[Claim, ...]:
         prepaid = self.prepaid()
         planned = [self._plan_one(budget, tokens) for budget, tokens in prepaid.items()]
@@ -278,34 +295,32 @@
             emit(Event.CLAIMS_UNLOCKED if unlocked else Event.CLAIMS_LOCKED)
         self.book.set_unlocked(unlocked)
 
-    def _renewal(self, wall_s: float) -> Renewal:
-        return Renewal(self._me, wall_s, self._heartbeats())
+    def _renewal(self) -> Renewal:
+        return Renewal(self._me, self._clock.now().timestamp())
 
     def _reclaim(self) -> list[Claim]:
         """Return the claims of this instance's last start, without what it surely did not spend."""
-        if self._start is None:
-            # As of the start: what came later does not tell when the last start ended.
-            self._start = self._renewal(self._started_wall_s)
-        last = self._renewals.get(self._me.instance)
-        if last is None or last.peer == self._me:
+        last, start = self._predecessor, self._first_renewal
+        if last is None or start is None:
+            return []
+        if not self._renewals.proves_locked(last, start, self._started_wall_s):
             return []
-        proved = proves_locked(last, self._start)
         holder = Holder(last.peer.instance, last.peer.incarnation)
-        claims = [
+        return [
             replace(claims[holder], claimed_tokens=claims[holder].window_tokens)
             for claims in self.book.table.claims.values()
-            if holder in claims
+            if holder in claims and claims[holder].claimed_tokens > claims[holder].window_tokens
         ]
-        emit(
-            Event.CLAIMS_RECLAIMED if proved else Event.CLAIMS_STRANDED,
-            incarnation=holder.incarnation,
-            wall_s=round(self._start.wall_s - last.wall_s, 3),
-            heartbeats={
-                i: self._start.heartbeats.get(i, 0) - n for i, n in last.heartbeats.items()
-            },
-            budgets={c.budget: c.claimed_tokens for c in claims},
-        )
-        return claims if proved else []
+
+    def _note_renewal(self, renewal: Renewal) -> None:
+        """Take a renewal, and keep what a proof about this instance's last start rests on."""
+        self._renewals.note(renewal)
+        if renewal.peer.instance != self._me.instance:
+            return
+        if renewal.peer != self._me:
+            self._predecessor = renewal
+        elif self._first_renewal is None:
+            self._first_renewal = renewal
 
     def _plan_one(self, budget: BudgetName, prepaid_tokens: int) -> Claim | None:
         now_s = self._clock.monotonic_s()
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -25,7 +25,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from ..clock import Clock
     from ..core.placement import Placed, Placement
@@ -44,6 +44,16 @@
 _PATIENCE_OBJECTIVES = 1.6
 _LEAST_PATIENCE_S = 0.25
 
+#: The same in mean times to an answer's head: where all upstreams are slow, leaving one for the
+#: next only reads the prompt once more.
+_PATIENCE_MEANS = 3.0
+
+#: Longest patience; callers abandon a stream after two seconds without an event.
+_MOST_PATIENCE_S = 1.5
+
+#: Weight of the latest answer in the mean time to an answer's head.
+_LATEST_WEIGHT = 0.05
+
 #: Server errors of upstreams start here.
 _SERVER_ERROR = 500
 _OK = 200
@@ -151,6 +161,7 @@
         self._clock = clock
         self._metrics = metrics
         self._budgets: dict[str, RetryBudget] = {}
+        self._head_s: dict[str, float] = {}
 
     async def run(self, call: Call, caller: CallerConnection) -> None:
         """Forward a request and pass its answer on.
@@ -291,14 +302,29 @@
         )
         sending = self._client.send(upstream, call.request, headers)
         if not call.route.may_run_twice or call.sent >= call.route.attempts:
-            return await sending
-        patience_s = max(_LEAST_PATIENCE_S, _PATIENCE_OBJECTIVES * call.route.objective_s)
+            return await self._timed(call, sending)
+        patience_s = self._patience_s(call)
         try:
             with anyio.fail_after(patience_s):
-                return await sending
+                return await self._timed(call, sending)
         except TimeoutError:
             raise MayHaveRunError(f"no answer in {patience_s:.2f} s") from None
 
+    async def _timed(self, call: Call, sending: Awaitable[UpstreamAnswer]) -> UpstreamAnswer:
+        """Return an answer's head, and remember how long it took."""
+        began_s = self._clock.monotonic_s()
+        answer = await sending
+        took_s = self._clock.monotonic_s() - began_s
+        mean_s = self._head_s.get(call.service, took_s)
+        self._head_s[call.service] = mean_s + _LATEST_WEIGHT * (took_s - mean_s)
+        return answer
+
+    def _patience_s(self, call: Call) -> float:
+        """Return how long to wait for an answer's head where another upstream may be tried."""
+        by_objective_s = _PATIENCE_OBJECTIVES * call.route.objective_s
+        by_mean_s = _PATIENCE_MEANS * self._head_s.get(call.service, 0.0)
+        return min(_MOST_PATIENCE_S, max(_LEAST_PATIENCE_S, by_objective_s, by_mean_s))
+
     async def _pass_on(
         self, call: Call, answer: UpstreamAnswer, placed: Placed, caller: CallerConnection
     ) -> None:
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -44,9 +44,6 @@
 _GIVE_BACK_S = 0.7
 
 _BACKLOG = 512
-
-#: Upstreams whose heartbeats date a renewal: enough that some of them may end meanwhile.
-_HEARTBEATS = 12
 _RESTART_TASK_S = 0.2
 
 
@@ -90,7 +87,6 @@
             clock,
             self._health,
             self._prepaid,
-            lambda: self._upstream_feed.directory.heartbeats(_HEARTBEATS),
         )
         self._client = UpstreamClient(settings, translator)
         forwarder = Forwarder(
--- a/mothstand/gateway/ledger_records.py
+++ b/mothstand/gateway/ledger_records.py
@@ -41,7 +41,6 @@
     incarnation: str
     address: str
     wall_s: float
-    heartbeats: dict[str, int]
 
 
 def claims_stream(shard: Shard) -> Stream:
@@ -72,11 +71,15 @@
         incarnation=peer.incarnation,
         address=peer.address,
         wall_s=round(renewal.wall_s, 3),
-        heartbeats=dict(renewal.heartbeats),
     )
     return KeyedRecord(_INSTANCE_KEY + peer.instance, value.model_dump_json().encode())
 
 
+def is_renewal(record: KeyedRecord) -> bool:
+    """Return whether a record is an instance's renewal."""
+    return record.key.startswith(_INSTANCE_KEY)
+
+
 def decode(record: KeyedRecord) -> Claim | Renewal:
     """Return what a record of the topic says.
 
@@ -86,16 +89,16 @@
         Naming the key and what is wrong.
     """
     try:
-        if record.key.startswith(_INSTANCE_KEY):
-            return _renewal(_InstanceValue.model_validate_json(record.value or b""))
+        if is_renewal(record):
+            return _renewal(_InstanceValue.model_validate_json(record.value or b""), record.offset)
         return _claim(_ClaimValue.model_validate_json(record.value or b""))
     except ValidationError as error:
         raise ValueError(f"{record.key!r}: {error.error_count()} faults") from error
 
 
-def _renewal(value: _InstanceValue) -> Renewal:
+def _renewal(value: _InstanceValue, offset: int) -> Renewal:
     peer = Peer(value.instance, value.incarnation, value.address)
-    return Renewal(peer, value.wall_s, value.heartbeats)
+    return Renewal(peer, value.wall_s, offset)
 
 
 def _claim(value: _ClaimValue) -> Claim:
--- a/mothstand/platform/records.py
+++ b/mothstand/platform/records.py
@@ -90,8 +90,6 @@
     zone: str
     slots: int = 1
     state: str
-    # Counts the heartbeats of this start, also those that the store did not take.
-    sequence: int = 0
 
 
 def decode_config(data: bytes) -> GatewayConfig:
@@ -166,5 +164,4 @@
         data_centre=DataCentre(wire.zone),
         slots=wire.slots,
         draining=wire.state == _DRAINING,
-        heartbeats=wire.sequence,
     )
