--- a/mothstand/core/claim_policy.py
+++ b/mothstand/core/claim_policy.py
@@ -46,7 +46,7 @@
     ride_through_s: float = 10.0
     spare_requests: float = 1.5
     held_share: float = 0.6
-    window_share: float = 0.12
+    window_share: float = 0.2
     start_s: float = 40.0
     lull_share: float = 0.5
     slack: float = 0.15
