--- a/mothstand/docs_pages.py
+++ b/mothstand/docs_pages.py
@@ -12,7 +12,7 @@
 
 from .errors import ANSWERS
 from .events import Event
-from .settings import folder, instance, operator
+from .settings import folder, gateway, instance, operator
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -66,6 +66,9 @@
     lines = ["# Settings", "", "## An instance's file (`mothstand serve --settings FILE`)", ""]
     for name, model in instance.SECTIONS.items():
         lines += _section_lines(f"[{name}]", model)
+    lines += ["## A gateway instance's file (`mothstand gateway --settings FILE`)", ""]
+    for name, model in gateway.GATEWAY_SECTIONS.items():
+        lines += _section_lines(f"[{name}]", model)
     lines += ["## An operator's file (`--settings` of the other commands)", ""]
     lines += _section_lines("[operator]", operator.OperatorSection)
     lines += ["`[platform]` and `[secrets]` are as above.", ""]
--- a/mothstand/entry/app.py
+++ b/mothstand/entry/app.py
@@ -16,11 +16,11 @@
 
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..events import Event, emit
+from ..histograms import record_s
 from .answers import refusal_body, refusal_headers, send_refusal
 from .budgeted import KnownKeyError
 from .chat import ChatRun
 from .context import Caller, CallerRequest
-from .metrics import record_s
 from .services import ServiceRun
 from .sinks import AnswerSink, CallerSink, KeepingSink
 
--- a/mothstand/entry/budgeted.py
+++ b/mothstand/entry/budgeted.py
@@ -10,9 +10,9 @@
 from ..core.load_report import LOAD_HEADER, read_load
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..events import Event, emit
+from ..histograms import record_s
 from ..ledger.calls import KnownKey, Ticket
 from ..upstreams.client import MayHaveRunError, NotRunError
-from .metrics import record_s
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/mothstand/entry/chat.py
+++ b/mothstand/entry/chat.py
@@ -12,11 +12,11 @@
 from ..core.stream_check import AnswerSoFar, BrokenStreamError, StreamCheck, read_usage
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..events import Event, emit
+from ..histograms import record_s
 from ..upstreams.client import NOT_RUN_STATUSES, MayHaveRunError, NotRunError
 from .answers import REQUEST_ID_HEADER, refusal_event
 from .budgeted import Attempt, Budgeted, Charge, choose_upstream, try_upstreams
 from .chat_body import ChatBody, engine_body
-from .metrics import record_s
 
 if TYPE_CHECKING:
     import httpx
--- a/mothstand/entry/metrics.py
+++ b/mothstand/entry/metrics.py
@@ -4,17 +4,12 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
-from hdrh.histogram import HdrHistogram
+from ..histograms import lines_of, new_histogram
 
-_LOWEST_US = 1
-_HIGHEST_US = 600_000_000
-_DIGITS = 2
-_PERCENTILES = (50.0, 95.0, 99.0)
-
-
-def _histogram() -> HdrHistogram:
-    return HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+if TYPE_CHECKING:
+    from hdrh.histogram import HdrHistogram
 
 
 @dataclass(slots=True)
@@ -22,23 +17,13 @@
     """What an instance counts; histograms are in microseconds."""
 
     counts: Counter[str] = field(default_factory=Counter)
-    reserve_us: HdrHistogram = field(default_factory=_histogram)
-    first_byte_us: HdrHistogram = field(default_factory=_histogram)
-    whole_us: HdrHistogram = field(default_factory=_histogram)
+    reserve_us: HdrHistogram = field(default_factory=new_histogram)
+    first_byte_us: HdrHistogram = field(default_factory=new_histogram)
+    whole_us: HdrHistogram = field(default_factory=new_histogram)
 
     def text(self) -> str:
         """Return all figures as lines of name and value."""
         lines = [f"mothstand_{name} {value}" for name, value in sorted(self.counts.items())]
         for name in ("reserve_us", "first_byte_us", "whole_us"):
-            histogram = getattr(self, name)
-            lines.append(f"mothstand_{name}_count {histogram.get_total_count()}")
-            lines.extend(
-                f'mothstand_{name}{{percentile="{p:g}"}} {histogram.get_value_at_percentile(p)}'
-                for p in _PERCENTILES
-            )
+            lines += lines_of(name, getattr(self, name))
         return "\n".join(lines) + "\n"
-
-
-def record_s(histogram: HdrHistogram, seconds: float) -> None:
-    """Record a duration."""
-    histogram.record_value(min(_HIGHEST_US, max(_LOWEST_US, int(seconds * 1e6))))
--- a/mothstand/settings/gateway.py
+++ b/mothstand/settings/gateway.py
@@ -7,9 +7,8 @@
 
 from pydantic import Field
 
-from ..errors import SettingsError
 from ..types import DataCentre
-from .ini import SectionModel, Words, read_file, read_section
+from .ini import SectionModel, Words, read_sections
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -107,14 +106,4 @@
     SettingsError
         Naming file, section, key, bad value and what to write.
     """
-    sections = read_file(path)
-    unknown = sorted(set(sections) - set(GATEWAY_SECTIONS))
-    if unknown:
-        raise SettingsError(
-            f"{path.name}: [{unknown[0]}] is unknown; write one of {', '.join(GATEWAY_SECTIONS)}"
-        )
-    models = {
-        name: read_section(model, sections.get(name, {}), section=name, source=path.name)
-        for name, model in GATEWAY_SECTIONS.items()
-    }
-    return GatewaySettings(**models)  # type: ignore[arg-type]
+    return GatewaySettings(**read_sections(path, GATEWAY_SECTIONS))  # type: ignore[arg-type]
--- a/mothstand/settings/ini.py
+++ b/mothstand/settings/ini.py
@@ -76,3 +76,23 @@
         value = "missing" if fault["type"] == "missing" else repr(fault["input"])
         sentences.append(f"{source}: [{section}] {key} = {value}: {fault['msg']}; {hint}")
     return "\n".join(sentences)
+
+
+def read_sections(path: Path, models: dict[str, type[SectionModel]]) -> dict[str, SectionModel]:
+    """Return the sections of a settings file, each as its validated model.
+
+    Raises
+    ------
+    SettingsError
+        Naming file, section, key, bad value and what to write.
+    """
+    sections = read_file(path)
+    unknown = sorted(set(sections) - set(models))
+    if unknown:
+        raise SettingsError(
+            f"{path.name}: [{unknown[0]}] is unknown; write one of {', '.join(models)}"
+        )
+    return {
+        name: read_section(model, sections.get(name, {}), section=name, source=path.name)
+        for name, model in models.items()
+    }
--- a/mothstand/settings/instance.py
+++ b/mothstand/settings/instance.py
@@ -7,9 +7,8 @@
 
 from pydantic import Field
 
-from ..errors import SettingsError
 from ..types import DataCentre
-from .ini import SectionModel, Words, read_file, read_section
+from .ini import SectionModel, Words, read_sections
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -136,14 +135,4 @@
     SettingsError
         Naming file, section, key, bad value and what to write.
     """
-    sections = read_file(path)
-    unknown = sorted(set(sections) - set(SECTIONS))
-    if unknown:
-        raise SettingsError(
-            f"{path.name}: [{unknown[0]}] is unknown; write one of {', '.join(SECTIONS)}"
-        )
-    models = {
-        name: read_section(model, sections.get(name, {}), section=name, source=path.name)
-        for name, model in SECTIONS.items()
-    }
-    return InstanceSettings(**models)  # type: ignore[arg-type]
+    return InstanceSettings(**read_sections(path, SECTIONS))  # type: ignore[arg-type]
