--- a/mothstand/gateway/accounts.py
+++ b/mothstand/gateway/accounts.py
@@ -196,6 +196,11 @@
         for shard in self.shards:
             await shard.keeper.give_back()
 
+    def unused_tokens(self) -> dict[BudgetName, int]:
+        """Return what is claimed and not used, of the budgets with any."""
+        held = (held for shard in self.shards for held in shard.keeper.book.held.values())
+        return {one.budget: one.held_tokens for one in held if one.held_tokens > 0}
+
     def peers(self) -> list[Peer]:
         """Return the other instances that announced themselves."""
         known = self.shards[0].keeper.peers.values()
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -38,6 +38,10 @@
 #: Seconds between two looks at whether a stop is over.
 _STOP_LOOK_S = 0.1
 
+#: Seconds that requests get to end when the process must; the library's own minute would outlast
+#: the grace, and the process would be killed with its claims held.
+_CUT_AFTER_S = 0.2
+
 #: Longest try to give back claims at a stop, within that margin.
 _GIVE_BACK_S = 0.7
 
@@ -120,7 +124,7 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM."""
-        runner = web.ServerRunner(self._server.make())
+        runner = web.ServerRunner(self._server.make(), shutdown_timeout=_CUT_AFTER_S)
         await runner.setup()
         checks = web.ServerRunner(web.Server(self._check, access_log=None))
         await checks.setup()
@@ -142,16 +146,19 @@
             tasks.start_soon(self._keep, "claims", self._accounts.run)
             tasks.start_soon(self._keep, "bootstrap", self._bootstrap.run)
             await self._wait_for_stop()
+            # Requests first: what still runs counts at its most, and a claim that was lowered
+            # before their end would keep the rest from everyone.
+            await runner.cleanup()
             tasks.cancel_scope.cancel()
         with anyio.move_on_after(_GIVE_BACK_S):
             await self._accounts.give_back()
-        await runner.cleanup()
         await checks.cleanup()
         peer_server.close()
         self._link.close()
         await self._client.aclose()
         await self._store.aclose()
-        emit(Event.INSTANCE_STOPPED, instance=self._me.instance)
+        unused = self._accounts.unused_tokens()
+        emit(Event.INSTANCE_STOPPED, instance=self._me.instance, still_claimed=unused)
 
     async def _keep(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
         """Run a task, and start it again should it fail: the instance serves on without it."""
--- a/mothstand/gateway/log_output.py
+++ b/mothstand/gateway/log_output.py
@@ -77,6 +77,9 @@
     def flush(self) -> None:
         """Nothing is kept back."""
 
+    def close(self) -> None:
+        """Leave standard output open; the library closes its stream at the process's end."""
+
 
 def set_up_events() -> None:
     """Write events to standard output."""
--- a/mothstand/standins/users_engine.py
+++ b/mothstand/standins/users_engine.py
@@ -24,14 +24,14 @@
 
 _MISDIRECTED = 421
 _EVENTS = 5
-_EVENT_S = 0.01
 
 
 class UsersEngineStandIn:
     """One engine."""
 
-    def __init__(self, upstream_id: str) -> None:
+    def __init__(self, upstream_id: str, event_s: float) -> None:
         self._upstream_id = upstream_id
+        self._event_s = event_s
         self._journal: list[dict[str, str]] = []
 
     async def run(self, request: Request) -> Response:
@@ -44,7 +44,7 @@
 
         async def events() -> AsyncIterator[bytes]:
             for number in range(first, _EVENTS + 1):
-                await anyio.sleep(_EVENT_S)
+                await anyio.sleep(self._event_s)
                 yield b"id: %d\ndata: word\n\n" % number
 
         headers = {
@@ -58,9 +58,9 @@
         return JSONResponse(self._journal)
 
 
-def main(address: str, upstream_id: str) -> None:
+def main(address: str, upstream_id: str, event_s: float = 0.01) -> None:
     """Serve until SIGTERM."""
-    engine = UsersEngineStandIn(upstream_id)
+    engine = UsersEngineStandIn(upstream_id, event_s)
     routes = [
         Route("/journal", engine.journal, methods=["GET"]),
         Route("/{path:path}", engine.run, methods=["POST"]),
--- a/mothstand/testing/gateway_fleet.py
+++ b/mothstand/testing/gateway_fleet.py
@@ -45,9 +45,10 @@
         """The store's stand-in."""
         return self.processes["store"]
 
-    def start_engine(self, name: str) -> FleetProcess:
-        """Start an engine and register it."""
-        engine = self._start_standin(name, "users_engine", f"--upstream-id={name}")
+    def start_engine(self, name: str, *, event_s: float = 0.01) -> FleetProcess:
+        """Start an engine that makes an event each `event_s`, and register it."""
+        options = (f"--upstream-id={name}", f"--event-s={event_s}")
+        engine = self._start_standin(name, "users_engine", *options)
         entry = {
             "service": SERVICE,
             "address": engine.address,
@@ -59,7 +60,7 @@
         self.put("keyed.servers", name, entry)
         return engine
 
-    def start_instance(self, name: str, address: str = "") -> FleetProcess:
+    def start_instance(self, name: str, *, grace_s: float = 8.0) -> FleetProcess:
         """Start a gateway instance and wait until it is ready."""
         ports = [free_port() for _ in range(4)]
         callers, ready, peers, metrics = (f"127.0.0.1:{port}" for port in ports)
@@ -67,7 +68,8 @@
         path.write_text(
             f"[instance]\nname = {name}\ndata_centre = sto-a\n"
             f"[listen]\ncallers = {callers}\nready = {ready}\npeers = {peers}\n"
-            f"metrics = {metrics}\n[store]\naddress = {self.store.address}\n",
+            f"metrics = {metrics}\n[store]\naddress = {self.store.address}\n"
+            f"[timing]\ngrace_s = {grace_s}\n",
             encoding="utf-8",
         )
         command = (sys.executable, "-m", "mothstand.gateway_main", str(path))
--- a/mothstand/tests/test_gateway.py
+++ b/mothstand/tests/test_gateway.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
+import httpx
 import pytest
 
 from ..testing.fleet import wait_until
@@ -77,6 +78,33 @@
         assert answers == [200] * 10
         assert exit_code == 0
 
+    def test_a_stop_gives_back_what_a_cut_request_held(self, fleet: GatewayFleet) -> None:
+        """Symptom: after a rolling restart budgets run dry early.
+
+        Sequence: SIGTERM while a stream runs that outlasts the grace; the process ends.
+        Cause: claims were lowered while the stream still counted at its most, and the process
+        was killed while it waited for the stream's connection.
+        """
+        fleet.start_engine("e-1", event_s=5.0)
+        instance = fleet.start_instance("a", grace_s=5.0)
+        cut: list[str] = []
+
+        def ask() -> None:
+            try:
+                fleet.ask(instance, "r-1", tokens="100,50000")
+            except httpx.HTTPError as error:
+                cut.append(repr(error))
+
+        asking = threading.Thread(target=ask)
+        asking.start()
+        time.sleep(0.5)
+        began_s = time.monotonic()
+        assert instance.terminate() == 0
+        assert time.monotonic() - began_s < 5.0
+        asking.join()
+        log = (fleet.folder / "a.log").read_text(encoding="utf-8")
+        assert '"still_claimed": {}' in log
+
 
 class TestBudget:
     def test_two_instances_spend_no_more_than_was_paid(self, fleet: GatewayFleet) -> None:
