No renewal whose windows do not cover what was used

Ruled out: the dating of the renewal (three clocks agreed and were right), late appends, loans. Change: news is told by the claim in the store, doubtful appends count as news, and a renewal is withheld while windows do not cover what was used.

--- a/mothstand/core/claims.py
+++ b/mothstand/core/claims.py
@@ -240,6 +240,18 @@
             held.limit_tokens = min(claims)
             held.window_tokens = min(windows)
 
+    def covers(self, claims: tuple[Claim, ...]) -> bool:
+        """Return whether windows cover all that was used, once claims are written.
+
+        A renewal says that no more than the windows was used. One that is written while more was
+        used, as after an outage, would let a successor give back tokens that are spent.
+        """
+        windows = {c.budget: c.window_tokens for c in claims if c.holder == self.me}
+        return all(
+            held.needed_claim_tokens <= windows.get(budget, self.table.window_of(budget, self.me))
+            for budget, held in self.held.items()
+        )
+
     def set_unlocked(self, unlocked: bool) -> None:
         """Allow, or no longer allow, to spend claims past their windows."""
         for held in self.held.values():
--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -38,6 +38,7 @@
     CLAIMS_RECLAIMED = (4013, logging.INFO, "Claims that an ended process did not use are free.")
     CLAIMS_UNLOCKED = (4014, logging.WARNING, "Claims may be spent past their windows.")
     CLAIMS_LOCKED = (4015, logging.INFO, "Claims may be spent up to their windows only.")
+    RENEWAL_WITHHELD = (4016, logging.ERROR, "A renewal's windows would not cover what was used.")
     LOG_UNREACHABLE = (5001, logging.WARNING, "The platform's log does not answer.")
     LOG_REACHABLE = (5002, logging.INFO, "The platform's log answers again.")
     RECORD_SKIPPED = (5003, logging.ERROR, "A log record cannot be read; every reader skips it.")
--- a/mothstand/gateway/claim_keeper.py
+++ b/mothstand/gateway/claim_keeper.py
@@ -94,7 +94,6 @@
         self.prepaid = prepaid
         self._look_every_s = look_every_s
         self._changed = changed
-        self._written: dict[BudgetName, Claim] = {}
         self._listed = False
         self._wake = anyio.Event()
         self._leaving = False
@@ -190,6 +189,9 @@
         for _ in range(_MOST_CONFLICTS):
             await self._read()
             claims = self._plan()
+            if not self.book.covers(claims):
+                emit(Event.RENEWAL_WITHHELD, claims=len(claims))
+                return
             records = [encode_claim(claim) for claim in claims]
             records.append(encode_renewal(self._renewal()))
             if await self._append(claims, tuple(records)):
@@ -266,7 +268,6 @@
         self._apply(tuple(placed))
         self.book.took(doubt.at_offset + len(records))
         mine = [claim for claim in claims if claim.holder == self.book.me]
-        self._written.update({claim.budget: claim for claim in mine})
         self._tell(doubt.at_offset, Event.CLAIMS_WRITTEN, mine)
         others = [claim for claim in claims if claim.holder != self.book.me]
         self._tell(doubt.at_offset, Event.CLAIMS_RECLAIMED, others)
@@ -360,10 +361,10 @@
 
     def _is_news(self, claim: Claim) -> bool:
         """Return whether others should hear of spend and demand, for their fair shares."""
-        written = self._written.get(claim.budget)
+        if self.book.doubts:
+            return True
+        written = self.book.table.claims[claim.budget].get(claim.holder)
         if written is None:
             return claim.spent_tokens > 0
-        return (written.spent_tokens, written.window_tokens) != (
-            claim.spent_tokens,
-            claim.window_tokens,
-        )
+        before = (written.spent_tokens, written.window_tokens)
+        return before != (claim.spent_tokens, claim.window_tokens)
--- a/mothstand/tests/test_claim_histories.py
+++ b/mothstand/tests/test_claim_histories.py
@@ -15,6 +15,9 @@
 _MOST_SEEDS = 400
 _STEPS = 1200
 
+#: 2706: a renewal without the window that covers what was used in an outage.
+_FAILED_SEEDS = (2706,)
+
 #: Requests that a history serves on average, at least; 84 were counted over sixty of them.
 _LEAST_SERVED = 60
 
@@ -46,6 +49,10 @@
             assert counts[rare] > 20, (rare, counts)
         assert counts["served"] > _LEAST_SERVED * _CLEAN_SEEDS
 
+    @pytest.mark.parametrize("seed", _FAILED_SEEDS)
+    def test_seeds_that_failed(self, seed: int) -> None:
+        run_one(seed)
+
     @pytest.mark.parametrize("plant", [plant for plant in Plant if plant is not Plant.NONE])
     def test_planted_faults_are_found(self, plant: Plant) -> None:
         for seed in range(_MOST_SEEDS):
--- a/mothstand/tests/test_claims.py
+++ b/mothstand/tests/test_claims.py
@@ -66,6 +66,22 @@
         book.set_unlocked(True)
         assert held.reserve(21) is not None
 
+    def test_no_renewal_while_more_than_the_window_is_used(self) -> None:
+        """Symptom: more is spent than was paid, after a death.
+
+        Sequence: a process spends past its window in an outage; back in touch it renews, without
+        a new window; it dies, and its successor, within the time, gives back what lies past the
+        window, though some of it was used.
+        Cause: the window was compared with the last one whose answer came, not with the one in
+        the store, and taken for unchanged. Found by random histories, seed 2706.
+        """
+        book = book_with(claim(_ME, 31, window=10))
+        book.set_unlocked(True)
+        assert book.of(_BUDGET).reserve(11) is not None
+        assert not book.covers(())
+        assert not book.covers((claim(_ME, 31, window=10),))
+        assert book.covers((claim(_ME, 31, window=11),))
+
 
 class TestHeldBudget:
     def held(self, tokens: int) -> HeldBudget:
