Reading the change again: dead parameters, repeated handlers, totals made for each request

No change of behaviour. Gone: parameters and header fields that nothing read, a sum that stood twice. The four handlers of a failed attempt differ only in what they teach of the upstream; that is one function now. Prepaid totals were built anew for every reservation, and a table of all instances for each holder of a claim; both are looked up.

--- a/mothstand/core/claims.py
+++ b/mothstand/core/claims.py
@@ -75,10 +75,6 @@
         """Return what all holders of a budget may consume."""
         return sum(c.claimed_tokens for c in self.claims[budget].values())
 
-    def spent_tokens(self, budget: BudgetName) -> int:
-        """Return what all holders have said to have consumed; the truth is this or more."""
-        return sum(c.spent_tokens for c in self.claims[budget].values())
-
     def claim_of(self, budget: BudgetName, holder: Holder) -> int:
         """Return the claim of one holder, 0 if it has none."""
         claim = self.claims[budget].get(holder)
--- a/mothstand/gateway/accounts.py
+++ b/mothstand/gateway/accounts.py
@@ -65,7 +65,7 @@
             settings.timing.claims_s,
             self.announce,
         )
-        self.borrower = Borrower(self.keeper, me, link, peers, clock, self.announce)
+        self.borrower = Borrower(self.keeper, link, peers, clock, self.announce)
 
     async def reserve(
         self, budget: BudgetName, tokens: int, priority: int, wait_s: float, tasks: TaskGroup
--- a/mothstand/gateway/borrowing.py
+++ b/mothstand/gateway/borrowing.py
@@ -42,7 +42,6 @@
     def __init__(
         self,
         keeper: ClaimKeeper,
-        me: Peer,
         link: PeerLink,
         peers: Callable[[], list[Peer]],
         clock: Clock,
@@ -50,7 +49,6 @@
     ) -> None:
         self.loans = LoanBook()
         self._keeper = keeper
-        self._me = me
         self._link = link
         self._peers = peers
         self._clock = clock
--- a/mothstand/gateway/claim_keeper.py
+++ b/mothstand/gateway/claim_keeper.py
@@ -148,8 +148,8 @@
 
     def _lives(self, holder: Holder) -> bool:
         """Return whether a holder is the latest start of its instance."""
-        peer = self.peers.get(holder.instance)
-        return peer is not None and peer.incarnation == holder.incarnation
+        latest = self._renewals.last(holder.instance)
+        return latest is not None and latest.peer.incarnation == holder.incarnation
 
     def wake(self) -> None:
         """Look at the claims now."""
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -30,7 +30,7 @@
     from ..clock import Clock
     from ..core.placement import Placed, Placement
     from ..core.retry_budget import RetryBudgetSettings
-    from ..core.routes import GatewayConfig, Route
+    from ..core.routes import Route
     from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
     from .headers import CallerFields, HeaderTranslator, RawHeaders
     from .metrics import GatewayMetrics
@@ -145,7 +145,6 @@
         translator: HeaderTranslator,
         placement: Placement,
         directory: UpstreamDirectory,
-        config: Callable[[], GatewayConfig | None],
         retries: RetryBudgetSettings,
         sharers: Callable[[], int],
         clock: Clock,
@@ -155,7 +154,6 @@
         self._translator = translator
         self._placement = placement
         self._directory = directory
-        self._config = config
         self._retry_settings = retries
         self._sharers = sharers
         self._clock = clock
@@ -263,25 +261,10 @@
             answer = await self._send(call, upstream)
             await self._pass_on(call, answer, placed, caller)
             self._placement.succeeded(upstream)
-        except MisdirectedError as error:
-            call.sent -= 1
-            call.refusals += 1
-            self._directory.ended(upstream.upstream_id)
-            self._note_failure(call, upstream, error, 0.0)
-            raise _Retry from error
-        except RefusedByUpstreamError as error:
-            call.sent -= 1
-            call.refusals += 1
-            self._placement.full(upstream, self._clock.monotonic_s())
-            self._note_failure(call, upstream, error, 0.0)
-            raise _Retry from error
-        except NotRunError as error:
-            call.sent -= 1
-            pause_s = self._placement.failed(upstream, self._clock.monotonic_s())
-            self._note_failure(call, upstream, error, pause_s)
-            raise _Retry from error
-        except MayHaveRunError as error:
-            pause_s = self._placement.failed(upstream, self._clock.monotonic_s())
+        except (NotRunError, MayHaveRunError) as error:
+            if isinstance(error, NotRunError):
+                call.sent -= 1
+            pause_s = self._judge(call, upstream, error)
             self._note_failure(call, upstream, error, pause_s)
             raise _Retry from error
         finally:
@@ -289,6 +272,19 @@
             if answer is not None:
                 answer.close()
 
+    def _judge(self, call: Call, upstream: RegisteredUpstream, error: Exception) -> float:
+        """Take what a failure says of its upstream; return for how long it is left alone."""
+        now_s = self._clock.monotonic_s()
+        if isinstance(error, MisdirectedError):
+            call.refusals += 1
+            self._directory.ended(upstream.upstream_id)
+            return 0.0
+        if isinstance(error, RefusedByUpstreamError):
+            call.refusals += 1
+            self._placement.full(upstream, now_s)
+            return 0.0
+        return self._placement.failed(upstream, now_s)
+
     async def _send(self, call: Call, upstream: RegisteredUpstream) -> UpstreamAnswer:
         headers = self._translator.to_upstream(
             call.headers,
--- a/mothstand/gateway/headers.py
+++ b/mothstand/gateway/headers.py
@@ -56,17 +56,13 @@
         The upstream's word that it did not run the request.
     misdirected
         Another process answered than the one that was meant.
-    signed
-        Whether the answer bears the upstream's signature.
-    idle_s
-        How long the upstream keeps the connection; None if it does not say.
+    last
+        Whether the upstream closes the connection after the answer.
     """
 
     request_id: str
     not_run: bool
     misdirected: bool
-    signed: bool
-    idle_s: float | None
     last: bool
 
 
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -60,6 +60,7 @@
         self._metrics = GatewayMetrics()
         self._health = LogHealth(clock)
         self._store = parts.store
+        self._prepaid_tokens: dict[BudgetName, int] = {}
         translator: HeaderTranslator = parts.headers
         self._config_feed = ConfigFeed(
             parts.store,
@@ -104,7 +105,6 @@
             translator,
             self._placement,
             self._upstream_feed.directory,
-            self._config,
             RetryBudgetSettings(
                 settings.retries.ratio, settings.retries.burst, settings.retries.window_s
             ),
@@ -197,17 +197,16 @@
         return self._config_feed.config
 
     def _config_in_force(self, config: GatewayConfig) -> None:
-        self._accounts.config_changed()
-
-    def _prepaid(self) -> dict[BudgetName, int]:
-        config = self._config()
-        if config is None:
-            return {}
-        return {
+        # Once for each configuration: every reservation looks at the totals.
+        self._prepaid_tokens = {
             BudgetName(w.name): w.prepaid_tokens
             for w in config.workspaces.values()
             if w.prepaid_tokens is not None
         }
+        self._accounts.config_changed()
+
+    def _prepaid(self) -> dict[BudgetName, int]:
+        return self._prepaid_tokens
 
 
 async def _listen(runner: web.ServerRunner, address: str) -> None:
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -50,10 +50,7 @@
         """Send the head of a streamed answer."""
         self.started = True
         response = web.StreamResponse(status=status, reason=reason, headers=CIMultiDict(headers))
-        if self._shutdown.is_stopping:
-            response.force_close()
-        self.response = response
-        await response.prepare(self._request)
+        await self._prepare(response)
 
     async def write(self, data: bytes) -> None:
         """Send a piece of a streamed answer."""
@@ -76,11 +73,14 @@
         response = web.Response(
             status=status, reason=reason, headers=CIMultiDict(headers), body=body
         )
+        await self._prepare(response)
+        await response.write_eof()
+
+    async def _prepare(self, response: web.StreamResponse) -> None:
         if self._shutdown.is_stopping:
             response.force_close()
         self.response = response
         await response.prepare(self._request)
-        await response.write_eof()
 
 
 class GatewayServer:
--- a/mothstand/platform/headers.py
+++ b/mothstand/platform/headers.py
@@ -25,7 +25,6 @@
 # 0 is the most urgent.
 _PRIORITY = "X-Request-Priority"
 _NOT_RUN = "X-Not-Executed"
-_SIGNATURE = "X-Server-Signature"
 _RETRY_AFTER = "Retry-After"
 
 _LEAST_URGENT = 9
@@ -111,8 +110,6 @@
             request_id=_named(headers, _REQUEST_ID),
             not_run=bool(_named(headers, _NOT_RUN)),
             misdirected=status == _MISDIRECTED,
-            signed=bool(_named(headers, _SIGNATURE)),
-            idle_s=_idle_s(_named(headers, "Keep-Alive")),
             last=_named(headers, "Connection").lower() == "close",
         )
 
@@ -143,11 +140,3 @@
     """Return the headers that a sender declares to be of its connection only."""
     names = _named(headers, "Connection").lower().split(",")
     return frozenset(name.strip() for name in names if name.strip())
-
-
-def _idle_s(keep_alive: str) -> float | None:
-    for part in keep_alive.split(","):
-        name, _, value = part.strip().partition("=")
-        if name == "timeout" and value.isdecimal():
-            return float(value)
-    return None
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -47,7 +47,7 @@
         self.status = status
         self.reason = ""
         self.headers = (("X-Server-Signature", f"s{status}"),)
-        self.fields = UpstreamFields("r", False, False, True, None, False)
+        self.fields = UpstreamFields("r", False, False, False)
         self.closed = False
         self._pieces = list(pieces)
 
@@ -129,7 +129,6 @@
             PlatformHeaders(),
             Placement(_HERE),
             self.directory,
-            lambda: None,
             RetryBudgetSettings(0.2, burst, 10.0),
             lambda: 6,
             self.clock,
