--- a/mothstand/core/claims.py
+++ b/mothstand/core/claims.py
@@ -108,6 +108,12 @@
         Whether all of the claim may be spent, not only its window.
     received_tokens, given_tokens
         Moved from and to other instances, without a change of the claims in the store.
+    borrowed_spent_tokens
+        Spent while this process claimed nothing itself; its lenders write that for it.
+    untold_tokens
+        Of these, what no lender has been told.
+    heard_spent_tokens
+        Spent by borrowers, by their own word.
     """
 
     budget: BudgetName
@@ -118,6 +124,14 @@
     reserved_tokens: int = 0
     received_tokens: int = 0
     given_tokens: int = 0
+    borrowed_spent_tokens: int = 0
+    untold_tokens: int = 0
+    heard_spent_tokens: int = 0
+
+    @property
+    def recorded_spent_tokens(self) -> int:
+        """What this process writes as spent; summed over all claims it is never too much."""
+        return self.spent_tokens - self.borrowed_spent_tokens + self.heard_spent_tokens
 
     @property
     def available_tokens(self) -> int:
@@ -143,13 +157,20 @@
         self.reserved_tokens += tokens
         return Reservation(self.budget, tokens)
 
-    def settle(self, reservation: Reservation, used_tokens: int) -> None:
-        """End a reservation with what the request consumed; a second call changes nothing."""
+    def settle(self, reservation: Reservation, used_tokens: int) -> int:
+        """End a reservation and return what it spent; a second call changes nothing."""
         if not reservation.open:
-            return
+            return 0
         reservation.open = False
         self.reserved_tokens -= reservation.tokens
-        self.spent_tokens += min(used_tokens, reservation.tokens)
+        spent = min(used_tokens, reservation.tokens)
+        self.spent_tokens += spent
+        return spent
+
+    def spend_borrowed(self, tokens: int) -> None:
+        """Note that of what was settled just now tokens came from lenders."""
+        self.borrowed_spent_tokens += tokens
+        self.untold_tokens += tokens
 
     def give(self, tokens: int) -> int:
         """Take up to `tokens` out for another instance, and return how many."""
@@ -190,12 +211,13 @@
     me: Holder
     table: ClaimTable = field(default_factory=ClaimTable)
     held: dict[BudgetName, HeldBudget] = field(default_factory=dict)
+    unlocked: bool = False
     doubts: list[DoubtfulAppend] = field(default_factory=list)
 
     def of(self, budget: BudgetName) -> HeldBudget:
         """Return what is held of a budget."""
         if budget not in self.held:
-            self.held[budget] = HeldBudget(budget)
+            self.held[budget] = HeldBudget(budget, unlocked=self.unlocked)
         return self.held[budget]
 
     def took(self, next_offset: int) -> None:
@@ -250,5 +272,8 @@
 
     def set_unlocked(self, unlocked: bool) -> None:
         """Allow, or no longer allow, to spend claims past their windows."""
+        if unlocked == self.unlocked:
+            return
+        self.unlocked = unlocked
         for held in self.held.values():
             held.unlocked = unlocked
--- /dev/null
+++ b/mothstand/core/fleet.py
@@ -0,0 +1,138 @@
+"""Who belongs to the fleet, and which few of them claim from the store for all.
+
+The load that this answers: if each of 70 instances held a part of each budget, the parts would be
+smaller than a request, each claim would race 70 others for its condition, and each instance would
+read what all others write. So in each data centre a few instances claim, and the rest borrow from
+them, one call within the data centre for a request. Claimants are chosen by rendezvous hash, so
+all instances agree without a word, and a death moves no more than its own place.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from ..types import DataCentre, Shard
+    from .loans import Peer
+
+#: Seconds between two announcements of an instance.
+ANNOUNCE_S = 4.0
+
+#: An instance that has not announced itself for this long has gone: three announcements may be
+#: lost. A claimant that is merely silent is passed over by its borrowers at once.
+GONE_AFTER_S = 14.0
+
+#: The claimants of a shard in each data centre. Two may be down at once; and a small data centre
+#: has no more instances than this, so that all claim and no request needs another instance.
+CLAIMANTS_PER_DATA_CENTRE = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One instance of the fleet, by its own announcement."""
+
+    peer: Peer
+    data_centre: DataCentre
+
+
+@dataclass(slots=True)
+class FleetView:
+    """The fleet as this instance knows it from announcements.
+
+    Parameters
+    ----------
+    me
+        This instance.
+    claimants_per_data_centre
+        How many claim in each data centre, the same in the whole fleet.
+    """
+
+    me: Member
+    claimants_per_data_centre: int = CLAIMANTS_PER_DATA_CENTRE
+    _members: dict[str, Member] = field(default_factory=dict)
+    _seen_s: dict[str, float] = field(default_factory=dict)
+    _read_at_s: float | None = None
+    _claimants: dict[Shard, list[Member]] = field(default_factory=dict)
+
+    def note(self, member: Member, now_s: float) -> None:
+        """Take an announcement."""
+        name = member.peer.instance
+        self._seen_s[name] = now_s
+        if self._members.get(name) != member:
+            self._members[name] = member
+            self._claimants.clear()
+
+    def read(self, now_s: float) -> list[str]:
+        """Note that announcements were read up to now; drop and return who is silent for long.
+
+        Notes
+        -----
+        While announcements cannot be read nobody's silence means anything. Without a new start
+        of their times after such a gap, the whole fleet would count as gone, and nobody would
+        claim or lend.
+        """
+        if self._read_at_s is None or now_s - self._read_at_s > 2 * ANNOUNCE_S:
+            self._seen_s = dict.fromkeys(self._seen_s, now_s)
+        self._read_at_s = now_s
+        gone = [name for name, seen_s in self._seen_s.items() if now_s - seen_s > GONE_AFTER_S]
+        for name in gone:
+            del self._members[name], self._seen_s[name]
+            self._claimants.clear()
+        return gone
+
+    @property
+    def size(self) -> int:
+        """How many instances there are, this one included."""
+        return len({*self._members, self.me.peer.instance})
+
+    def knows(self, instance: str) -> bool:
+        """Return whether an instance has announced itself."""
+        return instance in self._members
+
+    def others(self) -> list[Member]:
+        """Return all other instances."""
+        mine = self.me.peer.instance
+        return [member for name, member in self._members.items() if name != mine]
+
+    def claimants(self, shard: Shard) -> list[Member]:
+        """Return the instances that claim the budgets of a shard; this one may be among them."""
+        if shard not in self._claimants:
+            everyone = [*self.others(), self.me]
+            self._claimants[shard] = _chosen(everyone, shard, self.claimants_per_data_centre)
+        return self._claimants[shard]
+
+    def is_claimant(self, shard: Shard) -> bool:
+        """Return whether this instance claims the budgets of a shard."""
+        return any(m.peer.instance == self.me.peer.instance for m in self.claimants(shard))
+
+    def lenders(self, shard: Shard) -> list[Peer]:
+        """Return whom to ask for loans: near ones first, in an order of this instance's own.
+
+        Each instance has its own order, or all would ask the same claimant first.
+        """
+        mine = self.me.peer.instance
+        others = [m for m in self.claimants(shard) if m.peer.instance != mine]
+        others.sort(key=lambda m: (self._is_far(m), _weight(mine, m.peer.instance)))
+        return [member.peer for member in others]
+
+    def _is_far(self, member: Member) -> bool:
+        return member.data_centre != self.me.data_centre
+
+
+def _chosen(members: list[Member], shard: Shard, per_data_centre: int) -> list[Member]:
+    by_data_centre: dict[DataCentre, list[Member]] = defaultdict(list)
+    for member in members:
+        by_data_centre[member.data_centre].append(member)
+    chosen: list[Member] = []
+    for here in by_data_centre.values():
+        here.sort(key=lambda m: _weight(f"shard {shard}", m.peer.instance))
+        chosen += here[:per_data_centre]
+    return chosen
+
+
+def _weight(subject: str, instance: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{subject}|{instance}".encode())
--- a/mothstand/core/loans.py
+++ b/mothstand/core/loans.py
@@ -77,7 +77,7 @@
     def order(
         self, peers: list[Peer], table: ClaimTable, budget: BudgetName, now_s: float
     ) -> list[Peer]:
-        """Return the peers to ask, in order."""
+        """Return the peers to ask, in order; those that hold the same keep their order."""
         unspent: dict[str, int] = {}
         for holder, claim in table.claims[budget].items():
             rest = claim.claimed_tokens - claim.spent_tokens
--- a/mothstand/core/renewals.py
+++ b/mothstand/core/renewals.py
@@ -70,10 +70,6 @@
         kept.sort(key=lambda r: r.offset)
         del kept[:-_MOST_KEPT]
 
-    def peers(self) -> dict[str, Peer]:
-        """Return the latest start of each instance."""
-        return {name: kept[-1].peer for name, kept in self._by_instance.items() if kept}
-
     def last(self, instance: str) -> Renewal | None:
         """Return the latest renewal of an instance."""
         kept = self._by_instance.get(instance)
--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -23,6 +23,8 @@
     CONFIG_REFUSED = (2002, logging.WARNING, "A published configuration lost or was not valid.")
     PEER_SUSPECTED = (3001, logging.WARNING, "A peer has not answered for the suspicion time.")
     PEER_SEEN = (3002, logging.INFO, "A peer answered for the first time or again.")
+    MEMBER_SEEN = (3003, logging.INFO, "An instance announced itself for the first time.")
+    MEMBER_GONE = (3004, logging.WARNING, "An instance has not announced itself for long.")
     EPOCH_OPENED = (4001, logging.INFO, "A leaseholder epoch was opened for a ledger shard.")
     EPOCH_LOST = (4002, logging.WARNING, "This instance no longer leads a ledger shard.")
     EPOCH_CLOSED = (4003, logging.INFO, "One side of an epoch reported its spend and closed it.")
--- a/mothstand/gateway/accounts.py
+++ b/mothstand/gateway/accounts.py
@@ -24,13 +24,18 @@
     from ..log.health import LogHealth
     from ..settings.gateway import GatewaySettings
     from ..types import BudgetName
-    from .lending import LoanRequest, PeerLink
+    from .lending import LoanReply, LoanRequest, PeerLink
+    from .member_feed import MemberFeed
     from .store import Store
 
 #: Longest wait of a request for tokens: several calm rounds of the store or of all peers, and
 #: within the shortest usual objective of a stream.
 TOKENS_WAIT_S = 0.3
 
+#: Longest wait of a lender for the store: several calm rounds, and well within the time after
+#: which the borrower takes the lender for silent.
+_CLAIM_FOR_BORROWER_S = 0.12
+
 #: Until tokens that lie elsewhere have moved, or running requests have given back their rest.
 _COME_BACK_S = 0.6
 
@@ -48,9 +53,11 @@
         clock: Clock,
         health: LogHealth,
         prepaid: Callable[[], dict[BudgetName, int]],
-        peers: Callable[[], list[Peer]],
+        members: MemberFeed,
         policy: ClaimPolicy,
     ) -> None:
+        self._shard = shard
+        self._members = members
         self._clock = clock
         self._health = health
         self._more = anyio.Event()
@@ -62,10 +69,20 @@
             health,
             policy,
             prepaid,
+            self._claimants,
             settings.timing.claims_s,
             self.announce,
         )
-        self.borrower = Borrower(self.keeper, link, peers, clock, self.announce)
+        self.borrower = Borrower(
+            self.keeper, link, lambda: members.fleet.lenders(shard), clock, self.announce
+        )
+
+    def _claimants(self) -> int:
+        """Return how many instances claim here, 0 unless this one is known to be one."""
+        fleet = self._members.fleet
+        if not (self._members.is_settled and fleet.is_claimant(self._shard)):
+            return 0
+        return len(fleet.claimants(self._shard))
 
     async def reserve(
         self, budget: BudgetName, tokens: int, priority: int, wait_s: float, tasks: TaskGroup
@@ -80,7 +97,7 @@
         waiting[priority] += tokens
         try:
             with anyio.move_on_after(wait_s):
-                if keeper.may_help(budget):
+                if keeper.is_claimant and keeper.may_help(budget):
                     reservation = await self._look(budget, tokens, priority)
                 if reservation is None:
                     reservation = await self._borrow(budget, tokens, priority, tasks)
@@ -88,25 +105,60 @@
             waiting[priority] -= tokens
         return reservation
 
-    async def _look(self, budget: BudgetName, tokens: int, priority: int) -> Reservation | None:
-        """Wait for a look at the store that began after now."""
+    async def lend(self, request: LoanRequest) -> LoanReply:
+        """Give tokens to a peer; for one that does not claim, claim what is missing first."""
+        keeper, budget, tokens = self.keeper, request.budget, request.needed_tokens
+        if request.borrows_only and keeper.is_claimant:
+            keeper.demand_on(budget).ask(tokens, request.priority, self._clock.monotonic_s())
+            if not self._has(budget, tokens, request.priority) and keeper.may_help(budget):
+                await self._claim_for(request)
+        return self.borrower.lend(request)
+
+    async def _claim_for(self, request: LoanRequest) -> None:
+        """Wait for a look at the store on behalf of a borrower."""
+        budget, tokens, priority = request.budget, request.needed_tokens, request.priority
+        waiting = self.keeper.waiting_of(budget)
+        waiting[priority] += tokens
+        try:
+            with anyio.move_on_after(_CLAIM_FOR_BORROWER_S):
+                is_over = self._look_is_over()
+                while not self._has(budget, tokens, priority) and not is_over():
+                    await self._more.wait()
+        finally:
+            waiting[priority] -= tokens
+
+    def _has(self, budget: BudgetName, tokens: int, priority: int) -> bool:
+        self.keeper.update_lock()
+        kept = self.keeper.kept_tokens(budget, priority)
+        return self.keeper.book.of(budget).available_tokens - kept >= tokens
+
+    def _look_is_over(self) -> Callable[[], bool]:
+        """Ask for a look at the store that begins after now; return what tells its end."""
         began_s = self._clock.monotonic_s()
         self.keeper.wake()
-        return await self._wait(
-            budget,
-            tokens,
-            priority,
-            lambda: self.keeper.looked_s >= began_s or self._health.is_failing,
-        )
+        return lambda: self.keeper.looked_s >= began_s or self._health.is_failing
+
+    async def _look(self, budget: BudgetName, tokens: int, priority: int) -> Reservation | None:
+        """Wait for a look at the store that began after now."""
+        return await self._wait(budget, tokens, priority, self._look_is_over())
 
     async def _borrow(
         self, budget: BudgetName, tokens: int, priority: int, tasks: TaskGroup
     ) -> Reservation | None:
-        """Wait for a round of loans."""
+        """Wait for a round of loans that began after now.
+
+        A round that is under way may have asked its peers already, for less than now waits.
+        """
+
+        def is_over() -> bool:
+            return not self.borrower.is_running(budget, priority)
+
+        if not is_over():
+            reservation = await self._wait(budget, tokens, priority, is_over)
+            if reservation is not None:
+                return reservation
         self.borrower.begin(budget, priority, tasks)
-        return await self._wait(
-            budget, tokens, priority, lambda: not self.borrower.is_running(budget, priority)
-        )
+        return await self._wait(budget, tokens, priority, is_over)
 
     async def _wait(
         self, budget: BudgetName, tokens: int, priority: int, is_over: Callable[[], bool]
@@ -129,9 +181,10 @@
         never will, short of a top-up. What others merely hold may come back.
         """
         keeper = self.keeper
-        if not keeper.is_listed:
-            return False
-        return tokens > keeper.prepaid().get(budget, 0) - keeper.spent_tokens(budget)
+        spent = self.borrower.spent_tokens(budget)
+        if keeper.is_listed:
+            spent = max(spent, keeper.spent_tokens(budget))
+        return tokens > keeper.prepaid().get(budget, 0) - spent
 
     def come_back_s(self) -> float:
         """Return when a request that got no tokens should come back."""
@@ -157,9 +210,9 @@
         clock: Clock,
         health: LogHealth,
         prepaid: Callable[[], dict[BudgetName, int]],
+        members: MemberFeed,
         policy: ClaimPolicy | None = None,
     ) -> None:
-        self._me = me
         self._clock = clock
         self._prepaid = prepaid
         self._settings = settings
@@ -174,7 +227,7 @@
                 clock,
                 health,
                 lambda number=number: self._prepaid_of(number),  # type: ignore[misc]
-                self.peers,
+                members,
                 policy or ClaimPolicy(),
             )
             for number in range(settings.store.claim_shards)
@@ -201,11 +254,6 @@
         held = (held for shard in self.shards for held in shard.keeper.book.held.values())
         return {one.budget: one.held_tokens for one in held if one.held_tokens > 0}
 
-    def peers(self) -> list[Peer]:
-        """Return the other instances that announced themselves."""
-        known = self.shards[0].keeper.peers.values()
-        return [peer for peer in known if peer.instance != self._me.instance]
-
     def shard_of(self, budget: BudgetName) -> BudgetShard:
         """Return the shard of a budget."""
         return self.shards[xxhash.xxh3_64_intdigest(budget.encode()) % len(self.shards)]
@@ -230,15 +278,15 @@
     def settle(self, reservation: Reservation, used_tokens: int) -> None:
         """End a reservation with what its request consumed."""
         shard = self.shard_of(reservation.budget)
-        shard.keeper.book.of(reservation.budget).settle(reservation, used_tokens)
+        shard.keeper.settle(reservation, used_tokens)
         shard.announce()
 
-    def lend(self, request: LoanRequest) -> int:
+    async def lend(self, request: LoanRequest) -> LoanReply:
         """Give tokens to a peer."""
-        return self.shard_of(request.budget).borrower.lend(request)
+        return await self.shard_of(request.budget).lend(request)
 
-    def config_changed(self) -> None:
-        """Look at the claims now: a top-up or a new budget may be in force."""
+    def look(self) -> None:
+        """Look at the claims now: a top-up, a new budget, or another role may be in force."""
         for shard in self.shards:
             shard.keeper.wake()
 
--- a/mothstand/gateway/bootstrap.py
+++ b/mothstand/gateway/bootstrap.py
@@ -6,11 +6,13 @@
 
 from ..events import Event, emit
 from .lending import PeerError, PeerLink
+from .member_feed import decode_member
 from .store import KeyedRecord
 
 if TYPE_CHECKING:
     from ..clock import Clock
     from .feeds import ConfigFeed, UpstreamFeed
+    from .member_feed import MemberFeed
 
 #: Seconds that the store has to give a first configuration before peers are asked.
 _STORE_FIRST_S = 0.8
@@ -35,6 +37,7 @@
         link: PeerLink,
         config: ConfigFeed,
         upstreams: UpstreamFeed,
+        members: MemberFeed,
         clock: Clock,
     ) -> None:
         self._addresses = [address for address in seeds if address != own_address]
@@ -42,6 +45,7 @@
         self._link = link
         self._config = config
         self._upstreams = upstreams
+        self._members = members
         self._clock = clock
 
     async def run(self) -> None:
@@ -59,11 +63,13 @@
         except PeerError as error:
             emit(Event.PEER_SUSPECTED, peer=address, error=str(error))
             return
-        for peer_address in known.peer_addresses:
+        for record in known.members:
+            peer_address = decode_member(record).peer.address
             if peer_address not in (*self._addresses, self._own_address):
                 self._addresses.append(peer_address)
         if not known.config:
             return
         emit(Event.KNOWLEDGE_TAKEN, peer=address, upstreams=len(known.upstreams))
-        self._upstreams.offer(tuple(KeyedRecord(key, value) for key, value in known.upstreams))
+        self._members.offer(known.members)
+        self._upstreams.offer(known.upstreams)
         self._config.offer(KeyedRecord("", known.config))
--- a/mothstand/gateway/borrowing.py
+++ b/mothstand/gateway/borrowing.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from ..core.loans import LoanBook, Peer, PeerChoice
 from ..events import Event, emit
-from .lending import LoanRequest, PeerError, PeerLink
+from .lending import LoanReply, LoanRequest, PeerError, PeerLink
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,14 +43,15 @@
         self,
         keeper: ClaimKeeper,
         link: PeerLink,
-        peers: Callable[[], list[Peer]],
+        lenders: Callable[[], list[Peer]],
         clock: Clock,
         changed: Callable[[], None],
     ) -> None:
         self.loans = LoanBook()
         self._keeper = keeper
         self._link = link
-        self._peers = peers
+        self._lenders = lenders
+        self._spent_tokens: dict[BudgetName, int] = {}
         self._clock = clock
         self._changed = changed
         self._choice = PeerChoice()
@@ -61,9 +62,14 @@
         """Return whether a round for requests of a priority is under way."""
         return (budget, priority) in self._running
 
-    def lend(self, request: LoanRequest) -> int:
-        """Give tokens to a peer."""
+    def spent_tokens(self, budget: BudgetName) -> int:
+        """Return what lenders said to be surely spent of a budget."""
+        return self._spent_tokens.get(budget, 0)
+
+    def lend(self, request: LoanRequest) -> LoanReply:
+        """Give tokens to a peer, from what is held."""
         self._keeper.update_lock()
+        self._keeper.book.of(request.budget).heard_spent_tokens += request.spent_tokens
         given = self.loans.lend(
             self._keeper.book.of(request.budget),
             request.loan_id,
@@ -72,7 +78,7 @@
             extra_tokens=request.extra_tokens,
         )
         emit(Event.TOKENS_LENT, budget=request.budget, tokens=given, loan=request.loan_id)
-        return given
+        return LoanReply(given, self._keeper.spent_tokens(request.budget))
 
     def begin(self, budget: BudgetName, priority: int, tasks: TaskGroup) -> None:
         """Start a round unless one is under way."""
@@ -86,7 +92,7 @@
         try:
             now_s = self._clock.monotonic_s()
             table = self._keeper.book.table
-            for peer in self._choice.order(self._peers(), table, budget, now_s):
+            for peer in self._choice.order(self._lenders(), table, budget, now_s):
                 missing = self._missing(budget, priority)
                 if missing <= 0:
                     break
@@ -110,21 +116,43 @@
 
     async def _ask(self, peer: Peer, budget: BudgetName, priority: int, missing: int) -> None:
         now_s = self._clock.monotonic_s()
-        extra = int(self._keeper.demand_on(budget).total.rate(now_s) * _EXTRA_S)
-        request = LoanRequest(budget, priority, missing, extra, uuid.uuid4().hex)
+        loan_id = uuid.uuid4().hex
+        if self._keeper.is_claimant:
+            extra = int(self._keeper.demand_on(budget).total.rate(now_s) * _EXTRA_S)
+            request = LoanRequest(budget, priority, missing, extra, loan_id)
+        else:
+            # No more than what waits: the rests of some 60 borrowers of each budget add up to
+            # what its last callers are refused.
+            spent = self._take_untold(budget)
+            request = LoanRequest(budget, priority, missing, 0, loan_id, True, spent)
         given = await self._borrow(peer, request, now_s + _DOUBT_KEPT_S)
         if given < missing:
             self._choice.dry(peer, budget, self._clock.monotonic_s())
 
+    def _take_untold(self, budget: BudgetName) -> int:
+        """Return what is still to be told as spent. Should the call fail it is never told.
+
+        Told twice it would make a lender believe that a budget is used up which is not, and refuse
+        for good what was paid for; told never, a request at the end is asked to come back.
+        """
+        held = self._keeper.book.of(budget)
+        untold, held.untold_tokens = held.untold_tokens, 0
+        return untold
+
     async def _borrow(self, peer: Peer, request: LoanRequest, until_s: float) -> int:
         try:
-            given = await self._link.borrow(peer.address, request)
+            reply = await self._link.borrow(peer.address, request)
         except PeerError as error:
             self._choice.silent(peer, self._clock.monotonic_s())
-            self._doubtful.append(_DoubtfulLoan(peer, request, until_s))
+            again = replace(request, spent_tokens=0)
+            self._doubtful.append(_DoubtfulLoan(peer, again, until_s))
             emit(Event.PEER_SUSPECTED, peer=peer.instance, error=str(error))
             return 0
+        given = reply.given_tokens
         self._keeper.book.of(request.budget).receive(given)
+        self._spent_tokens[request.budget] = max(
+            self.spent_tokens(request.budget), reply.spent_tokens
+        )
         emit(
             Event.TOKENS_BORROWED,
             budget=request.budget,
--- a/mothstand/gateway/claim_keeper.py
+++ b/mothstand/gateway/claim_keeper.py
@@ -33,6 +33,7 @@
     from collections.abc import Callable
 
     from ..clock import Clock
+    from ..core.claims import Reservation
     from ..core.loans import Peer
     from ..log.health import LogHealth
     from ..types import BudgetName, Shard
@@ -60,6 +61,8 @@
     ----------
     prepaid
         Returns the prepaid totals of the shard's budgets.
+    claimants
+        Returns how many instances claim budgets of the shard, this one included; 0 if it does not.
     changed
         Called when there may be more to reserve.
     """
@@ -73,6 +76,7 @@
         health: LogHealth,
         policy: ClaimPolicy,
         prepaid: Callable[[], dict[BudgetName, int]],
+        claimants: Callable[[], int],
         look_every_s: float,
         changed: Callable[[], None],
     ) -> None:
@@ -92,17 +96,17 @@
         self._health = health
         self._policy = policy
         self.prepaid = prepaid
+        self._claimants = claimants
         self._look_every_s = look_every_s
         self._changed = changed
         self._listed = False
         self._wake = anyio.Event()
         self._leaving = False
-        self._unlocked = False
 
     @property
-    def peers(self) -> dict[str, Peer]:
-        """The latest start of each instance that announced itself, this one included."""
-        return self._renewals.peers()
+    def is_claimant(self) -> bool:
+        """Whether this instance claims from the store, and does not only borrow."""
+        return self._claimants() > 0
 
     @property
     def is_listed(self) -> bool:
@@ -118,7 +122,12 @@
         return self._waiting.setdefault(budget, Counter())
 
     def kept_tokens(self, budget: BudgetName, priority: int) -> int:
-        """Return what requests of a priority must leave for more urgent ones."""
+        """Return what requests of a priority must leave for more urgent ones.
+
+        A borrower keeps nothing: its lenders do, for all whom they serve.
+        """
+        if not self.is_claimant:
+            return 0
         now_s = self._clock.monotonic_s()
         return self.demand_on(budget).kept_tokens(priority, self.supply(budget), now_s)
 
@@ -144,7 +153,14 @@
         """Return what was surely spent of a budget; the truth is this or more."""
         claims = self.book.table.claims[budget]
         spent = sum(c.spent_tokens for holder, c in claims.items() if holder != self.book.me)
-        return spent + self.book.of(budget).spent_tokens
+        return spent + self.book.of(budget).recorded_spent_tokens
+
+    def settle(self, reservation: Reservation, used_tokens: int) -> None:
+        """End a reservation with what its request consumed."""
+        held = self.book.of(reservation.budget)
+        spent = held.settle(reservation, used_tokens)
+        if not self.is_claimant:
+            held.spend_borrowed(spent)
 
     def _lives(self, holder: Holder) -> bool:
         """Return whether a holder is the latest start of its instance."""
@@ -169,6 +185,10 @@
         backoff = Backoff(_BACKOFF_FIRST_S, _BACKOFF_MOST_S)
         while True:
             self._wake = anyio.Event()
+            if not self.is_claimant and not self._holds_claims():
+                with anyio.move_on_after(self._look_every_s):
+                    await self._wake.wait()
+                continue
             try:
                 began_s = self._clock.monotonic_s()
                 await self.look()
@@ -184,6 +204,11 @@
                 # Jitter, lest all instances come back to a recovering store in step.
                 await self._clock.sleep(backoff.next_s() * random.uniform(0.5, 1.5))
 
+    def _holds_claims(self) -> bool:
+        """Return whether claims from the time as a claimant are still to be given back."""
+        held = self.book.held.values()
+        return any(h.limit_tokens > max(0, h.needed_claim_tokens) for h in held)
+
     async def look(self) -> None:
         """Read on, and write the claims that should change."""
         for _ in range(_MOST_CONFLICTS):
@@ -252,7 +277,7 @@
         """Write claims; return False if another writer came first."""
         doubt = self.book.begin(claims)
         self._sent_s = self._clock.boot_s()
-        self.book.set_unlocked(False)
+        self._set_unlocked(False)
         try:
             await self._store.append(self._stream, records, at_offset=doubt.at_offset)
         except StoreSilentError:
@@ -292,9 +317,10 @@
         The clock counts suspension: a process that was suspended has been out of touch, too. An
         append that was sent counts as in touch, answered or not: it may be in the store.
         """
-        unlocked = self._clock.boot_s() - self._sent_s >= UNLOCK_S
-        if unlocked != self._unlocked:
-            self._unlocked = unlocked
+        self._set_unlocked(self._clock.boot_s() - self._sent_s >= UNLOCK_S)
+
+    def _set_unlocked(self, unlocked: bool) -> None:
+        if unlocked != self.book.unlocked:
             emit(Event.CLAIMS_UNLOCKED if unlocked else Event.CLAIMS_LOCKED)
         self.book.set_unlocked(unlocked)
 
@@ -340,11 +366,11 @@
             self.book.me,
             prepaid_tokens=prepaid_tokens,
             waiting_tokens=self.waiting_of(budget).total(),
-            instances=max(1, len(self.peers)),
+            instances=max(1, self._claimants()),
             now_s=now_s,
             policy=self._policy,
         )
-        if self._leaving:
+        if self._leaving or not self.is_claimant:
             wanted = max(0, view.limit_tokens - view.held_tokens) if view.held_tokens > 0 else None
         else:
             wanted = wanted_claim_tokens(view, self._policy)
@@ -354,7 +380,7 @@
             holder=self.book.me,
             claimed_tokens=claimed_tokens,
             window_tokens=wanted_window_tokens(view, claimed_tokens, self._policy),
-            spent_tokens=held.spent_tokens,
+            spent_tokens=held.recorded_spent_tokens,
             demand_tokens_per_s=demand.rate(now_s),
         )
         return claim if wanted is not None or self._is_news(claim) else None
--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -240,9 +240,10 @@
             if upstream is not None:
                 self.directory.put(upstream)
 
-    def raw_records(self) -> tuple[tuple[str, bytes], ...]:
+    def raw_records(self) -> tuple[KeyedRecord, ...]:
         """Return the registrations that are in force, as the upstreams wrote them."""
-        return tuple((i, self._raw[i]) for i in self.directory.known if i in self._raw)
+        known = self.directory.known
+        return tuple(KeyedRecord(i, self._raw[i]) for i in known if i in self._raw)
 
     def _decoded(self, record: KeyedRecord) -> RegisteredUpstream | None:
         if record.value is None:
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -9,6 +9,7 @@
 import anyio
 from aiohttp import web
 
+from ..core.fleet import Member
 from ..core.loans import Peer
 from ..core.placement import Placement
 from ..core.retry_budget import RetryBudgetSettings
@@ -22,6 +23,7 @@
 from .feeds import ConfigFeed, UpstreamFeed
 from .forward import Forwarder
 from .lending import GrpcPeerLink, Knowledge, LendingService, serve_peers
+from .member_feed import MemberFeed
 from .metrics import GatewayMetrics
 from .server import GatewayServer
 from .upstream_client import UpstreamClient
@@ -82,6 +84,13 @@
             settings.timing.registrations_s,
         )
         self._link = GrpcPeerLink()
+        self._members = MemberFeed(
+            parts.store,
+            Member(self._me, settings.data_centre),
+            clock,
+            self._health,
+            lambda: self._accounts.look(),
+        )
         self._accounts = Accounts(
             settings,
             self._me,
@@ -90,6 +99,7 @@
             clock,
             self._health,
             self._prepaid,
+            self._members,
         )
         self._bootstrap = Bootstrap(
             settings.seeds.peers,
@@ -97,6 +107,7 @@
             self._link,
             self._config_feed,
             self._upstream_feed,
+            self._members,
             clock,
         )
         self._client = UpstreamClient(settings, translator)
@@ -108,7 +119,7 @@
             RetryBudgetSettings(
                 settings.retries.ratio, settings.retries.burst, settings.retries.window_s
             ),
-            lambda: len(self._accounts.peers()) + 1,
+            lambda: self._members.fleet.size,
             clock,
             self._metrics,
         )
@@ -143,6 +154,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._keep, "config", self._config_feed.run)
             tasks.start_soon(self._keep, "upstreams", self._upstream_feed.run)
+            tasks.start_soon(self._keep, "members", self._members.run)
             tasks.start_soon(self._keep, "claims", self._accounts.run)
             tasks.start_soon(self._keep, "bootstrap", self._bootstrap.run)
             await self._wait_for_stop()
@@ -185,13 +197,23 @@
         """Answer the readiness check, and give metrics under any other path."""
         if "metrics" in request.path:
             return web.Response(text=self._metrics.text())
-        ready = self._config() is not None and not self._shutdown.is_stopping
+        ready = self._can_serve() and not self._shutdown.is_stopping
         return web.Response(status=200 if ready else 503)
 
+    def _can_serve(self) -> bool:
+        """Return whether callers get more than refusals, as far as can be known now.
+
+        Before it knows the fleet, an instance neither claims nor knows whom to ask for tokens.
+        While the store is out there is no telling when that comes, and some routes need none.
+        """
+        knows_fleet = self._members.is_settled or self._health.is_failing
+        return self._config() is not None and knows_fleet
+
     def _knowledge(self) -> Knowledge:
         """Return what a process that starts while the store is out needs to know."""
-        addresses = tuple(peer.address for peer in self._accounts.peers())
-        return Knowledge(self._config_feed.raw, self._upstream_feed.raw_records(), addresses)
+        return Knowledge(
+            self._config_feed.raw, self._upstream_feed.raw_records(), self._members.known()
+        )
 
     def _config(self) -> GatewayConfig | None:
         return self._config_feed.config
@@ -203,7 +225,7 @@
             for w in config.workspaces.values()
             if w.prepaid_tokens is not None
         }
-        self._accounts.config_changed()
+        self._accounts.look()
 
     def _prepaid(self) -> dict[BudgetName, int]:
         return self._prepaid_tokens
--- a/mothstand/gateway/lending.py
+++ b/mothstand/gateway/lending.py
@@ -15,9 +15,10 @@
 from ..peers.lending_grpc import LendingBase, LendingStub
 from ..settings.instance import Address
 from ..types import BudgetName
+from .store import KeyedRecord
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from grpclib.server import Stream
 
@@ -44,6 +45,10 @@
         Welcome on top.
     loan_id
         Repeated calls with the same id move tokens once.
+    borrows_only
+        The borrower does not claim from the store; the lender is to do so for it.
+    spent_tokens
+        Spent by a borrower that claims nothing, since it last said so.
     """
 
     budget: BudgetName
@@ -51,23 +56,39 @@
     needed_tokens: int
     extra_tokens: int
     loan_id: str
+    borrows_only: bool = False
+    spent_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LoanReply:
+    """What a lender answers.
+
+    Parameters
+    ----------
+    spent_tokens
+        Surely spent of the budget by all; the truth is this or more.
+    """
+
+    given_tokens: int
+    spent_tokens: int
 
 
 @dataclass(frozen=True, slots=True)
 class Knowledge:
-    """What an instance knows of configuration, upstreams and peers, in the store's own form."""
+    """What an instance knows of configuration, upstreams and fleet, in the store's own form."""
 
     config: bytes
-    upstreams: tuple[tuple[str, bytes], ...]
-    peer_addresses: tuple[str, ...]
+    upstreams: tuple[KeyedRecord, ...]
+    members: tuple[KeyedRecord, ...]
 
 
 class PeerLink(ABC):
     """Calls to other instances."""
 
     @abstractmethod
-    async def borrow(self, address: str, request: LoanRequest) -> int:
-        """Ask a peer for tokens and return how many it gave.
+    async def borrow(self, address: str, request: LoanRequest) -> LoanReply:
+        """Ask a peer for tokens.
 
         Raises
         ------
@@ -102,18 +123,20 @@
     def __init__(self) -> None:
         self._channels: dict[str, Channel] = {}
 
-    async def borrow(self, address: str, request: LoanRequest) -> int:
-        """Ask a peer for tokens and return how many it gave."""
+    async def borrow(self, address: str, request: LoanRequest) -> LoanReply:
+        """Ask a peer for tokens."""
         message = pb.LoanRequest(
             budget=request.budget,
             priority=request.priority,
             needed_tokens=request.needed_tokens,
             extra_tokens=request.extra_tokens,
             loan_id=request.loan_id,
+            borrows_only=request.borrows_only,
+            spent_tokens=request.spent_tokens,
         )
         with self._call(address) as stub, anyio.fail_after(LOAN_TIMEOUT_S):
             reply = await stub.Lend(message)
-        return int(reply.given_tokens)
+        return LoanReply(reply.given_tokens, reply.spent_tokens)
 
     async def knowledge(self, address: str) -> Knowledge:
         """Return what a peer knows."""
@@ -121,8 +144,8 @@
             reply = await stub.Knowledge(pb.KnowledgeRequest())
         return Knowledge(
             config=reply.config,
-            upstreams=tuple((record.key, record.value) for record in reply.upstreams),
-            peer_addresses=tuple(reply.peer_addresses),
+            upstreams=tuple(KeyedRecord(r.key, r.value) for r in reply.upstreams),
+            members=tuple(KeyedRecord(r.key, r.value) for r in reply.members),
         )
 
     def close(self) -> None:
@@ -166,7 +189,9 @@
     """What an instance serves to others."""
 
     def __init__(
-        self, lend: Callable[[LoanRequest], int], knowledge: Callable[[], Knowledge]
+        self,
+        lend: Callable[[LoanRequest], Awaitable[LoanReply]],
+        knowledge: Callable[[], Knowledge],
     ) -> None:
         self._lend = lend
         self._knowledge = knowledge
@@ -182,8 +207,13 @@
             message.needed_tokens,
             message.extra_tokens,
             message.loan_id,
+            message.borrows_only,
+            message.spent_tokens,
+        )
+        reply = await self._lend(request)
+        await stream.send_message(
+            pb.LoanReply(given_tokens=reply.given_tokens, spent_tokens=reply.spent_tokens)
         )
-        await stream.send_message(pb.LoanReply(given_tokens=self._lend(request)))
 
     async def Knowledge(  # noqa: N802
         self, stream: Stream[pb.KnowledgeRequest, pb.KnowledgeReply]
@@ -193,8 +223,8 @@
         known = self._knowledge()
         reply = pb.KnowledgeReply(
             config=known.config,
-            upstreams=[pb.StoredRecord(key=k, value=v) for k, v in known.upstreams],
-            peer_addresses=known.peer_addresses,
+            upstreams=[pb.StoredRecord(key=r.key, value=r.value) for r in known.upstreams],
+            members=[pb.StoredRecord(key=r.key, value=r.value) for r in known.members],
         )
         await stream.send_message(reply)
 
--- a/mothstand/gateway/store.py
+++ b/mothstand/gateway/store.py
@@ -52,9 +52,9 @@
 
     @abstractmethod
     async def append(
-        self, stream: Stream, records: tuple[KeyedRecord, ...], *, at_offset: int
+        self, stream: Stream, records: tuple[KeyedRecord, ...], *, at_offset: int | None = None
     ) -> None:
-        """Append all records or none, only if the stream ends at an offset."""
+        """Append all records or none; with an offset, only if the stream ends there."""
 
     @abstractmethod
     async def read(self, stream: Stream, from_offset: int, *, wait_s: float = 0.0) -> StreamPage:
--- a/mothstand/platform/store.py
+++ b/mothstand/platform/store.py
@@ -101,10 +101,12 @@
         )
 
     async def append(
-        self, stream: Stream, records: tuple[KeyedRecord, ...], *, at_offset: int
+        self, stream: Stream, records: tuple[KeyedRecord, ...], *, at_offset: int | None = None
     ) -> None:
-        """Append all records or none, only if the stream ends at an offset."""
-        params: _Query = {"topic": stream.topic, "part": stream.partition, "at": at_offset}
+        """Append all records or none; with an offset, only if the stream ends there."""
+        params: _Query = {"topic": stream.topic, "part": stream.partition}
+        if at_offset is not None:
+            params["at"] = at_offset
         body = b"".join(encode_record(record) for record in records)
         status, _ = await self._call("POST", "/log-append", params, body=body)
         if status == _CONFLICT:
--- a/mothstand/standins/users_store.py
+++ b/mothstand/standins/users_store.py
@@ -42,13 +42,15 @@
         self._away = False
 
     async def append(self, request: Request) -> Response:
-        """Append records under a condition."""
+        """Append records, under a condition if there is one."""
         if self._away:
             return Response(status_code=_AWAY)
         stream = _stream(request)
         # Appended records have the form of a page's, which has a head before them.
         page = decode_page(struct.pack(">QQ", 0, 0) + await request.body(), 0)
-        done = self._store.append(stream, page.records, int(request.query_params["at"]))
+        at_offset = request.query_params.get("at")
+        condition = None if at_offset is None else int(at_offset)
+        done = self._store.append(stream, page.records, condition)
         end = self._store.read(stream, 0).next_offset
         if not done:
             return JSONResponse({"end": end}, status_code=_CONFLICT)
--- /dev/null
+++ b/mothstand/testing/budget_fleet.py
@@ -0,0 +1,204 @@
+"""Many instances that share one prepaid budget, in one process and in virtual time.
+
+Real accounts, keepers and loans run against a store in memory; calls to the store and between
+instances take the time that they take on the users' platform.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ..core.fleet import CLAIMANTS_PER_DATA_CENTRE, FleetView, Member
+from ..core.loans import Peer
+from ..errors import Refusal
+from ..gateway.accounts import Accounts
+from ..gateway.lending import Knowledge, LoanReply, LoanRequest, PeerError, PeerLink
+from ..gateway.member_feed import MemberFeed
+from ..log.health import LogHealth
+from ..settings.gateway import (
+    GatewayInstanceSection,
+    GatewayListenSection,
+    GatewaySettings,
+    GatewayTimingSection,
+    RetriesSection,
+    SeedsSection,
+    StoreSection,
+)
+from ..types import BudgetName, DataCentre
+from .memory_store import MemoryStore, StoreLink
+from .virtual_time import VirtualClock
+
+if TYPE_CHECKING:
+    from ..gateway.store import KeyedRecord, Stream, StreamPage
+
+#: Calls of the store, and between instances, as on the users' platform.
+STORE_CALL_S = 0.006
+PEER_CALL_S = 0.002
+
+_BUDGET = BudgetName("seniors")
+
+
+class _SlowStoreLink(StoreLink):
+    """A way to the store that takes time and counts calls."""
+
+    def __init__(self, store: MemoryStore, counts: Counter[str]) -> None:
+        super().__init__(store)
+        self._counts = counts
+
+    async def append(
+        self, stream: Stream, records: tuple[KeyedRecord, ...], *, at_offset: int | None = None
+    ) -> None:
+        """Append after half of the call's time, and answer after the other."""
+        self._counts["store calls"] += 1
+        await anyio.sleep(STORE_CALL_S / 2)
+        await super().append(stream, records, at_offset=at_offset)
+        await anyio.sleep(STORE_CALL_S / 2)
+
+    async def read(self, stream: Stream, from_offset: int, *, wait_s: float = 0.0) -> StreamPage:
+        """Read after the call's time."""
+        self._counts["store calls"] += 1
+        await anyio.sleep(STORE_CALL_S)
+        page = await super().read(stream, from_offset, wait_s=wait_s)
+        self._counts["records read"] += len(page.records)
+        return page
+
+
+class _LocalLink(PeerLink):
+    """Calls to other instances of the same process."""
+
+    def __init__(self, fleet: BudgetFleet) -> None:
+        self._fleet = fleet
+
+    async def borrow(self, address: str, request: LoanRequest) -> LoanReply:
+        """Ask another instance for tokens."""
+        self._fleet.counts["loans"] += 1
+        await anyio.sleep(PEER_CALL_S / 2)
+        if address in self._fleet.dead:
+            raise PeerError(f"{address}: refused")
+        reply = await self._fleet.instances[address].accounts.lend(request)
+        await anyio.sleep(PEER_CALL_S / 2)
+        return reply
+
+    async def knowledge(self, address: str) -> Knowledge:
+        """Fail: nobody starts while the store is out."""
+        raise PeerError(address)
+
+    def close(self) -> None:
+        """Close nothing."""
+
+
+@dataclass(slots=True)
+class BudgetInstance:
+    """One instance, as far as budgets go."""
+
+    members: MemberFeed
+    accounts: Accounts
+
+
+@dataclass(slots=True)
+class BudgetFleet:
+    """A fleet with one budget.
+
+    Parameters
+    ----------
+    per_data_centre
+        Instances of each data centre.
+    claimants
+        Of these, how many claim.
+    """
+
+    data_centres: int
+    per_data_centre: int
+    prepaid_tokens: int
+    claimants: int = CLAIMANTS_PER_DATA_CENTRE
+    counts: Counter[str] = field(default_factory=Counter)
+    instances: dict[str, BudgetInstance] = field(default_factory=dict)
+    dead: set[str] = field(default_factory=set)
+    spent_tokens: int = 0
+    _store: MemoryStore = field(default_factory=MemoryStore)
+    _links: list[_SlowStoreLink] = field(default_factory=list)
+
+    async def run(self, duration_s: float, *, requests_per_s: float, seed: int = 1) -> None:
+        """Start all instances, then send requests for a while.
+
+        The bound of a request is 1,000 to 17,000 tokens, of which nine tenths are spent in 0.4 s.
+        """
+        rng = random.Random(seed)
+        async with anyio.create_task_group() as tasks:
+            for number in range(self.data_centres):
+                for name in range(self.per_data_centre):
+                    instance = self._make(f"i{number}-{name}", DataCentre(f"d{number}"))
+                    tasks.start_soon(instance.members.run)
+                    tasks.start_soon(instance.accounts.run)
+            # As between the machines' start and the first callers.
+            await anyio.sleep(5.0)
+            self.counts.clear()
+            ends_s = anyio.current_time() + duration_s
+            while anyio.current_time() < ends_s:
+                await anyio.sleep(rng.expovariate(requests_per_s))
+                address = rng.choice([a for a in self.instances if a not in self.dead])
+                tasks.start_soon(self._request, address, rng.randrange(1_000, 17_000))
+            await anyio.sleep(2.0)
+            tasks.cancel_scope.cancel()
+
+    def cut_off_from_store(self, cut: bool) -> None:
+        """Let no instance reach the store, or let all."""
+        for link in self._links:
+            link.is_cut = cut
+
+    @property
+    def served_share(self) -> float:
+        """Part of the requests that got their tokens."""
+        return self.counts["served"] / max(1, self.counts["asked"])
+
+    async def _request(self, address: str, tokens: int) -> None:
+        accounts = self.instances[address].accounts
+        self.counts["asked"] += 1
+        reserved = await accounts.reserve(_BUDGET, tokens, 0, 5.0)
+        if isinstance(reserved, Refusal):
+            self.counts[reserved.kind.value] += 1
+            return
+        self.counts["served"] += 1
+        await anyio.sleep(0.4)
+        used = tokens * 9 // 10
+        self.spent_tokens += used
+        accounts.settle(reserved, used)
+
+    def _make(self, name: str, data_centre: DataCentre) -> BudgetInstance:
+        address = f"{name}:1"
+        clock = VirtualClock()
+        health = LogHealth(clock)
+        link = _SlowStoreLink(self._store, self.counts)
+        self._links.append(link)
+        me = Peer(name, f"{name}-first", address)
+        members = MemberFeed(link, Member(me, data_centre), clock, health, lambda: None)
+        members.fleet = FleetView(members.fleet.me, self.claimants)
+        accounts = Accounts(
+            _settings(name, data_centre),
+            me,
+            link,
+            _LocalLink(self),
+            clock,
+            health,
+            lambda: {_BUDGET: self.prepaid_tokens},
+            members,
+        )
+        self.instances[address] = BudgetInstance(members, accounts)
+        return self.instances[address]
+
+
+def _settings(name: str, data_centre: DataCentre) -> GatewaySettings:
+    nowhere = "127.0.0.1:1"
+    return GatewaySettings(
+        instance=GatewayInstanceSection(name=name, data_centre=data_centre),
+        listen=GatewayListenSection(callers=nowhere, ready=nowhere, peers=nowhere, metrics=nowhere),
+        store=StoreSection(address=nowhere),
+        seeds=SeedsSection(),
+        retries=RetriesSection(),
+        timing=GatewayTimingSection(),
+    )
--- a/mothstand/testing/claim_histories.py
+++ b/mothstand/testing/claim_histories.py
@@ -236,6 +236,7 @@
             LogHealth(clock),
             policy,
             lambda: dict(self._paid),
+            lambda: _MACHINES,
             1.0,
             lambda: None,
         )
--- a/mothstand/testing/memory_store.py
+++ b/mothstand/testing/memory_store.py
@@ -34,7 +34,7 @@
 class _LateAppend:
     stream: Stream
     records: tuple[KeyedRecord, ...]
-    at_offset: int
+    at_offset: int | None
 
 
 @dataclass(slots=True)
@@ -45,10 +45,12 @@
     _records: dict[Stream, list[KeyedRecord]] = field(default_factory=lambda: defaultdict(list))
     _late: list[_LateAppend] = field(default_factory=list)
 
-    def append(self, stream: Stream, records: tuple[KeyedRecord, ...], at_offset: int) -> bool:
-        """Append if the stream ends at an offset, and return whether it did."""
+    def append(
+        self, stream: Stream, records: tuple[KeyedRecord, ...], at_offset: int | None
+    ) -> bool:
+        """Append, with an offset only if the stream ends there, and return whether it did."""
         stored = self._records[stream]
-        if self.conditional and len(stored) != at_offset:
+        if self.conditional and at_offset is not None and len(stored) != at_offset:
             return False
         for record in records:
             stored.append(KeyedRecord(record.key, record.value, len(stored)))
@@ -56,9 +58,11 @@
 
     def put(self, stream: Stream, key: str, value: bytes | None) -> None:
         """Append one record, as operators and upstreams do."""
-        self.append(stream, (KeyedRecord(key, value),), len(self._records[stream]))
+        self.append(stream, (KeyedRecord(key, value),), None)
 
-    def delay(self, stream: Stream, records: tuple[KeyedRecord, ...], at_offset: int) -> None:
+    def delay(
+        self, stream: Stream, records: tuple[KeyedRecord, ...], at_offset: int | None
+    ) -> None:
         """Keep an append for later."""
         self._late.append(_LateAppend(stream, records, at_offset))
 
@@ -98,9 +102,9 @@
         self._fate = fate
 
     async def append(
-        self, stream: Stream, records: tuple[KeyedRecord, ...], *, at_offset: int
+        self, stream: Stream, records: tuple[KeyedRecord, ...], *, at_offset: int | None = None
     ) -> None:
-        """Append all records or none, only if the stream ends at an offset."""
+        """Append all records or none; with an offset, only if the stream ends there."""
         fate = Fate.LOST if self.is_cut else self._fate()
         if fate is Fate.LATE:
             self._store.delay(stream, records, at_offset)
--- /dev/null
+++ b/mothstand/testing/virtual_time.py
@@ -0,0 +1,42 @@
+"""Runs asynchronous code in virtual time: waits take none, and the order is always the same."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+from typing import TYPE_CHECKING, TypeVar
+
+import anyio
+import trio
+from trio.testing import MockClock
+
+from ..clock import Clock
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+_T = TypeVar("_T")
+_START = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+class VirtualClock(Clock):
+    """The event loop's own time, which `run_in_virtual_time` moves on when all tasks wait."""
+
+    def now(self) -> datetime:
+        """Return a time of day that goes with the loop's time."""
+        return _START + timedelta(seconds=anyio.current_time())
+
+    def monotonic_s(self) -> float:
+        """Return the loop's time."""
+        return anyio.current_time()
+
+    async def sleep(self, delay_s: float) -> None:
+        """Sleep on the loop."""
+        await anyio.sleep(delay_s)
+
+
+def run_in_virtual_time(work: Callable[[], Awaitable[_T]]) -> _T:
+    """Return the result of asynchronous code, without its waits.
+
+    Code that uses asyncio itself cannot be run so; what uses anyio can.
+    """
+    return trio.run(work, clock=MockClock(autojump_threshold=0))
--- /dev/null
+++ b/mothstand/tests/test_fleet.py
@@ -0,0 +1,143 @@
+"""The fleet by its announcements, and a few claimants that lend to all others."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from ..core.fleet import (
+    ANNOUNCE_S,
+    CLAIMANTS_PER_DATA_CENTRE,
+    GONE_AFTER_S,
+    FleetView,
+    Member,
+)
+from ..core.loans import Peer
+from ..gateway.member_feed import decode_member, encode_member
+from ..gateway.store import KeyedRecord
+from ..testing.budget_fleet import BudgetFleet
+from ..testing.virtual_time import run_in_virtual_time
+from ..types import DataCentre, Shard
+
+_SHARD = Shard(0)
+
+
+def member(name: str, data_centre: str = "sto-a") -> Member:
+    return Member(Peer(name, f"{name}-1", f"{name}:1"), DataCentre(data_centre))
+
+
+def view_of(me: str, names: list[str]) -> FleetView:
+    view = FleetView(member(me, me[0]))
+    for name in names:
+        view.note(member(name, name[0]), 0.0)
+    view.read(0.0)
+    return view
+
+
+class TestFleetView:
+    def test_all_instances_agree_on_the_claimants(self) -> None:
+        names = [f"{data_centre}{n}" for data_centre in "abc" for n in range(8)]
+        chosen = {
+            tuple(sorted(m.peer.instance for m in view_of(me, names).claimants(_SHARD)))
+            for me in names
+        }
+        assert len(chosen) == 1
+        (claimants,) = chosen
+        per_data_centre = [sum(c.startswith(d) for c in claimants) for d in "abc"]
+        assert per_data_centre == [CLAIMANTS_PER_DATA_CENTRE] * 3
+
+    def test_in_a_small_fleet_all_claim(self) -> None:
+        names = ["a1", "a2", "b1", "b2", "c1", "c2"]
+        assert all(view_of(me, names).is_claimant(_SHARD) for me in names)
+
+    def test_shards_have_claimants_of_their_own(self) -> None:
+        view = view_of("a0", [f"a{n}" for n in range(30)])
+        sets = {tuple(m.peer.instance for m in view.claimants(Shard(n))) for n in range(10)}
+        assert len(sets) > 5
+
+    def test_lenders_of_the_same_data_centre_come_first(self) -> None:
+        names = [f"{data_centre}{n}" for data_centre in "abc" for n in range(8)]
+        lenders = [peer.instance for peer in view_of("b0", names).lenders(_SHARD)]
+        near = [name.startswith("b") for name in lenders]
+        assert near == sorted(near, reverse=True)
+        assert "b0" not in lenders
+
+    def test_an_instance_that_went_silent_makes_room(self) -> None:
+        view = view_of("a0", ["a0", "a1", "a2", "a3"])
+        silent = next(m.peer.instance for m in view.claimants(_SHARD) if m.peer.instance != "a0")
+        now_s = 0.0
+        while now_s <= GONE_AFTER_S + ANNOUNCE_S:
+            now_s += ANNOUNCE_S
+            for name in ("a0", "a1", "a2", "a3"):
+                if name != silent:
+                    view.note(member(name, "a"), now_s)
+            view.read(now_s)
+        assert silent not in {m.peer.instance for m in view.claimants(_SHARD)}
+        assert len(view.claimants(_SHARD)) == CLAIMANTS_PER_DATA_CENTRE
+
+    def test_an_outage_of_the_store_makes_nobody_go(self) -> None:
+        """Symptom: after an outage of the store nobody lends, and requests are refused.
+
+        Sequence: the store is away for longer than an instance may be silent, and comes back.
+        Cause: the time in which no announcement could be read was taken for silence.
+        """
+        view = view_of("a0", ["a0", "a1", "a2"])
+        assert view.read(GONE_AFTER_S + 10.0) == []
+        assert view.size == 3
+
+    def test_an_announcement_is_read_as_it_was_written(self) -> None:
+        assert decode_member(encode_member(member("a0"))) == member("a0")
+        with pytest.raises(ValueError, match="'a0'"):
+            decode_member(KeyedRecord("a0", b"{}"))
+
+
+class TestBorrowers:
+    """Requests of 1,000 to 17,000 tokens, 100 a second, at 64 instances in four data centres."""
+
+    def play(self, claimants: int, prepaid_tokens: int) -> BudgetFleet:
+        fleet = BudgetFleet(4, 16, prepaid_tokens, claimants)
+        run_in_virtual_time(lambda: fleet.run(10.0, requests_per_s=100))
+        return fleet
+
+    def test_what_the_store_and_its_readers_do_does_not_grow_with_the_fleet(self) -> None:
+        """Calls of the store and records read by all, in 10 s with plenty of tokens.
+
+        With a claim of each instance 1,855 calls and 101,000 records, with three claimants in
+        each data centre 668 and 14,500.
+        """
+        few = self.play(CLAIMANTS_PER_DATA_CENTRE, 36_000_000)
+        everyone = self.play(16, 36_000_000)
+        assert few.served_share == everyone.served_share == 1.0
+        assert few.counts["store calls"] < everyone.counts["store calls"] / 2
+        assert few.counts["records read"] < everyone.counts["records read"] / 4
+
+    def test_a_budget_is_used_up_to_its_end(self) -> None:
+        """Symptom: requests are refused while tokens that were paid for lie idle.
+
+        Sequence: callers ask for more than is left of a budget.
+        Cause: rests smaller than a request lie with each instance.
+        """
+        fleet = self.play(CLAIMANTS_PER_DATA_CENTRE, 6_000_000)
+        assert 0.97 * 6_000_000 < fleet.spent_tokens <= 6_000_000
+
+    def test_the_death_of_two_claimants_of_a_data_centre_refuses_few(self) -> None:
+        """Symptom: instances refuse all requests after others have died.
+
+        Sequence: two of three claimants of a data centre end at once, and do not come back.
+        Cause: each request waits for the dead ones first, or nobody else lends.
+        """
+        fleet = BudgetFleet(4, 16, 36_000_000)
+
+        async def kill() -> None:
+            await anyio.sleep(8.0)
+            view = fleet.instances["i0-0:1"].members.fleet
+            claimants = [m for m in view.claimants(_SHARD) if m.data_centre == "d0"]
+            fleet.dead |= {m.peer.address for m in claimants[:2]}
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(kill)
+                await fleet.run(12.0, requests_per_s=100)
+
+        run_in_virtual_time(run)
+        assert fleet.served_share > 0.99
