--- a/mothstand/testing/budget_fleet.py
+++ b/mothstand/testing/budget_fleet.py
@@ -197,8 +197,8 @@
     return GatewaySettings(
         instance=GatewayInstanceSection(name=name, data_centre=data_centre),
         listen=GatewayListenSection(callers=nowhere, ready=nowhere, peers=nowhere, metrics=nowhere),
-        store=StoreSection(address=nowhere),
-        seeds=SeedsSection(),
-        retries=RetriesSection(),
-        timing=GatewayTimingSection(),
+        store=StoreSection.model_validate({"address": nowhere}),
+        seeds=SeedsSection.model_validate({}),
+        retries=RetriesSection.model_validate({}),
+        timing=GatewayTimingSection.model_validate({}),
     )
