Close callers' connections by the operators' limits: slow heads, idle time

Cause: both limits were decoded and not used; a head could trickle in for ever, and idle connections stayed for 75 s whatever the operators said.

Change: a connection's head has header_timeout from its first byte (408, nothing ran), idle connections are closed at idle_timeout. Tests on a socket; the slow head seen failing without its timer.

--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -55,6 +55,7 @@
     UPSTREAM_LEFT = (6008, logging.INFO, "An upstream's registration has ended.")
     ATTEMPT_FAILED = (6009, logging.WARNING, "An upstream did not answer a request.")
     REQUEST_REFUSED = (7001, logging.INFO, "A request was refused.")
+    HEAD_TOO_SLOW = (7005, logging.INFO, "A connection was closed before its head was complete.")
     SETTLE_PENDING = (7002, logging.WARNING, "A settlement could not be handed over yet.")
     REQUEST_ANSWERED = (7003, logging.INFO, "A request got an upstream's answer.")
     REQUEST_LEFT = (7004, logging.INFO, "A caller went away before its answer.")
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -12,6 +12,7 @@
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..events import Event, emit
 from ..types import BudgetName
+from .caller_connections import CallerServer
 from .forward import Call, CallerConnection
 from .upstream_client import OutgoingRequest
 
@@ -20,7 +21,7 @@
 
     from ..clock import Clock
     from ..core.claims import Reservation
-    from ..core.routes import GatewayConfig, GatewayWorkspace, Route
+    from ..core.routes import GatewayConfig, GatewayWorkspace, RequestLimits, Route
     from ..core.shutdown import Shutdown
     from .accounts import Accounts
     from .forward import Forwarder
@@ -33,9 +34,8 @@
 #: A caller that comes back from a stopping instance meets another one at once.
 _STOPPING_COME_BACK_S = 0.05
 
-#: How long an idle connection is kept. Callers use theirs again within the operators' idle
-#: timeout, seconds; closing earlier than they expect would cross their next request.
-_KEEP_ALIVE_S = 75.0
+#: How long an idle connection is kept that began before there was a configuration to say so.
+_FIRST_IDLE_TIMEOUT_S = 75.0
 
 
 class HttpCaller(CallerConnection):
@@ -115,15 +115,20 @@
 
     def make(self) -> web.Server:
         """Return the server to listen with."""
-        return web.Server(
+        return CallerServer(
             self._handle,
+            self._limits,
+            first_idle_timeout_s=_FIRST_IDLE_TIMEOUT_S,
             handler_cancellation=True,
-            keepalive_timeout=_KEEP_ALIVE_S,
             max_line_size=_MOST_HEAD_BYTES,
             max_field_size=_MOST_HEAD_BYTES,
             access_log=None,
         )
 
+    def _limits(self) -> RequestLimits | None:
+        config = self._config()
+        return None if config is None else config.limits
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.running += 1
         arrived_s = self._clock.monotonic_s()
--- /dev/null
+++ b/mothstand/tests/test_caller_connections.py
@@ -0,0 +1,107 @@
+"""Callers' connections on a socket: slow heads, slow bodies, idle time."""
+
+from __future__ import annotations
+
+import time
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import anyio
+import pytest
+from aiohttp import web
+
+from ..core.routes import RequestLimits
+from ..gateway.caller_connections import CallerServer
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from anyio.abc import SocketStream
+
+_LIMITS = RequestLimits(
+    header_bytes=16_384, body_bytes=1_000_000, header_timeout_s=0.3, idle_timeout_s=0.8
+)
+_HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
+
+
+async def _echo(request: web.BaseRequest) -> web.StreamResponse:
+    return web.Response(body=await request.read())
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Return the event loop that the server library needs."""
+    return "asyncio"
+
+
+@asynccontextmanager
+async def connection() -> AsyncIterator[SocketStream]:
+    server = CallerServer(_echo, lambda: _LIMITS, first_idle_timeout_s=9.0, access_log=None)
+    runner = web.ServerRunner(server)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    port = runner.addresses[0][1]
+    async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+        yield stream
+    await runner.cleanup()
+
+
+async def rest_of(stream: SocketStream) -> bytes:
+    """Return all bytes until the other end closes."""
+    received = b""
+    try:
+        with anyio.fail_after(5.0):
+            while True:
+                received += await stream.receive()
+    except anyio.EndOfStream:
+        return received
+
+
+class TestCallerConnections:
+    @pytest.mark.anyio
+    async def test_a_head_that_trickles_in_is_cut_with_a_408(self) -> None:
+        """Symptom: callers cannot connect, though hardly any requests run.
+
+        Sequence: callers send a byte of a head now and then, for minutes.
+        Cause: each byte started the time for the head anew, or no time ran at all.
+        """
+        async with connection() as stream:
+            began_s = time.monotonic()
+            async with anyio.create_task_group() as tasks:
+
+                async def trickle() -> None:
+                    for byte in _HEAD:
+                        await stream.send(bytes([byte]))
+                        await anyio.sleep(0.1)
+
+                tasks.start_soon(trickle)
+                received = await rest_of(stream)
+                tasks.cancel_scope.cancel()
+            assert received.startswith(b"HTTP/1.1 408 ")
+            assert time.monotonic() - began_s < 2.0
+
+    @pytest.mark.anyio
+    async def test_a_slow_body_is_waited_for(self) -> None:
+        async with connection() as stream:
+            await stream.send(_HEAD + b"ab")
+            await anyio.sleep(2 * _LIMITS.header_timeout_s)
+            await stream.send(b"cd")
+            assert (await stream.receive()).endswith(b"abcd")
+
+    @pytest.mark.anyio
+    async def test_each_head_has_its_own_time(self) -> None:
+        async with connection() as stream:
+            for _ in range(3):
+                await stream.send(_HEAD[:20])
+                await anyio.sleep(_LIMITS.header_timeout_s / 2)
+                await stream.send(_HEAD[20:] + b"abcd")
+                assert (await stream.receive()).endswith(b"abcd")
+
+    @pytest.mark.anyio
+    async def test_an_idle_connection_is_closed_at_the_operators_limit(self) -> None:
+        async with connection() as stream:
+            await stream.send(_HEAD + b"abcd")
+            assert (await stream.receive()).endswith(b"abcd")
+            began_s = time.monotonic()
+            assert await rest_of(stream) == b""
+            assert 0.5 * _LIMITS.idle_timeout_s < time.monotonic() - began_s < 4.0
