--- a/mothstand/core/backoff.py
+++ b/mothstand/core/backoff.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass
 
 
@@ -27,6 +28,13 @@
         self.tries += 1
         return delay_s
 
+    def jittered_s(self) -> float:
+        """Return a delay of half to one and a half times `next_s`.
+
+        After an outage all instances would otherwise come back to what recovers in step.
+        """
+        return self.next_s() * random.uniform(0.5, 1.5)
+
     def reset(self) -> None:
         """Start again with the first delay."""
         self.tries = 0
--- a/mothstand/entry/configuration.py
+++ b/mothstand/entry/configuration.py
@@ -7,7 +7,7 @@
 from ..core.config import ConfigFold, ConfigState
 from ..core.records import ConfigPublished, ConfigSnapshot
 from ..events import Event, emit
-from ..ledger.calls import PeerError
+from ..peers.failures import PeerError
 from ..settings.folder import validate_sections
 
 if TYPE_CHECKING:
--- a/mothstand/entry/heartbeats.py
+++ b/mothstand/entry/heartbeats.py
@@ -8,8 +8,8 @@
 
 from ..core.membership import PeerState, ProbePace
 from ..events import Event, emit
-from ..ledger.calls import PeerError
 from ..log.instances import InstanceList, ListError
+from ..peers.failures import PeerError
 from ..types import DataCentre
 
 if TYPE_CHECKING:
--- a/mothstand/gateway/bootstrap.py
+++ b/mothstand/gateway/bootstrap.py
@@ -5,13 +5,14 @@
 from typing import TYPE_CHECKING
 
 from ..events import Event, emit
-from .lending import PeerError, PeerLink
+from ..peers.failures import PeerError
 from .member_feed import decode_member
 from .store import KeyedRecord
 
 if TYPE_CHECKING:
     from ..clock import Clock
     from .feeds import ConfigFeed, UpstreamFeed
+    from .lending import PeerLink
     from .member_feed import MemberFeed
 
 #: Seconds that the store has to give a first configuration before peers are asked.
--- a/mothstand/gateway/borrowing.py
+++ b/mothstand/gateway/borrowing.py
@@ -8,7 +8,8 @@
 
 from ..core.loans import LoanBook, Peer, PeerChoice
 from ..events import Event, emit
-from .lending import LoanReply, LoanRequest, PeerError, PeerLink
+from ..peers.failures import PeerError
+from .lending import LoanReply, LoanRequest, PeerLink
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/mothstand/gateway/claim_keeper.py
+++ b/mothstand/gateway/claim_keeper.py
@@ -201,8 +201,7 @@
             except StoreError as error:
                 self._health.failed(error)
                 self._changed()
-                # Jitter, lest all instances come back to a recovering store in step.
-                await self._clock.sleep(backoff.next_s() * random.uniform(0.5, 1.5))
+                await self._clock.sleep(backoff.jittered_s())
 
     def _holds_claims(self) -> bool:
         """Return whether claims from the time as a claimant are still to be given back."""
--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
@@ -48,8 +47,7 @@
                 self._next_offset = None
             except StoreError as error:
                 self._health.failed(error)
-                # Jitter, lest all instances come back to a recovering store in step.
-                await self._clock.sleep(backoff.next_s() * random.uniform(0.5, 1.5))
+                await self._clock.sleep(backoff.jittered_s())
 
     async def look(self) -> None:
         """Read once."""
--- a/mothstand/gateway/lending.py
+++ b/mothstand/gateway/lending.py
@@ -12,6 +12,7 @@
 from grpclib.server import Server
 
 from ..peers import lending_pb2 as pb
+from ..peers.failures import PeerError
 from ..peers.lending_grpc import LendingBase, LendingStub
 from ..settings.instance import Address
 from ..types import BudgetName
@@ -27,10 +28,6 @@
 KNOWLEDGE_TIMEOUT_S = 0.6
 
 
-class PeerError(Exception):
-    """A peer did not answer."""
-
-
 @dataclass(frozen=True, slots=True)
 class LoanRequest:
     """What an instance asks of another.
--- a/mothstand/gateway/log_output.py
+++ b/mothstand/gateway/log_output.py
@@ -6,11 +6,15 @@
 import os
 import sys
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from absl import logging
 
 from ..events import Event, emit
 
+if TYPE_CHECKING:
+    from ..clock import Clock
+
 #: Lines a second that may be written, on average and at once. Four times those of an instance at
 #: twice its usual load; a line is about 250 bytes, so 50 kB a second.
 _LINES_PER_S = 200.0
@@ -48,17 +52,20 @@
     that requests need, and a reader that does not keep up would stop the process.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
         super().__init__()
-        self._budget = LineBudget()
+        # Not the record's time of day: a jump back would take lines out of the budget.
+        self._clock = clock
+        self._budget = LineBudget(at_s=clock.monotonic_s())
         self._told_s = 0.0
 
     def filter(self, record: logging_of_python.LogRecord) -> bool:
         """Return whether to write a line."""
-        taken = self._budget.take(record.created)
-        if taken and self._budget.dropped and record.created - self._told_s > _TELL_AFTER_S:
+        now_s = self._clock.monotonic_s()
+        taken = self._budget.take(now_s)
+        if taken and self._budget.dropped and now_s - self._told_s > _TELL_AFTER_S:
             dropped, self._budget.dropped = self._budget.dropped, 0
-            self._told_s = record.created
+            self._told_s = now_s
             emit(Event.LINES_DROPPED, lines=dropped)
         return taken
 
@@ -81,13 +88,13 @@
         """Leave standard output open; the library closes its stream at the process's end."""
 
 
-def set_up_events() -> None:
+def set_up_events(clock: Clock) -> None:
     """Write events to standard output."""
     os.set_blocking(sys.stdout.fileno(), False)
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     handler = logging.get_absl_handler()
     handler.python_handler.stream = _NonBlockingOutput()
-    handler.addFilter(BoundedOutput())
+    handler.addFilter(BoundedOutput(clock))
     # Libraries' own lines are no events of the catalogue.
     logging_of_python.getLogger("asyncio").setLevel(logging_of_python.WARNING)
--- a/mothstand/gateway_main.py
+++ b/mothstand/gateway_main.py
@@ -35,11 +35,12 @@
         If the file cannot be used.
     """
     settings = read_gateway_settings(Path(path))
-    set_up_events()
+    clock = SystemClock()
+    set_up_events(clock)
 
     async def run() -> None:
         # Connection pools belong to the running loop.
-        await GatewayInstance(settings, platform_parts(settings), SystemClock()).run()
+        await GatewayInstance(settings, platform_parts(settings), clock).run()
 
     anyio.run(run, backend_options={"use_uvloop": True})
 
--- a/mothstand/ledger/calls.py
+++ b/mothstand/ledger/calls.py
@@ -13,10 +13,6 @@
     from ..types import BudgetName, Epoch, Member, Shard
 
 
-class PeerError(Exception):
-    """A peer did not answer in time, or not usefully; what was asked may have taken effect."""
-
-
 @dataclass(frozen=True, slots=True)
 class ReserveCall:
     """A request for tokens.
--- a/mothstand/ledger/elsewhere.py
+++ b/mothstand/ledger/elsewhere.py
@@ -10,7 +10,8 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from .calls import PeerError, Ticket
+from ..peers.failures import PeerError
+from .calls import Ticket
 
 if TYPE_CHECKING:
     from ..core.ledger_state import EpochState
--- a/mothstand/ledger/reserver.py
+++ b/mothstand/ledger/reserver.py
@@ -11,7 +11,8 @@
 from ..core.ledger_state import EpochState, Grant
 from ..errors import ErrorKind, Refusal
 from ..events import Event, emit
-from .calls import KnownKey, NotHolder, PeerError, ReserveCall, ReserveReply, Ticket
+from ..peers.failures import PeerError
+from .calls import KnownKey, NotHolder, ReserveCall, ReserveReply, Ticket
 from .elsewhere import away_wait_s, reserve_elsewhere
 
 if TYPE_CHECKING:
--- a/mothstand/ledger/service.py
+++ b/mothstand/ledger/service.py
@@ -10,8 +10,9 @@
 from ..core.records import BillLine, BillsPosted, LedgerRecord, LedgerSnapshot
 from ..errors import ErrorKind, Refusal
 from ..events import Event, emit
+from ..peers.failures import PeerError
 from ..types import Shard
-from .calls import KnownKey, NotHolder, PeerError, ReserveCall, Ticket
+from .calls import KnownKey, NotHolder, ReserveCall, Ticket
 from .shard import ShardNode
 
 if TYPE_CHECKING:
--- a/mothstand/log/reader.py
+++ b/mothstand/log/reader.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from typing import TYPE_CHECKING
 
 from ..core.backoff import Backoff
@@ -68,8 +67,7 @@
                 await self.read_once(wait_s=self._wait_s)
                 self._backoff.reset()
             except LogError:
-                # Jitter, lest all readers of all instances come back to a recovering log in step.
-                await self._clock.sleep(self._backoff.next_s() * random.uniform(0.5, 1.5))
+                await self._clock.sleep(self._backoff.jittered_s())
 
     @property
     def _wait_s(self) -> float:
--- a/mothstand/log/writer.py
+++ b/mothstand/log/writer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Generic, TypeVar
 
@@ -144,5 +143,4 @@
                 await self._log.append(self.stream, payload)
                 return
             except LogError:
-                # Jitter, lest all instances come back to a recovering log in step.
-                await self._clock.sleep(backoff.next_s() * random.uniform(0.5, 1.5))
+                await self._clock.sleep(backoff.jittered_s())
--- a/mothstand/operators/publish.py
+++ b/mothstand/operators/publish.py
@@ -11,10 +11,10 @@
 from ..core.config import Sections, diff_sections
 from ..core.records import ConfigPublished, Outcome, RecordId
 from ..errors import SettingsError
-from ..ledger.calls import PeerError
 from ..log.client import LogClient, LogError
 from ..log.codec import encode
 from ..log.instances import InstanceList, ListError
+from ..peers.failures import PeerError
 from ..streams import CONFIG_STREAM
 from ..types import Member
 from .log_view import read_config, read_stream
--- a/mothstand/operators/release.py
+++ b/mothstand/operators/release.py
@@ -9,8 +9,8 @@
 from ..core.bills import Billed
 from ..core.records import EpochReleased, Outcome, RecordId, SpentTokens
 from ..errors import SettingsError
-from ..ledger.calls import PeerError
 from ..log.codec import encode
+from ..peers.failures import PeerError
 from ..streams import BILLS_STREAM, ledger_stream
 from .log_view import read_all
 
--- a/mothstand/peers/client.py
+++ b/mothstand/peers/client.py
@@ -10,10 +10,11 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from ..core.accounts import MirrorAnswer, MirrorBatch
-from ..ledger.calls import PeerCalls, PeerError, ReserveCall, ReserveReply, Ticket
+from ..ledger.calls import PeerCalls, ReserveCall, ReserveReply, Ticket
 from ..settings.instance import Address
 from ..types import DataCentre
 from . import ledger_pb2 as pb
+from .failures import PeerError
 from .ledger_grpc import PeerStub
 from .messages import (
     batch_to_pb,
--- /dev/null
+++ b/mothstand/peers/failures.py
@@ -0,0 +1,7 @@
+"""What a call to another instance may end with."""
+
+from __future__ import annotations
+
+
+class PeerError(Exception):
+    """A peer did not answer in time, or not usefully; what was asked may have taken effect."""
--- a/mothstand/testing/budget_fleet.py
+++ b/mothstand/testing/budget_fleet.py
@@ -17,9 +17,10 @@
 from ..core.loans import Peer
 from ..errors import Refusal
 from ..gateway.accounts import Accounts
-from ..gateway.lending import Knowledge, LoanReply, LoanRequest, PeerError, PeerLink
+from ..gateway.lending import Knowledge, LoanReply, LoanRequest, PeerLink
 from ..gateway.member_feed import MemberFeed
 from ..log.health import LogHealth
+from ..peers.failures import PeerError
 from ..settings.gateway import (
     GatewayInstanceSection,
     GatewayListenSection,
--- a/mothstand/testing/fakes.py
+++ b/mothstand/testing/fakes.py
@@ -10,8 +10,9 @@
 from ..clock import Clock
 from ..core.membership import Membership
 from ..core.records import Record, RecordId
-from ..ledger.calls import PeerCalls, PeerError, ReserveCall, ReserveReply, Ticket
+from ..ledger.calls import PeerCalls, ReserveCall, ReserveReply, Ticket
 from ..log.client import LogClient, LogError, LogPage
+from ..peers.failures import PeerError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/mothstand/tests/test_elsewhere.py
+++ b/mothstand/tests/test_elsewhere.py
@@ -11,10 +11,11 @@
 from ..core.config import FleetConfig
 from ..core.records import BudgetPaid, EpochOpened, GrantAsk, GrantAsked, LedgerRecord, RecordId
 from ..errors import ErrorKind, Refusal
-from ..ledger.calls import KnownKey, PeerError, ReserveCall, ReserveReply, Ticket
+from ..ledger.calls import KnownKey, ReserveCall, ReserveReply, Ticket
 from ..ledger.escrow_agent import EscrowAgent
 from ..ledger.reserver import Reserver
 from ..ledger.state import ShardContext, ShardState
+from ..peers.failures import PeerError
 from ..settings.instance import TimingSection
 from ..testing.fakes import FakeBeliefs, FakeClock, FakeWriter, NoPeers
 from ..types import NO_EPOCH, BudgetName, DataCentre, Epoch, Member, Shard
--- /dev/null
+++ b/mothstand/tests/test_log_output.py
@@ -0,0 +1,74 @@
+"""Events on standard output: how many, and what is said of those that were dropped."""
+
+from __future__ import annotations
+
+import logging
+import os
+import subprocess
+import sys
+from datetime import UTC, datetime
+
+from ..clock import Clock
+from ..gateway.log_output import BoundedOutput, LineBudget
+
+_RECORD = logging.LogRecord("absl", logging.INFO, "file", 1, "line", None, None)
+
+
+class _HandClock(Clock):
+    def __init__(self) -> None:
+        self.now_s = 50.0
+
+    def now(self) -> datetime:
+        return datetime(2026, 1, 1, tzinfo=UTC)
+
+    def monotonic_s(self) -> float:
+        return self.now_s
+
+    async def sleep(self, delay_s: float) -> None:
+        raise NotImplementedError
+
+
+class TestBoundedOutput:
+    def test_a_storm_of_events_is_cut_to_the_bound(self) -> None:
+        """Symptom: an overloaded instance gets slower still.
+
+        Sequence: thousands of requests a second are refused, each with a line.
+        Cause: writing took the processor time that requests need.
+        """
+        clock = _HandClock()
+        output = BoundedOutput(clock)
+        written = 0
+        for _ in range(10_000):
+            clock.now_s += 1 / 5_000
+            written += output.filter(_RECORD)
+        # Two seconds of 200 lines, and the burst.
+        assert 700 <= written <= 810
+
+    def test_what_was_dropped_is_told(self) -> None:
+        clock = _HandClock()
+        budget = LineBudget(left=1.0, at_s=clock.now_s)
+        assert budget.take(clock.now_s)
+        assert not budget.take(clock.now_s)
+        assert budget.dropped == 1
+        assert budget.take(clock.now_s + 1.0)
+
+    def test_a_reader_that_does_not_read_stops_nobody(self) -> None:
+        """Symptom: an instance serves nothing more, and its processor is idle.
+
+        Sequence: whoever reads the instance's standard output stops reading; the pipe fills up.
+        Cause: the next line waits until there is room.
+        """
+        code = (
+            "from mothstand.clock import SystemClock\n"
+            "from mothstand.events import Event, emit\n"
+            "from mothstand.gateway.log_output import set_up_events\n"
+            "set_up_events(SystemClock())\n"
+            "for n in range(390): emit(Event.REQUEST_REFUSED, detail='x' * 1000)\n"
+        )
+        read_end, write_end = os.pipe()
+        try:
+            done = subprocess.run([sys.executable, "-c", code], stdout=write_end, timeout=20)
+        finally:
+            os.close(read_end)
+            os.close(write_end)
+        assert done.returncode == 0
