Events go to standard output, and never wait for its reader

Cause: the logging library writes to standard error, blocking, until its flags count as parsed; nobody parses them here, so the bounded, non-blocking output was set up and never used.

Ruled out: the handler's stream (it was right), the volume bound (a filter, in use before too).

Change: the flags count as parsed. Two tests: events on standard output (seen failing before), a reader that does not read (seen hanging with blocking output, once lines do go there).

--- a/mothstand/gateway/log_output.py
+++ b/mothstand/gateway/log_output.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from absl import logging
+from absl import flags, logging
 
 from ..events import Event, emit
 
@@ -91,6 +91,8 @@
 def set_up_events(clock: Clock) -> None:
     """Write events to standard output."""
     os.set_blocking(sys.stdout.fileno(), False)
+    # Until its flags count as parsed the library writes to standard error, and waits for it.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     handler = logging.get_absl_handler()
--- a/mothstand/tests/test_log_output.py
+++ b/mothstand/tests/test_log_output.py
@@ -28,6 +28,14 @@
         raise NotImplementedError
 
 
+_SET_UP = (
+    "from mothstand.clock import SystemClock\n"
+    "from mothstand.events import Event, emit\n"
+    "from mothstand.gateway.log_output import set_up_events\n"
+    "set_up_events(SystemClock())\n"
+)
+
+
 class TestBoundedOutput:
     def test_a_storm_of_events_is_cut_to_the_bound(self) -> None:
         """Symptom: an overloaded instance gets slower still.
@@ -58,13 +66,7 @@
         Sequence: whoever reads the instance's standard output stops reading; the pipe fills up.
         Cause: the next line waits until there is room.
         """
-        code = (
-            "from mothstand.clock import SystemClock\n"
-            "from mothstand.events import Event, emit\n"
-            "from mothstand.gateway.log_output import set_up_events\n"
-            "set_up_events(SystemClock())\n"
-            "for n in range(390): emit(Event.REQUEST_REFUSED, detail='x' * 1000)\n"
-        )
+        code = _SET_UP + "for n in range(390): emit(Event.REQUEST_REFUSED, detail='x' * 1000)\n"
         read_end, write_end = os.pipe()
         try:
             done = subprocess.run([sys.executable, "-c", code], stdout=write_end, timeout=20)
@@ -72,3 +74,14 @@
             os.close(read_end)
             os.close(write_end)
         assert done.returncode == 0
+
+    def test_events_go_to_standard_output(self) -> None:
+        """Symptom: who collects standard output gets no events.
+
+        Sequence: an instance starts; its events are read from standard output.
+        Cause: the logging library writes to standard error until its flags are parsed.
+        """
+        code = _SET_UP + "emit(Event.REQUEST_REFUSED, detail='x')\n"
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, timeout=20)
+        assert b"MS7001 request_refused" in done.stdout
+        assert done.stderr == b""
