The three walks of OPERATIONS.md as tests; a listing says where its upstreams are

Each test makes the failure with real processes and goes from the request's id to its cause by log lines alone. Found so: upstreams that were registered before an instance's start had no line with their address.

--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -201,7 +201,8 @@
         decoded = [u for u in map(self._decoded, records) if u is not None]
         self.directory.replace_all(decoded, now_s)
         self._expire(now_s)
-        emit(Event.UPSTREAMS_LISTED, upstreams=sorted(self.directory.known))
+        addresses = {i: u.address for i, u in self.directory.known.items()}
+        emit(Event.UPSTREAMS_LISTED, upstreams=addresses)
 
     def apply(self, records: tuple[KeyedRecord, ...]) -> None:
         """Take later records, in order."""
--- a/mothstand/testing/gateway_fleet.py
+++ b/mothstand/testing/gateway_fleet.py
@@ -28,6 +28,7 @@
     folder: Path
     processes: dict[str, FleetProcess] = field(default_factory=dict)
     _version: int = 0
+    _metrics: dict[str, str] = field(default_factory=dict)
 
     def __enter__(self) -> GatewayFleet:
         """Return the fleet with its store started."""
@@ -72,6 +73,7 @@
             f"[timing]\ngrace_s = {grace_s}\n",
             encoding="utf-8",
         )
+        self._metrics[name] = metrics
         command = (sys.executable, "-m", "mothstand.gateway_main", str(path))
         process = self._spawn(name, command, callers, peers)
         wait_until(lambda: _status(f"http://{ready}/readiness") == httpx.codes.OK, f"{name} ready")
@@ -132,6 +134,10 @@
         }
         return httpx.post(instance.url + path, headers=headers, content=b"body", timeout=10)
 
+    def metrics(self, instance: FleetProcess) -> str:
+        """Return an instance's metrics."""
+        return httpx.get(f"http://{self._metrics[instance.name]}/metrics").text
+
     def journal(self, engine: FleetProcess) -> list[dict[str, str]]:
         """Return the headers of the requests that an engine ran."""
         return list(httpx.get(f"{engine.url}/journal").json())
