Read upstreams' registrations by a read that waits for news

Cause: registrations were polled each 0.7 s, though they are written only when they change: a draining upstream showed up to 0.7 s late, and the polls were a third of all calls of the store.

Ruled out: heartbeats as records (a read that waits would return at once; calls fell, so they are none).

Change: a read waits 1 s for news, after a pause of 0.2 s in which the changes of many upstreams gather.

--- a/mothstand/core/upstreams.py
+++ b/mothstand/core/upstreams.py
@@ -12,8 +12,8 @@
 #: upstream lives; the platform's guarantee. A little is added for the reader's own interval.
 REGISTRATION_GRACE_S = 2.2
 
-#: Pauses between two answers of the store above this count as an outage for the grace above; four
-#: times the interval of reads, so that one slow answer does not start it.
+#: Pauses between two answers of the store above this count as an outage for the grace above; a
+#: second more than a read waits for news, so that one slow answer does not start it.
 OUTAGE_AFTER_S = 2.0
 
 
--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -21,6 +21,9 @@
 #: shorter wait only notices sooner that a connection went silent.
 CONFIG_WAIT_S = 1.5
 
+#: Pause after each read of registrations, lest a release of many upstreams cost a call for each.
+_GATHER_S = 0.2
+
 _BACKOFF_FIRST_S = 0.1
 _BACKOFF_MOST_S = 0.5
 
@@ -161,6 +164,9 @@
 
     Parameters
     ----------
+    wait_s
+        How long a read waits for news: well below `upstreams.OUTAGE_AFTER_S`, since a longer time
+        without an answer counts as an outage of the store.
     decode
         Turns an id and a record's value into a registration, or raises `ValueError`.
     gone
@@ -175,24 +181,24 @@
         health: LogHealth,
         decode: Callable[[str, bytes], RegisteredUpstream],
         gone: Callable[[str], None],
-        every_s: float,
+        wait_s: float,
     ) -> None:
         super().__init__(store, stream, clock, health)
         self.directory = UpstreamDirectory()
         self._raw: dict[str, bytes] = {}
         self._decode = decode
         self._gone = gone
-        self._every_s = every_s
+        self._wait_s = wait_s
 
     @property
     def pause_s(self) -> float:
-        """Seconds between two reads: registrations come all the time, so a wait would not save."""
-        return self._every_s
+        """Seconds between two reads, in which the changes of many upstreams gather."""
+        return _GATHER_S
 
     @property
     def wait_s(self) -> float:
         """Seconds that a read waits at the store for a record."""
-        return 0.0
+        return self._wait_s
 
     def list(self, records: tuple[KeyedRecord, ...]) -> None:
         """Take the newest record of each key."""
--- a/mothstand/settings/gateway.py
+++ b/mothstand/settings/gateway.py
@@ -66,7 +66,10 @@
         0.8, gt=0, description="seconds without an acknowledgement by an upstream, above 0"
     )
     registrations_s: float = Field(
-        0.7, gt=0, description="seconds between two reads of the upstreams, above 0"
+        1.0,
+        gt=0,
+        le=1.5,
+        description="seconds that a read of the upstreams waits for news, above 0, at most 1.5",
     )
     claims_s: float = Field(1.0, gt=0, description="seconds between two looks at claims, above 0")
 
--- a/mothstand/tests/test_bootstrap.py
+++ b/mothstand/tests/test_bootstrap.py
@@ -79,7 +79,7 @@
             self.link, CONFIG_STREAM, CONFIG_KEY, clock, health, decode_config, lambda _: None
         )
         self.upstreams = UpstreamFeed(
-            self.link, UPSTREAMS_STREAM, clock, health, decode_upstream, lambda _: None, 0.7
+            self.link, UPSTREAMS_STREAM, clock, health, decode_upstream, lambda _: None, 1.0
         )
         self.members = MemberFeed(self.link, member("a"), clock, health, lambda: None)
         self._bootstrap = Bootstrap(
