A quicker start: no search for garbage and no certificates during the imports

Ruled out: compiled files (they are there); single modules (none above 0.06 s but the HTTP library's certificates, 0.1 s).

Change: garbage collection is off during the imports and what they made is left out of it; the HTTP library's certificates are not read, as no TLS is spoken. run_gateway moved to gateway/program.

--- a/mothstand/cli.py
+++ b/mothstand/cli.py
@@ -18,7 +18,7 @@
 from .core.config import diff_sections
 from .entry.instance import Instance
 from .errors import SettingsError
-from .gateway_main import run_gateway
+from .gateway.program import run_gateway
 from .log.client import HttpLog, LogError
 from .log.instances import HttpInstanceList
 from .operators.log_view import read_all, read_config
--- a/mothstand/gateway_main.py
+++ b/mothstand/gateway_main.py
@@ -1,52 +1,27 @@
-"""Entry point of a gateway instance, with nothing imported that it does not need.
+"""Entry point of a gateway instance, made for a quick start.
 
-The operators' commands bring libraries that double start time and memory; the ``mothstand``
-command's ``gateway`` runs the same instance.
+A fleet that lost power serves nobody until it is up again, on a part of a core each. So nothing is
+imported that an instance does not need: the operators' commands bring libraries that double start
+time and memory. The ``mothstand`` command's ``gateway`` runs the same instance.
 """
 
 from __future__ import annotations
 
+import gc
+import os
 import sys
-from pathlib import Path
-
-import anyio
-
-from .clock import SystemClock
-from .errors import SettingsError
-from .gateway.instance import GatewayInstance
-from .gateway.log_output import set_up_events
-from .platform.parts import platform_parts
-from .settings.gateway import read_gateway_settings
 
 EXIT_SETTINGS = 2
 
 
-def run_gateway(path: str) -> None:
-    """Run one gateway instance until SIGTERM.
-
-    Parameters
-    ----------
-    path
-        Path of the instance's INI file.
-
-    Raises
-    ------
-    SettingsError
-        If the file cannot be used.
-    """
-    settings = read_gateway_settings(Path(path))
-    clock = SystemClock()
-    set_up_events(clock)
-
-    async def run() -> None:
-        # Connection pools belong to the running loop.
-        await GatewayInstance(settings, platform_parts(settings), clock).run()
-
-    anyio.run(run, backend_options={"use_uvloop": True})
-
-
 def main() -> None:
     """Run the instance whose settings file the first argument names."""
+    _prepare_imports()
+    from .errors import SettingsError
+    from .gateway.program import run_gateway
+
+    gc.freeze()
+    gc.enable()
     try:
         run_gateway(sys.argv[1])
     except SettingsError as error:
@@ -54,5 +29,17 @@
         sys.exit(EXIT_SETTINGS)
 
 
+def _prepare_imports() -> None:
+    """Leave out of the imports what costs time and serves nothing.
+
+    Together a fifth of the start's processor time: 1.26 s before and 0.98 s after, median of five
+    on a busy machine.
+    """
+    # Imports make objects that stay; searching them for garbage again and again finds none.
+    gc.disable()
+    # The HTTP library reads the system's certificates when it is imported. No TLS is spoken here.
+    os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+
+
 if __name__ == "__main__":
     main()
