--- a/mothstand/testing/budget_fleet.py
+++ b/mothstand/testing/budget_fleet.py
@@ -157,6 +157,12 @@
         """Part of the requests that got their tokens."""
         return self.counts["served"] / max(1, self.counts["asked"])
 
+    @property
+    def recorded_spent_tokens(self) -> int:
+        """What all instances together would write as spent."""
+        shards = [shard for i in self.instances.values() for shard in i.accounts.shards]
+        return sum(shard.keeper.book.of(_BUDGET).recorded_spent_tokens for shard in shards)
+
     async def _request(self, address: str, tokens: int) -> None:
         accounts = self.instances[address].accounts
         self.counts["asked"] += 1
--- a/mothstand/tests/test_fleet.py
+++ b/mothstand/tests/test_fleet.py
@@ -127,6 +127,15 @@
         fleet = self.play(CLAIMANTS_PER_DATA_CENTRE, 6_000_000)
         assert 0.97 * 6_000_000 < fleet.spent_tokens <= 6_000_000
 
+    def test_what_borrowers_spent_is_written_by_lenders_and_never_twice(self) -> None:
+        """Symptom: a request is refused for good (402) though its budget covers it.
+
+        Sequence: instances that claim nothing spend what they borrowed, and tell their lenders.
+        Cause: a borrower told the same spend to two lenders, or again after a lost answer.
+        """
+        fleet = self.play(CLAIMANTS_PER_DATA_CENTRE, 36_000_000)
+        assert 0.8 * fleet.spent_tokens < fleet.recorded_spent_tokens <= fleet.spent_tokens
+
     def test_an_outage_of_the_store_is_served_from_what_claimants_hold(self) -> None:
         """Symptom: in an outage of the store most requests are refused.
 
