--- a/mothstand/core/loans.py
+++ b/mothstand/core/loans.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .claims import Holder
+
 if TYPE_CHECKING:
     from ..types import BudgetName
     from .claims import ClaimTable, HeldBudget
@@ -78,21 +80,20 @@
         self, peers: list[Peer], table: ClaimTable, budget: BudgetName, now_s: float
     ) -> list[Peer]:
         """Return the peers to ask, in order; those that hold the same keep their order."""
-        unspent: dict[str, int] = {}
-        for holder, claim in table.claims[budget].items():
-            rest = claim.claimed_tokens - claim.spent_tokens
-            # Only a living process can give; what a dead one of the same name held it cannot.
-            if any(
-                p.instance == holder.instance and p.incarnation == holder.incarnation for p in peers
-            ):
-                unspent[holder.instance] = rest
+        claims = table.claims[budget]
+
+        def unspent(peer: Peer) -> int:
+            # By this start of the peer: what a dead one of the same name held it cannot give.
+            claim = claims.get(Holder(peer.instance, peer.incarnation))
+            return 0 if claim is None else claim.claimed_tokens - claim.spent_tokens
+
         asked = [
             p
             for p in peers
             if self._silent_until_s.get(p.instance, 0.0) <= now_s
             and self._dry_until_s.get((p.instance, budget), 0.0) <= now_s
         ]
-        return sorted(asked, key=lambda p: -unspent.get(p.instance, 0))
+        return sorted(asked, key=unspent, reverse=True)
 
     def silent(self, peer: Peer, now_s: float) -> None:
         """Note that a peer did not answer."""
