A body that comes right after its head is no head

Trace: 3 s is header_timeout. A request's body came one turn of the event loop after its head, while the library had taken the request from its queue and not yet begun it; the bytes were taken for the next head, and 3 s later a 408 went into the middle of the answer.

Ruled out: the upstream's cut (the instance's own doing, 2 ms before); chunk framing; resumption.

Change: a head begins only while the library waits for one. Test: the body 0 to 5 turns after the head; seen failing at one turn.

--- a/mothstand/gateway/caller_connections.py
+++ b/mothstand/gateway/caller_connections.py
@@ -40,7 +40,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Take bytes; between two requests they begin a head, whose time runs from now."""
-        was_idle = self._current_request is None and not self._messages
+        # The library waits for a head, and so has no request: between two of its steps a request
+        # that is being handed over stands nowhere else, and its body would pass for a head.
+        was_idle = self._waiter is not None and not self._waiter.done()
         heads = self._request_count
         super().data_received(data)
         if self._request_count > heads:
--- a/mothstand/tests/test_caller_connections.py
+++ b/mothstand/tests/test_caller_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
@@ -24,6 +25,12 @@
 _HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
 
 
+async def _slow_echo(request: web.BaseRequest) -> web.StreamResponse:
+    body = await request.read()
+    await anyio.sleep(2 * _LIMITS.header_timeout_s)
+    return web.Response(body=body)
+
+
 async def _echo(request: web.BaseRequest) -> web.StreamResponse:
     return web.Response(body=await request.read())
 
@@ -88,6 +95,32 @@
             await stream.send(b"cd")
             assert (await stream.receive()).endswith(b"abcd")
 
+    @pytest.mark.anyio
+    @pytest.mark.parametrize("turns", range(6))
+    async def test_a_body_that_comes_right_after_its_head_is_no_head(self, turns: int) -> None:
+        """Symptom: a caller gets a 408 in the middle of its answer, three seconds after it asked.
+
+        Sequence: the body comes a turn of the event loop after the head, while the request is
+        handed over and stands nowhere; its answer takes longer than a head may.
+        Cause: the body's bytes were taken for the next head, whose time then ran out.
+        """
+        server = CallerServer(_slow_echo, lambda: _LIMITS, first_idle_timeout_s=9.0)
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        async with await anyio.connect_tcp("127.0.0.1", runner.addresses[0][1]) as stream:
+            while not server.connections:
+                await anyio.sleep(0.01)
+            (handler,) = server.connections
+            handler.data_received(_HEAD)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            handler.data_received(b"abcd")
+            received = await stream.receive()
+        await runner.cleanup()
+        assert received.startswith(b"HTTP/1.1 200 ")
+        assert received.endswith(b"abcd")
+
     @pytest.mark.anyio
     async def test_each_head_has_its_own_time(self) -> None:
         async with connection() as stream:
