A machine that the store turns away for long is not taken for gone; refusals tell their attempts

Cause (by reading): an instance that could not announce itself for 14 s counted as gone, and the store turns some away for 12 s. Claims would move, and the others would share out the retries that it still uses: with 25 of 71 turned away their shares would add up to 246 of 182.

Change: gone after six missed announcements, 24 s. A stop of an instance that holds no claims makes no call.

--- a/mothstand/core/fleet.py
+++ b/mothstand/core/fleet.py
@@ -26,9 +26,11 @@
 #: 130 bytes that is 2.6 kB/s for each, of the 3 kB/s that control may take of a node.
 MOST_ANNOUNCEMENTS_PER_S = 20.0
 
-#: An instance that has missed so many announcements, and a half, has gone. A claimant that is
-#: merely silent is passed over by its borrowers at once.
-GONE_AFTER_MISSED = 3.5
+#: An instance that has missed so many announcements has gone. The store turns some instances away
+#: for up to 12 s while it serves the others; were they taken for gone, claims would move, and the
+#: rest would share out their part of the retries, which they still use. A claimant that is merely
+#: silent is passed over by its borrowers at once.
+GONE_AFTER_MISSED = 6
 
 #: The claimants of a shard in each data centre. Two may be down at once; and a small data centre
 #: has no more instances than this, so that all claim and no request needs another instance.
--- a/mothstand/gateway/claim_keeper.py
+++ b/mothstand/gateway/claim_keeper.py
@@ -174,6 +174,8 @@
     async def give_back(self) -> None:
         """Lower all claims to what was used, at a stop: the rest would be lost to everyone."""
         self._leaving = True
+        if not self._holds_claims():
+            return
         try:
             await self.look()
         except StoreError as error:
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -178,7 +178,7 @@
                 self._break_off(call, caller, "timeout")
                 return
             kind = ErrorKind.TIMED_OUT if call.sent else ErrorKind.OVERLOADED
-            raise RefusedError(Refusal(kind)) from None
+            raise RefusedError(Refusal(kind, _attempts_told(call))) from None
 
     async def _try_upstreams(self, call: Call, caller: CallerConnection) -> None:
         while True:
@@ -224,9 +224,10 @@
             answer = call.failed_answer
             await caller.send_whole(answer.status, answer.reason, answer.headers, answer.body)
         elif call.sent:
-            raise RefusedError(Refusal(ErrorKind.OUTCOME_UNKNOWN))
+            raise RefusedError(Refusal(ErrorKind.OUTCOME_UNKNOWN, _attempts_told(call)))
         elif call.refusals:
-            raise RefusedError(Refusal(ErrorKind.OVERLOADED, retry_after_s=_FULL_COME_BACK_S))
+            told = _attempts_told(call)
+            raise RefusedError(Refusal(ErrorKind.OVERLOADED, told, retry_after_s=_FULL_COME_BACK_S))
         else:
             refusal = Refusal(ErrorKind.NO_UPSTREAM, call.service, retry_after_s=_FULL_COME_BACK_S)
             raise RefusedError(refusal)
@@ -377,3 +378,8 @@
             elapsed_s=round(self._clock.monotonic_s() - call.arrived_s, 3),
             left_alone_s=pause_s,
         )
+
+
+def _attempts_told(call: Call) -> str:
+    """Return what became of a request's attempts, for its refusal's log line."""
+    return f"{call.service}: {len(call.tried)} tried, {call.sent} sent, {call.refusals} refused"
