A restarted instance knows the fleet at its first look

Cause (by reading): an instance announced itself before it looked, over its earlier start's record, so each restart waited 0.6 s for the others of a new fleet: not ready, no tokens.

Change: look first, then announce. Test in virtual time, seen failing.

--- a/mothstand/gateway/member_feed.py
+++ b/mothstand/gateway/member_feed.py
@@ -100,9 +100,13 @@
         return 0.0
 
     async def look(self) -> None:
-        """Announce this instance and read once."""
-        await self._store.append(self._stream, (encode_member(self.fleet.me),))
+        """Read once and announce this instance.
+
+        In this order: an announcement replaces that of an earlier start, by which a restarted
+        instance knows that the fleet is listed already.
+        """
         await super().look()
+        await self._store.append(self._stream, (encode_member(self.fleet.me),))
         self._looks += 1
         if self._looks > 1 and not self._settled:
             self._settle()
@@ -110,9 +114,8 @@
     def list(self, records: tuple[KeyedRecord, ...]) -> None:
         """Take the newest announcement of each instance."""
         mine = self.fleet.me.peer
-        before = [r for r in records if r.key == mine.instance]
         self.apply(records)
-        if any(mine.incarnation.encode() not in (r.value or b"") for r in before):
+        if self._looks == 0 and any(r.key == mine.instance for r in records):
             # Announced by an earlier start: the fleet is listed already.
             self._settle()
 
--- a/mothstand/tests/test_fleet.py
+++ b/mothstand/tests/test_fleet.py
@@ -14,10 +14,12 @@
     Member,
 )
 from ..core.loans import Peer
-from ..gateway.member_feed import decode_member, encode_member
+from ..gateway.member_feed import MemberFeed, decode_member, encode_member
 from ..gateway.store import KeyedRecord
+from ..log.health import LogHealth
 from ..testing.budget_fleet import BudgetFleet
-from ..testing.virtual_time import run_in_virtual_time
+from ..testing.memory_store import MemoryStore, StoreLink
+from ..testing.virtual_time import VirtualClock, run_in_virtual_time
 from ..types import DataCentre, Shard
 
 _SHARD = Shard(0)
@@ -98,6 +100,34 @@
             decode_member(KeyedRecord("a0", b"{}"))
 
 
+class TestMemberFeed:
+    def test_a_restarted_instance_knows_the_fleet_at_its_first_look(self) -> None:
+        """Symptom: for 0.6 s after each restart an instance is not ready and refuses requests.
+
+        Sequence: an instance announces itself, dies, and starts again.
+        Cause: it announced itself before it looked, over the record of its earlier start, and
+        took itself for one of a new fleet whose others it has to wait for.
+        """
+        store = MemoryStore()
+
+        async def settles_within(incarnation: str, wait_s: float) -> bool:
+            clock = VirtualClock()
+            me = Member(Peer("a0", incarnation, "a0:1"), DataCentre("a"))
+            feed = MemberFeed(StoreLink(store), me, clock, LogHealth(clock), lambda: None)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(feed.run)
+                await anyio.sleep(wait_s)
+                tasks.cancel_scope.cancel()
+            return feed.is_settled
+
+        async def run() -> tuple[bool, bool, bool]:
+            at_once = await settles_within("first", 0.1)
+            later = await settles_within("other", 0.1)
+            return at_once, later, await settles_within("third", 0.1)
+
+        assert run_in_virtual_time(run) == (False, True, True)
+
+
 class TestBorrowers:
     """Requests of 1,000 to 17,000 tokens, 100 a second, at 64 instances in four data centres."""
 
