Logs tell when an upstream's end is known, kept and acted on, and how old that belief was

Cause: upstream_left was written when a registration ended, also while its upstream was used on for the grace after an outage; no line of a request named its upstream. Change: upstream_lapsed (with kept_s) for the one, upstream_left for the other, and request lines have upstream and registrations_age_s. Listings tell what they ended, too. No change of what is chosen.

--- a/mothstand/core/upstreams.py
+++ b/mothstand/core/upstreams.py
@@ -73,6 +73,10 @@
             self._grace_until_s = now_s + REGISTRATION_GRACE_S
         self._read_at_s = now_s
 
+    def age_s(self, now_s: float) -> float | None:
+        """Return the seconds since the store was last heard, or None before the first time."""
+        return None if self._read_at_s is None else now_s - self._read_at_s
+
     def ended(self, upstream: RegisteredUpstream) -> None:
         """Note that a process has surely ended, whatever its registration says.
 
@@ -107,22 +111,34 @@
         self._doomed.pop(upstream_id, None)
         self.known.pop(upstream_id, None)
 
-    def remove(self, upstream_id: str, now_s: float) -> None:
-        """Take the end of a registration: at once, or after the grace that follows an outage."""
+    def remove(self, upstream_id: str, now_s: float) -> float:
+        """Take the end of a registration: at once, or after the grace that follows an outage.
+
+        Returns
+        -------
+        float
+            Seconds for which the upstream is used on.
+        """
         if upstream_id not in self.known:
-            return
+            return 0.0
         if now_s < self._grace_until_s:
             self._doomed[upstream_id] = self._grace_until_s
-        else:
-            del self.known[upstream_id]
+            return self._grace_until_s - now_s
+        del self.known[upstream_id]
+        return 0.0
 
-    def replace_all(self, upstreams: list[RegisteredUpstream], now_s: float) -> None:
-        """Take a whole listing: what it lacks has ended."""
+    def replace_all(self, upstreams: list[RegisteredUpstream], now_s: float) -> dict[str, float]:
+        """Take a whole listing: what it lacks has ended.
+
+        Returns
+        -------
+        dict
+            The ids of those that have ended, each with the seconds for which it is used on.
+        """
         listed = {u.upstream_id for u in upstreams}
         for upstream in upstreams:
             self.put(upstream)
-        for upstream_id in [i for i in self.known if i not in listed]:
-            self.remove(upstream_id, now_s)
+        return {i: self.remove(i, now_s) for i in list(self.known) if i not in listed}
 
     def expire(self, now_s: float) -> list[str]:
         """Drop what is still missing after the grace, and return it."""
--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -55,6 +55,11 @@
     UPSTREAMS_LISTED = (6010, logging.INFO, "All registered upstreams were read.")
     UPSTREAM_REGISTERED = (6007, logging.INFO, "An upstream registered or changed its state.")
     UPSTREAM_LEFT = (6008, logging.INFO, "An upstream's registration has ended.")
+    UPSTREAM_LAPSED = (
+        6011,
+        logging.INFO,
+        "A registration ended, and its upstream is used on: the store may have been away.",
+    )
     ATTEMPT_FAILED = (6009, logging.WARNING, "An upstream did not answer a request.")
     REQUEST_REFUSED = (7001, logging.INFO, "A request was refused.")
     HEAD_TOO_SLOW = (7005, logging.INFO, "A connection was closed before its head was complete.")
--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -243,7 +243,8 @@
         before = dict(self.directory.known)
         self.directory.read(now_s)
         decoded = [u for u in map(self._decoded, records) if u is not None]
-        self.directory.replace_all(decoded, now_s)
+        for upstream_id, kept_s in self.directory.replace_all(decoded, now_s).items():
+            self._tell_end(upstream_id, kept_s, None)
         self.is_listed = True
         self._expire(now_s)
         self._forget_gone(before)
@@ -258,8 +259,8 @@
         for record in records:
             if record.value is None:
                 self._raw.pop(record.key, None)
-                self.directory.remove(record.key, now_s)
-                emit(Event.UPSTREAM_LEFT, upstream=record.key, offset=record.offset)
+                kept_s = self.directory.remove(record.key, now_s)
+                self._tell_end(record.key, kept_s, record.offset)
                 continue
             upstream = self._decoded(record)
             if upstream is not None and self.directory.put(upstream):
@@ -275,6 +276,18 @@
         self._expire(now_s)
         self._forget_gone(before)
 
+    def _tell_end(self, upstream_id: str, kept_s: float, offset: int | None) -> None:
+        """Tell of a registration's end, and whether requests still go to its upstream."""
+        if kept_s > 0:
+            emit(
+                Event.UPSTREAM_LAPSED,
+                upstream=upstream_id,
+                offset=offset,
+                kept_s=round(kept_s, 3),
+            )
+        else:
+            emit(Event.UPSTREAM_LEFT, upstream=upstream_id, offset=offset)
+
     def _expire(self, now_s: float) -> None:
         for upstream_id in self.directory.expire(now_s):
             emit(Event.UPSTREAM_LEFT, upstream=upstream_id, after="grace")
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -104,6 +104,9 @@
         Attempts that reached an upstream or may have.
     reserved_after_s, started_after_s
         From the arrival until its tokens were set aside, and until its answer began.
+    upstream_id, registrations_age_s
+        Where it was sent last, and how old what was known of the upstreams was then; None if the
+        store had never been heard.
     """
 
     fields: CallerFields
@@ -122,6 +125,8 @@
     failed_answer: WholeAnswer | None = None
     reserved_after_s: float = 0.0
     started_after_s: float = 0.0
+    upstream_id: str = ""
+    registrations_age_s: float | None = None
 
     def used_tokens(self, event_tokens: int) -> int:
         """Return what the request consumed: its prompt once, and the output passed on."""
@@ -266,6 +271,8 @@
             If it failed, and what is known of it stands in `call`.
         """
         call.tried.add(upstream.upstream_id)
+        call.upstream_id = upstream.upstream_id
+        call.registrations_age_s = self._directory.age_s(self._clock.monotonic_s())
         placed = self._placement.started(upstream, call.fields.prompt, self._clock.monotonic_s())
         answer: UpstreamAnswer | None = None
         # Counted first: once the request is on its way, a cancelled attempt may have run too.
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -275,6 +275,8 @@
             workspace=call.workspace,
             status=status,
             attempts=call.sent,
+            upstream=call.upstream_id,
+            registrations_age_s=_rounded(call.registrations_age_s),
             tokens=used_tokens,
             reserved_after_s=round(call.reserved_after_s, 3),
             started_after_s=round(call.started_after_s, 3),
@@ -282,6 +284,10 @@
         )
 
 
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
+
+
 def _raw_headers(request: web.BaseRequest) -> RawHeaders:
     return tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in request.raw_headers)
 
