--- a/mothstand/testing/memory_store.py
+++ b/mothstand/testing/memory_store.py
@@ -7,11 +7,14 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+import anyio
+
 from ..gateway.store import (
     KeyedRecord,
     Store,
     StoreConflictError,
     StoreSilentError,
+    StoreTrimmedError,
     Stream,
     StreamPage,
 )
@@ -43,6 +46,7 @@
 
     conditional: bool = True
     _records: dict[Stream, list[KeyedRecord]] = field(default_factory=lambda: defaultdict(list))
+    _first: dict[Stream, int] = field(default_factory=lambda: defaultdict(int))
     _late: list[_LateAppend] = field(default_factory=list)
 
     def append(
@@ -72,8 +76,20 @@
         for append in late:
             self.append(append.stream, append.records, append.at_offset)
 
+    def drop_history(self, stream: Stream) -> None:
+        """Keep the newest record of each key only; reads from before fail from now on."""
+        self._first[stream] = len(self._records[stream])
+
     def read(self, stream: Stream, from_offset: int) -> StreamPage:
-        """Return the records from an offset on."""
+        """Return the records from an offset on.
+
+        Raises
+        ------
+        StoreTrimmedError
+            If some of them are no longer kept.
+        """
+        if from_offset < self._first[stream]:
+            raise StoreTrimmedError(f"{stream}: {from_offset} is not kept")
         stored = self._records[stream]
         return StreamPage(tuple(stored[from_offset:]), max(from_offset, len(stored)))
 
@@ -92,12 +108,19 @@
     ----------
     fate
         Decides what becomes of each append.
+    gives_up_after_s
+        How long a read hangs that began while the way was cut. It fails even if the cut ends
+        meanwhile: the packets that would have opened its connection are lost.
     """
 
     def __init__(
-        self, store: MemoryStore, fate: Callable[[], Fate] = lambda: Fate.ANSWERED
+        self,
+        store: MemoryStore,
+        fate: Callable[[], Fate] = lambda: Fate.ANSWERED,
+        gives_up_after_s: float = 0.0,
     ) -> None:
         self.is_cut = False
+        self._gives_up_after_s = gives_up_after_s
         self._store = store
         self._fate = fate
 
@@ -118,19 +141,21 @@
 
     async def read(self, stream: Stream, from_offset: int, *, wait_s: float = 0.0) -> StreamPage:
         """Return records from an offset on."""
-        self._check()
+        await self._reach()
         return self._store.read(stream, from_offset)
 
     async def newest(self, stream: Stream) -> StreamPage:
         """Return the newest record of each key."""
-        self._check()
+        await self._reach()
         return self._store.newest(stream)
 
     async def aclose(self) -> None:
         """Close nothing."""
 
-    def _check(self) -> None:
+    async def _reach(self) -> None:
         if self.is_cut:
+            if self._gives_up_after_s:
+                await anyio.sleep(self._gives_up_after_s)
             raise StoreSilentError("cut off")
 
 
