An upstream's end is believed at once where a peer heard the store throughout

Cause: an instance took its own silence for an outage of the store and used an upstream whose registration had ended nine seconds before for another 2.2 s, counted from its own first answer and looked at with the next read only. Class: a belief is kept on the ground of one's own silence, though others can tell what it means. Ruled out: hearsay (the instances had not started), a late reader alone (the one that broke had its first answer at 17.05 s). Change: after a gap the reader asks four peers, at once, for how long they have followed the registrations (new call of the peer protocol); if one covers the gap, no grace. Where none can tell, the grace ends by the clock and not with the next read, and begins sooner: a connection to the store has 0.3 s (1.0), the pause between tries at most 0.3 s (0.75), and a silent call closes the idle connections beside it.

--- a/mothstand/core/upstreams.py
+++ b/mothstand/core/upstreams.py
@@ -59,20 +59,46 @@
     While the store is away registrations lapse though their upstreams live. Without a grace after
     its return an instance would drop all upstreams at once and refuse requests that it could
     serve; with a grace at other times it would send requests to an upstream that has left.
+
+    A silence of the store looks the same to an instance whether the store was away or the instance
+    was cut off; but an upstream that left while the store was well has left for good. So the grace
+    is not given where a peer heard the store throughout (`read`).
     """
 
     known: dict[str, RegisteredUpstream] = field(default_factory=dict)
     _ended: set[UpstreamKey] = field(default_factory=set)
     _doomed: dict[str, float] = field(default_factory=dict)
     _read_at_s: float | None = None
+    _followed_since_s: float = 0.0
     _grace_until_s: float = 0.0
 
-    def read(self, now_s: float) -> None:
-        """Note that the store answered; call before applying what it said."""
-        if self._read_at_s is not None and now_s - self._read_at_s > OUTAGE_AFTER_S:
-            self._grace_until_s = now_s + REGISTRATION_GRACE_S
+    def read(self, now_s: float, *, store_was_up: bool = False) -> None:
+        """Note that the store answered; call before applying what it said.
+
+        Parameters
+        ----------
+        store_was_up
+            Whether the store is known to have been up since its last answer.
+        """
+        if self._read_at_s is None:
+            self._followed_since_s = now_s
+        elif self.gap_s(now_s):
+            self._followed_since_s = now_s
+            if not store_was_up:
+                self._grace_until_s = now_s + REGISTRATION_GRACE_S
         self._read_at_s = now_s
 
+    def gap_s(self, now_s: float) -> float:
+        """Return the seconds since the store's last answer if they are too many, else 0."""
+        age_s = self.age_s(now_s) or 0.0
+        return age_s if age_s > OUTAGE_AFTER_S else 0.0
+
+    def followed_s(self, now_s: float) -> float:
+        """Return for how long the store's word has been followed without a gap, up to now."""
+        if self._read_at_s is None or self.gap_s(now_s):
+            return 0.0
+        return now_s - self._followed_since_s
+
     def age_s(self, now_s: float) -> float | None:
         """Return the seconds since the store was last heard, or None before the first time."""
         return None if self._read_at_s is None else now_s - self._read_at_s
@@ -140,6 +166,11 @@
             self.put(upstream)
         return {i: self.remove(i, now_s) for i in list(self.known) if i not in listed}
 
+    @property
+    def next_expiry_s(self) -> float | None:
+        """When the first upstream whose registration has ended is to be dropped, or None."""
+        return min(self._doomed.values(), default=None)
+
     def expire(self, now_s: float) -> list[str]:
         """Drop what is still missing after the grace, and return it."""
         gone = [i for i, until_s in self._doomed.items() if now_s >= until_s]
--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -60,6 +60,11 @@
         logging.INFO,
         "A registration ended, and its upstream is used on: the store may have been away.",
     )
+    REGISTRATIONS_REGAINED = (
+        6012,
+        logging.INFO,
+        "The upstreams' registrations are read again after a gap.",
+    )
     ATTEMPT_FAILED = (6009, logging.WARNING, "An upstream did not answer a request.")
     REQUEST_REFUSED = (7001, logging.INFO, "A request was refused.")
     HEAD_TOO_SLOW = (7005, logging.INFO, "A connection was closed before its head was complete.")
--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -5,6 +5,8 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
+import anyio
+
 from ..core.backoff import Backoff
 from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
 from ..events import Event, emit
@@ -16,6 +18,7 @@
     from ..clock import Clock
     from ..core.routes import GatewayConfig
     from ..log.health import LogHealth
+    from .store_witness import StoreWitness
 
 #: Longest wait of a read for a new configuration. The store answers at once when there is one; a
 #: shorter wait only notices sooner that a connection went silent.
@@ -30,6 +33,11 @@
 _BACKOFF_FIRST_S = 0.1
 _BACKOFF_MOST_S = 0.5
 
+#: The same for registrations. Three seconds after its way to the store is back an instance must act
+#: on all that the store has said. Of these a try that hung takes 0.3, this pause with its jitter
+#: 0.3, and 2.2 are the grace for registrations that lapsed in an outage.
+_REGISTRATIONS_BACKOFF_MOST_S = 0.2
+
 
 class KeyedFeed(ABC):
     """Keeps up with one keyed stream: a listing first, then what comes after it."""
@@ -37,6 +45,9 @@
     #: Whether a failed read is followed by a listing, and not by what was missed since.
     lists_after_failure = False
 
+    #: Longest pause after a failed read, before jitter.
+    backoff_most_s = _BACKOFF_MOST_S
+
     def __init__(self, store: Store, stream: Stream, clock: Clock, health: LogHealth) -> None:
         self._store = store
         self._stream = stream
@@ -48,7 +59,7 @@
 
     async def run(self) -> None:
         """Follow the stream until cancelled."""
-        backoff = Backoff(_BACKOFF_FIRST_S, _BACKOFF_MOST_S)
+        backoff = Backoff(_BACKOFF_FIRST_S, self.backoff_most_s)
         while True:
             try:
                 await self.look()
@@ -85,10 +96,12 @@
         if self._next_offset is None:
             page = await self._store.newest(self._stream)
             self._health.answered()
+            await self.answered()
             self.list(page.records)
         else:
             page = await self._read(self._next_offset)
             self._health.answered()
+            await self.answered()
             self.apply(page.records)
         self._next_offset = page.next_offset
 
@@ -97,6 +110,9 @@
         wait_s = 0.0 if self._health.is_failing else self.wait_s
         return await self._store.read(self._stream, from_offset, wait_s=wait_s)
 
+    async def answered(self) -> None:  # noqa: B027 - most feeds have nothing to note
+        """Note that the store answered, before what it said is taken."""
+
     @property
     @abstractmethod
     def pause_s(self) -> float:
@@ -206,8 +222,12 @@
         Turns an id and a record's value into a registration, or raises `ValueError`.
     gone
         Called with each upstream that has gone, or has started again.
+    witness
+        Tells whether the store was up while it did not answer here.
     """
 
+    backoff_most_s = _REGISTRATIONS_BACKOFF_MOST_S
+
     def __init__(
         self,
         store: Store,
@@ -217,6 +237,7 @@
         decode: Callable[[str, bytes], RegisteredUpstream],
         gone: Callable[[RegisteredUpstream], None],
         wait_s: float,
+        witness: StoreWitness,
     ) -> None:
         super().__init__(store, stream, clock, health)
         self.directory = UpstreamDirectory()
@@ -226,6 +247,31 @@
         self._decode = decode
         self._gone = gone
         self._wait_s = wait_s
+        self._witness = witness
+        self._lapsed = anyio.Event()
+
+    async def run(self) -> None:
+        """Follow the stream until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._expire_in_time)
+            await super().run()
+
+    def followed_s(self) -> float:
+        """Return for how long the registrations have been read without a gap, up to now."""
+        return self.directory.followed_s(self._clock.monotonic_s())
+
+    async def answered(self) -> None:
+        """Note that the store answered; after a gap, find out whether it was up meanwhile."""
+        now_s = self._clock.monotonic_s()
+        gap_s = self.directory.gap_s(now_s)
+        store_was_up = gap_s > 0 and await self._witness.followed(gap_s)
+        self.directory.read(now_s, store_was_up=store_was_up)
+        if gap_s:
+            emit(
+                Event.REGISTRATIONS_REGAINED,
+                gap_s=round(gap_s, 3),
+                store_was_up=store_was_up,
+            )
 
     @property
     def pause_s(self) -> float:
@@ -241,7 +287,6 @@
         """Take the newest record of each key."""
         now_s = self._clock.monotonic_s()
         before = dict(self.directory.known)
-        self.directory.read(now_s)
         decoded = [u for u in map(self._decoded, records) if u is not None]
         for upstream_id, kept_s in self.directory.replace_all(decoded, now_s).items():
             self._tell_end(upstream_id, kept_s, None)
@@ -255,7 +300,6 @@
         """Take later records, in order."""
         now_s = self._clock.monotonic_s()
         before = dict(self.directory.known)
-        self.directory.read(now_s)
         for record in records:
             if record.value is None:
                 self._raw.pop(record.key, None)
@@ -279,6 +323,7 @@
     def _tell_end(self, upstream_id: str, kept_s: float, offset: int | None) -> None:
         """Tell of a registration's end, and whether requests still go to its upstream."""
         if kept_s > 0:
+            self._lapsed.set()
             emit(
                 Event.UPSTREAM_LAPSED,
                 upstream=upstream_id,
@@ -288,6 +333,21 @@
         else:
             emit(Event.UPSTREAM_LEFT, upstream=upstream_id, offset=offset)
 
+    async def _expire_in_time(self) -> None:
+        """Drop upstreams at the very end of their grace.
+
+        Left to the next read, which waits for news, requests would go to one that has left for up
+        to 1.2 s more.
+        """
+        while True:
+            await self._lapsed.wait()
+            self._lapsed = anyio.Event()
+            while (expiry_s := self.directory.next_expiry_s) is not None:
+                await self._clock.sleep(max(0.0, expiry_s - self._clock.monotonic_s()))
+                before = dict(self.directory.known)
+                self._expire(self._clock.monotonic_s())
+                self._forget_gone(before)
+
     def _expire(self, now_s: float) -> None:
         for upstream_id in self.directory.expire(now_s):
             emit(Event.UPSTREAM_LEFT, upstream=upstream_id, after="grace")
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -28,6 +28,7 @@
 from .metrics import GatewayMetrics
 from .server import GatewayServer
 from .start_wait import StartWait
+from .store_witness import PeerWitness
 from .upstream_client import UpstreamClient
 
 if TYPE_CHECKING:
@@ -81,6 +82,14 @@
             self._config_in_force,
         )
         self._placement = Placement(settings.data_centre)
+        self._link = GrpcPeerLink()
+        self._members = MemberFeed(
+            parts.store,
+            Member(self._me, settings.data_centre),
+            clock,
+            self._health,
+            lambda: self._accounts.look(),
+        )
         self._upstream_feed = UpstreamFeed(
             parts.store,
             parts.upstreams_stream,
@@ -89,14 +98,7 @@
             parts.decode_upstream,
             self._forget_upstream,
             settings.timing.registrations_s,
-        )
-        self._link = GrpcPeerLink()
-        self._members = MemberFeed(
-            parts.store,
-            Member(self._me, settings.data_centre),
-            clock,
-            self._health,
-            lambda: self._accounts.look(),
+            PeerWitness(self._link, self._members),
         )
         self._accounts = Accounts(
             settings,
@@ -156,7 +158,9 @@
         await _listen(runner, listen.callers, self._started.callers)
         await _listen(checks, listen.ready)
         await _listen(checks, listen.metrics)
-        service = LendingService(self._accounts.lend, self._knowledge)
+        service = LendingService(
+            self._accounts.lend, self._knowledge, self._upstream_feed.followed_s
+        )
         peer_server = await serve_peers(service, listen.peers)
         emit(
             Event.INSTANCE_STARTED,
--- a/mothstand/gateway/lending.py
+++ b/mothstand/gateway/lending.py
@@ -27,6 +27,9 @@
 LOAN_TIMEOUT_S = 0.25
 KNOWLEDGE_TIMEOUT_S = 0.6
 
+#: Nothing of the store's is taken meanwhile, and what is asked is known at once.
+WITNESS_TIMEOUT_S = 0.25
+
 
 @dataclass(frozen=True, slots=True)
 class LoanRequest:
@@ -103,6 +106,16 @@
             If it did not answer.
         """
 
+    @abstractmethod
+    async def registrations_followed_s(self, address: str) -> float:
+        """Return for how long a peer has read the upstreams' registrations without a gap.
+
+        Raises
+        ------
+        PeerError
+            If it did not answer.
+        """
+
     @abstractmethod
     def close(self) -> None:
         """Close all connections."""
@@ -145,6 +158,12 @@
             members=tuple(KeyedRecord(r.key, r.value) for r in reply.members),
         )
 
+    async def registrations_followed_s(self, address: str) -> float:
+        """Return for how long a peer has read the upstreams' registrations without a gap."""
+        with self._call(address) as stub, anyio.fail_after(WITNESS_TIMEOUT_S):
+            reply = await stub.Registrations(pb.RegistrationsRequest())
+        return reply.followed_s
+
     def close(self) -> None:
         """Close all connections."""
         for address in list(self._channels):
@@ -189,9 +208,11 @@
         self,
         lend: Callable[[LoanRequest], Awaitable[LoanReply]],
         knowledge: Callable[[], Knowledge],
+        registrations_followed_s: Callable[[], float],
     ) -> None:
         self._lend = lend
         self._knowledge = knowledge
+        self._registrations_followed_s = registrations_followed_s
 
     async def Lend(self, stream: Stream[pb.LoanRequest, pb.LoanReply]) -> None:  # noqa: N802
         """Move tokens to the caller."""
@@ -225,6 +246,15 @@
         )
         await stream.send_message(reply)
 
+    async def Registrations(  # noqa: N802
+        self, stream: Stream[pb.RegistrationsRequest, pb.RegistrationsReply]
+    ) -> None:
+        """Tell for how long this instance has read the registrations without a gap."""
+        await stream.recv_message()
+        await stream.send_message(
+            pb.RegistrationsReply(followed_s=self._registrations_followed_s())
+        )
+
 
 async def serve_peers(service: LendingService, address: str) -> Server:
     """Listen for other instances."""
--- a/mothstand/peers/lending_grpc.py
+++ b/mothstand/peers/lending_grpc.py
@@ -22,6 +22,10 @@
     async def Knowledge(self, stream: 'grpclib.server.Stream[mothstand.peers.lending_pb2.KnowledgeRequest, mothstand.peers.lending_pb2.KnowledgeReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Registrations(self, stream: 'grpclib.server.Stream[mothstand.peers.lending_pb2.RegistrationsRequest, mothstand.peers.lending_pb2.RegistrationsReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/mothstand.peers.Lending/Lend': grpclib.const.Handler(
@@ -36,6 +40,12 @@
                 mothstand.peers.lending_pb2.KnowledgeRequest,
                 mothstand.peers.lending_pb2.KnowledgeReply,
             ),
+            '/mothstand.peers.Lending/Registrations': grpclib.const.Handler(
+                self.Registrations,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                mothstand.peers.lending_pb2.RegistrationsRequest,
+                mothstand.peers.lending_pb2.RegistrationsReply,
+            ),
         }
 
 
@@ -54,3 +64,9 @@
             mothstand.peers.lending_pb2.KnowledgeRequest,
             mothstand.peers.lending_pb2.KnowledgeReply,
         )
+        self.Registrations = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mothstand.peers.Lending/Registrations',
+            mothstand.peers.lending_pb2.RegistrationsRequest,
+            mothstand.peers.lending_pb2.RegistrationsReply,
+        )
--- a/mothstand/platform/store.py
+++ b/mothstand/platform/store.py
@@ -9,7 +9,7 @@
 import aiohttp
 from pydantic import BaseModel, Field, ValidationError
 
-from ..gateway.sockets import connector
+from ..gateway.sockets import close_idle, connector
 from ..gateway.store import (
     KeyedRecord,
     Store,
@@ -103,14 +103,16 @@
     Notes
     -----
     A connection on which an answer was lost returns nothing further, so a call that times out
-    closes its connection; the next one gets a new one.
+    closes its connection, and the idle ones: what silenced one has silenced them too. Each would
+    cost the next call another timeout, while a new connection tells at once that the store is back.
     """
 
     def __init__(self, settings: StoreSection) -> None:
         self._settings = settings
         self._base = f"http://{settings.address}"
+        self._connector = connector(connect_limit=8, user_timeout_s=settings.timeout_s)
         self._http = aiohttp.ClientSession(
-            connector=connector(connect_limit=8, user_timeout_s=settings.timeout_s),
+            connector=self._connector,
             timeout=aiohttp.ClientTimeout(total=None),
         )
 
@@ -182,6 +184,7 @@
         timeout = aiohttp.ClientTimeout(
             total=None,
             connect=self._settings.timeout_s,
+            sock_connect=self._settings.connect_timeout_s,
             sock_read=self._settings.timeout_s + wait_s,
         )
         try:
@@ -192,6 +195,7 @@
         except aiohttp.ClientConnectorError as error:
             raise StoreError(f"{path}: {error!r}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            close_idle(self._connector, self._settings.address)
             raise StoreSilentError(f"{path}: {error!r}") from error
 
 
--- a/mothstand/settings/gateway.py
+++ b/mothstand/settings/gateway.py
@@ -39,6 +39,11 @@
     timeout_s: float = Field(
         1.0, gt=0, description="seconds that a call may take, above 0; three times a slow answer"
     )
+    connect_timeout_s: float = Field(
+        0.3,
+        gt=0,
+        description="seconds until it takes a connection, above 0; a hundred times the usual",
+    )
     claim_shards: int = Field(
         1, gt=0, le=100, description="partitions of the claims, the same in the whole fleet"
     )
--- a/mothstand/testing/budget_fleet.py
+++ b/mothstand/testing/budget_fleet.py
@@ -89,6 +89,10 @@
         """Fail: nobody starts while the store is out."""
         raise PeerError(address)
 
+    async def registrations_followed_s(self, address: str) -> float:
+        """Fail: nobody reads registrations."""
+        raise PeerError(address)
+
     def close(self) -> None:
         """Close nothing."""
 
--- a/mothstand/testing/fakes.py
+++ b/mothstand/testing/fakes.py
@@ -10,6 +10,7 @@
 from ..clock import Clock
 from ..core.membership import Membership
 from ..core.records import Record, RecordId
+from ..gateway.store_witness import StoreWitness
 from ..ledger.calls import PeerCalls, ReserveCall, ReserveReply, Ticket
 from ..log.client import LogClient, LogError, LogPage
 from ..peers.failures import PeerError
@@ -25,6 +26,14 @@
 _START = datetime(2026, 1, 1, tzinfo=UTC)
 
 
+class NoWitness(StoreWitness):
+    """Nobody who could tell whether the store was up."""
+
+    async def followed(self, gap_s: float) -> bool:
+        """Return False: it may have been away."""
+        return False
+
+
 class FakeClock(Clock):
     """Time that moves only when a test says so."""
 
--- a/mothstand/testing/store_timing.py
+++ b/mothstand/testing/store_timing.py
@@ -5,4 +5,4 @@
 from ..settings.gateway import StoreSection
 
 #: Seconds until a call gives up that got no connection.
-STORE_CONNECT_S: float = StoreSection.model_fields["timeout_s"].default
+STORE_CONNECT_S: float = StoreSection.model_fields["connect_timeout_s"].default
--- a/mothstand/tests/test_bootstrap.py
+++ b/mothstand/tests/test_bootstrap.py
@@ -23,6 +23,7 @@
     decode_config,
     decode_upstream,
 )
+from ..testing.fakes import NoWitness
 from ..testing.memory_store import MemoryStore, StoreLink
 from ..testing.registrations import registration
 from ..testing.virtual_time import VirtualClock, run_in_virtual_time
@@ -63,6 +64,9 @@
             raise PeerError(address)
         return self._known[address]
 
+    async def registrations_followed_s(self, address: str) -> float:
+        raise PeerError(address)
+
     def close(self) -> None:
         pass
 
@@ -80,7 +84,14 @@
             self.link, CONFIG_STREAM, CONFIG_KEY, clock, health, decode_config, lambda _: None
         )
         self.upstreams = UpstreamFeed(
-            self.link, UPSTREAMS_STREAM, clock, health, decode_upstream, lambda _: None, 1.0
+            self.link,
+            UPSTREAMS_STREAM,
+            clock,
+            health,
+            decode_upstream,
+            lambda _: None,
+            1.0,
+            NoWitness(),
         )
         self.members = MemberFeed(self.link, member("a"), clock, health, lambda: None)
         self._bootstrap = Bootstrap(
--- a/mothstand/tests/test_feeds.py
+++ b/mothstand/tests/test_feeds.py
@@ -16,6 +16,7 @@
     decode_config,
     decode_upstream,
 )
+from ..testing.fakes import NoWitness
 from ..testing.memory_store import MemoryStore, StoreLink
 from ..testing.registrations import registration
 from ..testing.virtual_time import VirtualClock, run_in_virtual_time
@@ -89,6 +90,7 @@
             decode_upstream,
             self.gone.append,
             wait_s=1.0,
+            witness=NoWitness(),
         )
 
     def register(self, upstream_id: str, *, born_ms: int) -> None:
--- a/mothstand/tests/test_leaving_upstreams.py
+++ b/mothstand/tests/test_leaving_upstreams.py
@@ -30,6 +30,7 @@
 from ..gateway.feeds import UpstreamFeed
 from ..log.health import LogHealth
 from ..platform.records import UPSTREAMS_STREAM, decode_upstream
+from ..testing.fakes import NoWitness
 from ..testing.memory_store import MemoryStore, StoreLink
 from ..testing.registrations import registration
 from ..testing.store_timing import STORE_CONNECT_S
@@ -67,6 +68,7 @@
             decode_upstream,
             lambda _: None,
             wait_s=1.0,
+            witness=NoWitness(),
         )
         self.used: list[tuple[float, set[str]]] = []
 
