What peers tell is taken only until the store itself has spoken

Cause: the same as of the upstream that left, in hearsay: an instance that had read the registrations or the fleet, but not yet the configuration, took what a peer knew, even if that was older; an end that was in the past by then is never read, so a gone upstream stayed for good. What was not believed was also kept to be told on to others. Change: after its listing a feed takes nothing by hearsay.

--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -40,7 +40,14 @@
 
 
 class KeyedFeed(ABC):
-    """Keeps up with one keyed stream: a listing first, then what comes after it."""
+    """Keeps up with one keyed stream: a listing first, then what comes after it.
+
+    Attributes
+    ----------
+    is_listed
+        Whether the store itself has told what there is. From then on what peers know is not taken:
+        it may be older, and what has ended since would never be ended here.
+    """
 
     #: Whether a failed read is followed by a listing, and not by what was missed since.
     lists_after_failure = False
@@ -53,6 +60,7 @@
         self._stream = stream
         self._clock = clock
         self._health = health
+        self.is_listed = False
         self._next_offset: int | None = None
         self._failing_since_s: float | None = None
         self._told_behind = False
@@ -98,6 +106,7 @@
             self._health.answered()
             await self.answered()
             self.list(page.records)
+            self.is_listed = True
         else:
             page = await self._read(self._next_offset)
             self._health.answered()
@@ -241,7 +250,6 @@
     ) -> None:
         super().__init__(store, stream, clock, health)
         self.directory = UpstreamDirectory()
-        self.is_listed = False
         self._raw: dict[str, bytes] = {}
         self._skipped: dict[str, int] = {}
         self._decode = decode
@@ -290,7 +298,6 @@
         decoded = [u for u in map(self._decoded, records) if u is not None]
         for upstream_id, kept_s in self.directory.replace_all(decoded, now_s).items():
             self._tell_end(upstream_id, kept_s, None)
-        self.is_listed = True
         self._expire(now_s)
         self._forget_gone(before)
         addresses = {i: u.address for i, u in self.directory.known.items()}
@@ -360,7 +367,9 @@
                 self._gone(upstream)
 
     def offer(self, records: tuple[KeyedRecord, ...]) -> None:
-        """Take registrations that a peer knows; the store's own word replaces them."""
+        """Take registrations that a peer knows, until the store's own word replaces them."""
+        if self.is_listed:
+            return
         for upstream in map(self._decoded, records):
             if upstream is not None:
                 self.directory.offer(upstream)
--- a/mothstand/gateway/member_feed.py
+++ b/mothstand/gateway/member_feed.py
@@ -132,8 +132,9 @@
 
     def offer(self, records: tuple[KeyedRecord, ...]) -> None:
         """Take announcements that a peer knows, at a start while the store is out."""
-        for record in records:
-            self._take(record, self._clock.monotonic_s())
+        if not self.is_listed:
+            for record in records:
+                self._take(record, self._clock.monotonic_s())
         self._settle()
 
     def known(self) -> tuple[KeyedRecord, ...]:
--- a/mothstand/tests/test_bootstrap.py
+++ b/mothstand/tests/test_bootstrap.py
@@ -141,3 +141,20 @@
         starting.config.offer(KeyedRecord("", knowledge(7).config))
         assert starting.config.config is not None
         assert starting.config.config.version == 9
+
+    def test_members_by_hearsay_after_the_store_was_read(self) -> None:
+        """Symptom: an instance asks dead claimants for tokens, and its callers wait for them.
+
+        Sequence: an instance starts and reads the fleet from the store, not yet the configuration;
+        it asks a peer that has been cut off, which still knows instances that have gone.
+        Cause: what peers tell was taken whether or not the store had spoken.
+        """
+        starting = _Starting({}, ())
+        starting.link.is_cut = False
+
+        async def run() -> None:
+            await starting.members.look()
+            starting.members.offer(knowledge(1).members)
+
+        run_in_virtual_time(run)
+        assert not starting.members.fleet.knows("c")
--- a/mothstand/tests/test_feeds.py
+++ b/mothstand/tests/test_feeds.py
@@ -137,3 +137,40 @@
         assert registrations.look() == ["i-2"]
         registrations.register("i-1", born_ms=1_000)
         assert sorted(registrations.look()) == ["i-1", "i-2"]
+
+    def test_hearsay_after_the_store_was_read(self) -> None:
+        """Symptom: requests go to an upstream that left, and nothing ever ends that.
+
+        Sequence: an instance starts; the store lists the upstreams, while the configuration, which
+        is larger, is still on its way; so it asks a peer, which has been cut off from the store and
+        still knows an upstream that has left. Cause: what peers tell was taken whether or not the
+        store had spoken; the end of that registration is in the past, and is never read.
+        """
+        registrations = _Registrations()
+        registrations.register("i-1", born_ms=1_000)
+        registrations.register("i-2", born_ms=1_000)
+        assert registrations.look() == ["i-1", "i-2"]
+        stale = registrations.feed.raw_records()
+        registrations.store.put(UPSTREAMS_STREAM, "i-1", None)
+        assert registrations.look() == ["i-2"]
+        registrations.feed.offer(stale)
+        assert registrations.look() == ["i-2"]
+
+    def test_hearsay_of_a_state_before(self) -> None:
+        """Symptom: a starting process learns from a ready one that a leaving upstream is ready.
+
+        Sequence: an upstream says that it leaves; stale hearsay of it comes; another process
+        starts and asks. Cause: what was not believed was kept to be told on.
+        """
+        registrations = _Registrations()
+        registrations.register("i-1", born_ms=1_000)
+        registrations.look()
+        stale = registrations.feed.raw_records()
+        leaving = registration("llm", "10.0.0.9:80", born_ms=1_000) | {"state": "draining"}
+        registrations.write("i-1", json.dumps(leaving).encode())
+        assert registrations.look() == []
+        registrations.feed.offer(stale)
+        assert registrations.look() == []
+        assert [json.loads(r.value or b"")["state"] for r in registrations.feed.raw_records()] == [
+            "draining"
+        ]
