An upstream is left only if another one may be tried

Change: at patience's end the request stays where it is until a retry fits into the budget and another upstream is there; then it leaves as before. Ruled out: a longer patience (the requests had no other place at any time). Two tests, failing before.

--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -52,6 +52,9 @@
 #: next only reads the prompt once more.
 _PATIENCE_MEANS = 3.0
 
+#: Seconds between two looks at whether another upstream may be tried meanwhile.
+_ELSEWHERE_LOOK_S = 0.1
+
 #: Longest patience; callers abandon a stream after two seconds without an event.
 _MOST_PATIENCE_S = 1.5
 
@@ -319,12 +322,54 @@
         sending = self._client.send(upstream, call.request, headers)
         if not call.route.may_run_twice or call.sent >= call.route.attempts:
             return await self._timed(call, sending)
-        patience_s = self._patience_s(call)
+        return await self._patiently(call, sending)
+
+    async def _patiently(self, call: Call, sending: Awaitable[UpstreamAnswer]) -> UpstreamAnswer:
+        """Wait for an answer's head until it is better to go elsewhere, as long as that can be.
+
+        In a burst the upstreams are slow and the retries used up. A request that was taken from its
+        upstream's queue then had nowhere to go, and failed though it would have been answered: 110
+        of 3,139 requests on a day with a burst of 2.2 times the load and two in five engines down.
+        """
+        result: UpstreamAnswer | Exception | None = None
+        over = anyio.Event()
+
+        async def send() -> None:
+            nonlocal result
+            try:
+                result = await self._timed(call, sending)
+            except (NotRunError, MayHaveRunError) as error:
+                result = error
+            over.set()
+
+        began_s = self._clock.monotonic_s()
         try:
-            with anyio.fail_after(patience_s):
-                return await self._timed(call, sending)
-        except TimeoutError:
-            raise MayHaveRunError(f"no answer in {patience_s:.2f} s") from None
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(send)
+                with anyio.move_on_after(self._patience_s(call)):
+                    await over.wait()
+                while result is None and not self._may_go_elsewhere(call):
+                    with anyio.move_on_after(_ELSEWHERE_LOOK_S):
+                        await over.wait()
+                tasks.cancel_scope.cancel()
+        except BaseException:
+            # The caller left as the answer came: nobody else would end it at its upstream.
+            if isinstance(result, UpstreamAnswer):
+                result.close()
+            raise
+        if result is None:
+            waited_s = self._clock.monotonic_s() - began_s
+            raise MayHaveRunError(f"no answer in {waited_s:.2f} s")
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+    def _may_go_elsewhere(self, call: Call) -> bool:
+        """Return whether a request that waits at an upstream could be sent to another one now."""
+        has_retry = self._budget(call.service).has(
+            self._clock.monotonic_s(), sharers=self._sharers()
+        )
+        return has_retry and self._choose(call) is not None
 
     async def _timed(self, call: Call, sending: Awaitable[UpstreamAnswer]) -> UpstreamAnswer:
         """Return an answer's head, and remember how long it took."""
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -44,7 +44,10 @@
 class FakeAnswer(UpstreamAnswer):
     """An answer from a script; an exception in it is raised at its place."""
 
-    def __init__(self, status: int, pieces: Sequence[bytes | Exception]) -> None:
+    def __init__(
+        self, status: int, pieces: Sequence[bytes | Exception], *, after_s: float = 0.0
+    ) -> None:
+        self.after_s = after_s
         self.status = status
         self.reason = ""
         self.headers = (("X-Server-Signature", f"s{status}"),)
@@ -81,6 +84,7 @@
         if isinstance(step, Exception):
             raise step
         assert step is not None
+        await anyio.sleep(step.after_s)
         return step
 
 
@@ -206,6 +210,25 @@
         assert world.run(world.call(RequestKind.IDEMPOTENT)) is None
         assert world.caller.body == b"ok"
 
+    def test_an_upstream_that_is_slow_is_not_left_for_nowhere(self) -> None:
+        """Symptom: in a burst requests fail with an unknown outcome while engines are working.
+
+        Sequence: all engines are slow, the retries are used up; a request waits for longer than
+        another upstream would take. Cause: it was taken from its upstream's queue first, and only
+        then was asked whether it may be sent to another one.
+        """
+        world = World(FakeAnswer(200, [b"ok"], after_s=0.5), burst=0)
+        assert world.run(world.call(RequestKind.IDEMPOTENT)) is None
+        assert world.caller.body == b"ok"
+        assert len(world.client.sent) == 1
+
+    def test_the_last_upstream_that_is_slow_is_not_left(self) -> None:
+        world = World(FakeAnswer(200, [b"ok"], after_s=0.5))
+        for upstream_id in ("i-1", "i-2"):
+            del world.directory.known[upstream_id]
+        assert world.run(world.call(RequestKind.IDEMPOTENT)) is None
+        assert world.caller.body == b"ok"
+
     def test_timeout_says_that_it_may_have_run(self) -> None:
         world = World(None)
         call = world.call(RequestKind.NON_IDEMPOTENT, timeout_s=0.1)
