Smaller modules on the request path: call, patience, upstream_feed; an early socket is closed

How long to wait for an upstream is pure code of its own (core/patience.py, with tests); the call and the caller's connection stand in gateway/call.py, the registrations in gateway/upstream_feed.py. listen_early closes its socket when the address cannot be bound. No change of behaviour otherwise.

--- a/mothstand/gateway/bootstrap.py
+++ b/mothstand/gateway/bootstrap.py
@@ -11,9 +11,10 @@
 
 if TYPE_CHECKING:
     from ..clock import Clock
-    from .feeds import ConfigFeed, UpstreamFeed
+    from .feeds import ConfigFeed
     from .lending import PeerLink
     from .member_feed import MemberFeed
+    from .upstream_feed import UpstreamFeed
 
 #: Seconds that the store has to give a first configuration before peers are asked.
 _STORE_FIRST_S = 0.8
--- /dev/null
+++ b/mothstand/gateway/call.py
@@ -0,0 +1,99 @@
+"""A caller's request on its way through an instance, and where its answer goes."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..core.event_stream import StreamProgress
+
+if TYPE_CHECKING:
+    from ..core.routes import Route
+    from .headers import CallerFields, RawHeaders
+    from .upstream_client import OutgoingRequest
+
+
+class CallerConnection(ABC):
+    """Where an answer goes."""
+
+    started = False
+
+    @abstractmethod
+    async def start(self, status: int, reason: str, headers: RawHeaders) -> None:
+        """Send the head of a streamed answer."""
+
+    @abstractmethod
+    async def write(self, data: bytes) -> None:
+        """Send a piece of a streamed answer."""
+
+    @abstractmethod
+    async def finish(self) -> None:
+        """End a streamed answer as complete."""
+
+    @abstractmethod
+    def abort(self) -> None:
+        """End a streamed answer so that it does not look complete."""
+
+    @abstractmethod
+    async def send_whole(self, status: int, reason: str, headers: RawHeaders, body: bytes) -> None:
+        """Send an answer in one piece."""
+
+
+@dataclass(slots=True)
+class Call:
+    """A caller's request on its way.
+
+    Parameters
+    ----------
+    deadline_s
+        On the monotonic clock: when caller or route gives up.
+    sent
+        Attempts that reached an upstream or may have.
+    reserved_after_s, started_after_s
+        From the arrival until its tokens were set aside, and until its answer began.
+    upstream_id, registrations_age_s
+        Where it was sent last, and how old what was known of the upstreams was then; None if the
+        store had never been heard.
+    """
+
+    fields: CallerFields
+    headers: RawHeaders
+    route: Route
+    service: str
+    workspace: str
+    priority: int
+    request: OutgoingRequest
+    arrived_s: float
+    deadline_s: float
+    sent: int = 0
+    refusals: int = 0
+    tried: set[str] = field(default_factory=set)
+    progress: StreamProgress = field(default_factory=StreamProgress)
+    failed_answer: WholeAnswer | None = None
+    reserved_after_s: float = 0.0
+    started_after_s: float = 0.0
+    upstream_id: str = ""
+    registrations_age_s: float | None = None
+
+    @property
+    def attempts_told(self) -> str:
+        """What became of its attempts, for its refusal's log line."""
+        tried = f"{len(self.tried)} tried, {self.sent} sent, {self.refusals} refused"
+        return f"{self.service}: {tried}"
+
+    def used_tokens(self, event_tokens: int) -> int:
+        """Return what the request consumed: its prompt once, and the output passed on."""
+        if not self.sent:
+            return 0
+        return self.fields.prompt.input_tokens + self.progress.events * event_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """An upstream's answer that was read to its end."""
+
+    status: int
+    reason: str
+    headers: RawHeaders
+    body: bytes
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -2,24 +2,22 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import anyio
 
-from ..core.event_stream import StreamProgress
+from ..core.patience import Patience
 from ..core.placement import session_of
 from ..core.retry_budget import RetryBudget
 from ..core.routes import RequestKind
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..events import Event, emit
+from .call import WholeAnswer
 from .headers import ForwardFields
 from .upstream_client import (
     MayHaveRunError,
     MisdirectedError,
     NotRunError,
-    OutgoingRequest,
     RefusedByUpstreamError,
     UpstreamAnswer,
 )
@@ -30,9 +28,9 @@
     from ..clock import Clock
     from ..core.placement import Placed, Placement
     from ..core.retry_budget import RetryBudgetSettings
-    from ..core.routes import Route
     from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
-    from .headers import CallerFields, HeaderTranslator, RawHeaders
+    from .call import Call, CallerConnection
+    from .headers import HeaderTranslator
     from .metrics import GatewayMetrics
     from .upstream_client import UpstreamClient
 
@@ -43,24 +41,9 @@
 #: 0.2 s, and whoever is refused after a second does better at another instance.
 _MOST_UNCONNECTED = 4
 
-#: After this many objectives without a sign of an answer, another upstream is tried where the
-#: request may run twice. An upstream that is merely busy answers before; one that hangs never.
-_PATIENCE_OBJECTIVES = 1.6
-_LEAST_PATIENCE_S = 0.25
-
-#: The same in mean times to an answer's head: where all upstreams are slow, leaving one for the
-#: next only reads the prompt once more.
-_PATIENCE_MEANS = 3.0
-
 #: Seconds between two looks at whether another upstream may be tried meanwhile.
 _ELSEWHERE_LOOK_S = 0.1
 
-#: Longest patience; callers abandon a stream after two seconds without an event.
-_MOST_PATIENCE_S = 1.5
-
-#: Weight of the latest answer in the mean time to an answer's head.
-_LATEST_WEIGHT = 0.05
-
 #: Server errors of upstreams start here.
 _SERVER_ERROR = 500
 _OK = 200
@@ -69,85 +52,6 @@
 _FULL_COME_BACK_S = 0.5
 
 
-class CallerConnection(ABC):
-    """Where an answer goes."""
-
-    started = False
-
-    @abstractmethod
-    async def start(self, status: int, reason: str, headers: RawHeaders) -> None:
-        """Send the head of a streamed answer."""
-
-    @abstractmethod
-    async def write(self, data: bytes) -> None:
-        """Send a piece of a streamed answer."""
-
-    @abstractmethod
-    async def finish(self) -> None:
-        """End a streamed answer as complete."""
-
-    @abstractmethod
-    def abort(self) -> None:
-        """End a streamed answer so that it does not look complete."""
-
-    @abstractmethod
-    async def send_whole(self, status: int, reason: str, headers: RawHeaders, body: bytes) -> None:
-        """Send an answer in one piece."""
-
-
-@dataclass(slots=True)
-class Call:
-    """A caller's request on its way.
-
-    Parameters
-    ----------
-    deadline_s
-        On the monotonic clock: when caller or route gives up.
-    sent
-        Attempts that reached an upstream or may have.
-    reserved_after_s, started_after_s
-        From the arrival until its tokens were set aside, and until its answer began.
-    upstream_id, registrations_age_s
-        Where it was sent last, and how old what was known of the upstreams was then; None if the
-        store had never been heard.
-    """
-
-    fields: CallerFields
-    headers: RawHeaders
-    route: Route
-    service: str
-    workspace: str
-    priority: int
-    request: OutgoingRequest
-    arrived_s: float
-    deadline_s: float
-    sent: int = 0
-    refusals: int = 0
-    tried: set[str] = field(default_factory=set)
-    progress: StreamProgress = field(default_factory=StreamProgress)
-    failed_answer: WholeAnswer | None = None
-    reserved_after_s: float = 0.0
-    started_after_s: float = 0.0
-    upstream_id: str = ""
-    registrations_age_s: float | None = None
-
-    def used_tokens(self, event_tokens: int) -> int:
-        """Return what the request consumed: its prompt once, and the output passed on."""
-        if not self.sent:
-            return 0
-        return self.fields.prompt.input_tokens + self.progress.events * event_tokens
-
-
-@dataclass(frozen=True, slots=True)
-class WholeAnswer:
-    """An upstream's answer that was read to its end."""
-
-    status: int
-    reason: str
-    headers: RawHeaders
-    body: bytes
-
-
 class _Retry(Exception):  # noqa: N818 - control flow, not an error
     """The attempt failed in a way after which another upstream may be tried."""
 
@@ -175,7 +79,7 @@
         self._clock = clock
         self._metrics = metrics
         self._budgets: dict[str, RetryBudget] = {}
-        self._head_s: dict[str, float] = {}
+        self._patience = Patience()
 
     async def run(self, call: Call, caller: CallerConnection) -> None:
         """Forward a request and pass its answer on.
@@ -194,7 +98,7 @@
                 self._break_off(call, caller, "timeout")
                 return
             kind = ErrorKind.TIMED_OUT if call.sent else ErrorKind.OVERLOADED
-            raise RefusedError(Refusal(kind, _attempts_told(call))) from None
+            raise RefusedError(Refusal(kind, call.attempts_told)) from None
 
     async def _try_upstreams(self, call: Call, caller: CallerConnection) -> None:
         while True:
@@ -244,9 +148,9 @@
             answer = call.failed_answer
             await caller.send_whole(answer.status, answer.reason, answer.headers, answer.body)
         elif call.sent:
-            raise RefusedError(Refusal(ErrorKind.OUTCOME_UNKNOWN, _attempts_told(call)))
+            raise RefusedError(Refusal(ErrorKind.OUTCOME_UNKNOWN, call.attempts_told))
         elif call.refusals:
-            told = _attempts_told(call)
+            told = call.attempts_told
             raise RefusedError(Refusal(ErrorKind.OVERLOADED, told, retry_after_s=_FULL_COME_BACK_S))
         else:
             refusal = Refusal(ErrorKind.NO_UPSTREAM, call.service, retry_after_s=_FULL_COME_BACK_S)
@@ -331,6 +235,7 @@
         upstream's queue then had nowhere to go, and failed though it would have been answered: 110
         of 3,139 requests on a day with a burst of 2.2 times the load and two in five engines down.
         """
+        patience_s = self._patience.of(call.service, call.route.objective_s)
         result: UpstreamAnswer | Exception | None = None
         over = anyio.Event()
 
@@ -346,7 +251,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(send)
-                with anyio.move_on_after(self._patience_s(call)):
+                with anyio.move_on_after(patience_s):
                     await over.wait()
                 while result is None and not self._may_go_elsewhere(call):
                     with anyio.move_on_after(_ELSEWHERE_LOOK_S):
@@ -376,16 +281,9 @@
         began_s = self._clock.monotonic_s()
         answer = await sending
         took_s = self._clock.monotonic_s() - began_s
-        mean_s = self._head_s.get(call.service, took_s)
-        self._head_s[call.service] = mean_s + _LATEST_WEIGHT * (took_s - mean_s)
+        self._patience.answered(call.service, took_s)
         return answer
 
-    def _patience_s(self, call: Call) -> float:
-        """Return how long to wait for an answer's head where another upstream may be tried."""
-        by_objective_s = _PATIENCE_OBJECTIVES * call.route.objective_s
-        by_mean_s = _PATIENCE_MEANS * self._head_s.get(call.service, 0.0)
-        return min(_MOST_PATIENCE_S, max(_LEAST_PATIENCE_S, by_objective_s, by_mean_s))
-
     async def _pass_on(
         self, call: Call, answer: UpstreamAnswer, placed: Placed, caller: CallerConnection
     ) -> None:
@@ -442,8 +340,3 @@
             elapsed_s=round(self._clock.monotonic_s() - call.arrived_s, 3),
             left_alone_s=pause_s,
         )
-
-
-def _attempts_told(call: Call) -> str:
-    """Return what became of a request's attempts, for its refusal's log line."""
-    return f"{call.service}: {len(call.tried)} tried, {call.sent} sent, {call.refusals} refused"
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -21,7 +21,7 @@
 from ..types import BudgetName
 from .accounts import Accounts
 from .bootstrap import Bootstrap
-from .feeds import ConfigFeed, UpstreamFeed
+from .feeds import ConfigFeed
 from .forward import Forwarder
 from .lending import GrpcPeerLink, Knowledge, LendingService, serve_peers
 from .member_feed import MemberFeed
@@ -30,6 +30,7 @@
 from .start_wait import StartWait
 from .store_witness import PeerWitness
 from .upstream_client import UpstreamClient
+from .upstream_feed import UpstreamFeed
 
 if TYPE_CHECKING:
     import socket
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -12,8 +12,8 @@
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..events import Event, emit
 from ..types import BudgetName
+from .call import Call, CallerConnection
 from .caller_connections import CallerServer
-from .forward import Call, CallerConnection
 from .upstream_client import OutgoingRequest
 
 if TYPE_CHECKING:
--- a/mothstand/process_start.py
+++ b/mothstand/process_start.py
@@ -40,12 +40,18 @@
     try:
         parser.read(path)
         host, _, port = parser["listen"]["callers"].rpartition(":")
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        address = (host, int(port))
+    except (ValueError, KeyError, configparser.Error):
+        # Whoever reads the settings in full tells what is wrong.
+        return None
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, int(port)))
+        listener.bind(address)
         listener.listen(BACKLOG)
-    except (OSError, ValueError, KeyError, configparser.Error):
-        # Whoever reads the settings in full, or listens later, tells what is wrong.
+    except OSError:
+        # Whoever listens later tells what is wrong.
+        listener.close()
         return None
     listener.setblocking(False)
     return listener
--- a/mothstand/tests/test_bootstrap.py
+++ b/mothstand/tests/test_bootstrap.py
@@ -10,10 +10,11 @@
 from ..core.fleet import Member
 from ..core.loans import Peer
 from ..gateway.bootstrap import Bootstrap
-from ..gateway.feeds import ConfigFeed, UpstreamFeed
+from ..gateway.feeds import ConfigFeed
 from ..gateway.lending import Knowledge, LoanReply, LoanRequest, PeerLink
 from ..gateway.member_feed import MemberFeed, encode_member
 from ..gateway.store import KeyedRecord
+from ..gateway.upstream_feed import UpstreamFeed
 from ..log.health import LogHealth
 from ..peers.failures import PeerError
 from ..platform.records import (
--- a/mothstand/tests/test_feeds.py
+++ b/mothstand/tests/test_feeds.py
@@ -7,7 +7,8 @@
 
 import anyio
 
-from ..gateway.feeds import ConfigFeed, UpstreamFeed
+from ..gateway.feeds import ConfigFeed
+from ..gateway.upstream_feed import UpstreamFeed
 from ..log.health import LogHealth
 from ..platform.records import (
     CONFIG_KEY,
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -15,7 +15,8 @@
 from ..core.routes import Destination, RequestKind, Route
 from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
 from ..errors import ErrorKind, RefusedError
-from ..gateway.forward import Call, CallerConnection, Forwarder
+from ..gateway.call import Call, CallerConnection
+from ..gateway.forward import Forwarder
 from ..gateway.headers import CallerFields, RawHeaders, UpstreamFields
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.upstream_client import (
--- a/mothstand/tests/test_leaving_upstreams.py
+++ b/mothstand/tests/test_leaving_upstreams.py
@@ -27,7 +27,7 @@
 
 import anyio
 
-from ..gateway.feeds import UpstreamFeed
+from ..gateway.upstream_feed import UpstreamFeed
 from ..log.health import LogHealth
 from ..platform.records import UPSTREAMS_STREAM, decode_upstream
 from ..testing.fakes import NoWitness
--- a/mothstand/tests/test_store_witness.py
+++ b/mothstand/tests/test_store_witness.py
@@ -9,7 +9,6 @@
 
 from ..core.fleet import Member
 from ..core.loans import Peer
-from ..gateway.feeds import UpstreamFeed
 from ..gateway.lending import (
     GrpcPeerLink,
     Knowledge,
@@ -21,6 +20,7 @@
 )
 from ..gateway.member_feed import MemberFeed
 from ..gateway.store_witness import PeerWitness
+from ..gateway.upstream_feed import UpstreamFeed
 from ..log.health import LogHealth
 from ..peers.failures import PeerError
 from ..platform.records import UPSTREAMS_STREAM, decode_upstream
