--- a/mothstand/gateway/upstream_feed.py
+++ b/mothstand/gateway/upstream_feed.py
@@ -22,8 +22,8 @@
 _GATHER_S = 0.2
 
 #: Longest pause after a failed read, before jitter. Three seconds after its way to the store is
-#: back an instance must act on all that the store has said. Of these a try that hung takes 0.3, this
-#: pause with its jitter 0.3, and 2.2 are the grace for registrations that lapsed in an outage.
+#: back an instance must act on all that the store has said. Of these a try that hung takes 0.3,
+#: this pause with its jitter 0.3, and 2.2 are the grace for what lapsed in an outage.
 _BACKOFF_MOST_S = 0.2
 
 
