--- a/mothstand/gateway/lending.py
+++ b/mothstand/gateway/lending.py
@@ -27,7 +27,8 @@
 LOAN_TIMEOUT_S = 0.25
 KNOWLEDGE_TIMEOUT_S = 0.6
 
-#: Nothing of the store's is taken meanwhile, and what is asked is known at once.
+#: The reader of registrations takes nothing from the store while it asks; a peer that lives answers
+#: within milliseconds.
 WITNESS_TIMEOUT_S = 0.25
 
 
--- a/mothstand/gateway/store_witness.py
+++ b/mothstand/gateway/store_witness.py
@@ -16,8 +16,9 @@
     from .lending import PeerLink
     from .member_feed import MemberFeed
 
-#: Peers that are asked at once. One that followed the store is enough; with half of the fleet cut
-#: off alike, one in sixteen instances finds none, and is as careful as after an outage.
+#: Peers that are asked at once, however large the fleet. One that followed the store is enough;
+#: with half of the fleet cut off alike, one in sixteen instances finds none, and takes it for an
+#: outage.
 _ASKED = 4
 
 
--- a/mothstand/testing/memory_store.py
+++ b/mothstand/testing/memory_store.py
@@ -77,7 +77,7 @@
             self.append(append.stream, append.records, append.at_offset)
 
     def drop_history(self, stream: Stream) -> None:
-        """Keep the newest record of each key only; reads from before fail from now on."""
+        """Keep only the newest record of each key; reads that start before now fail from now on."""
         self._first[stream] = len(self._records[stream])
 
     def read(self, stream: Stream, from_offset: int) -> StreamPage:
--- a/mothstand/tests/test_leaving_upstreams.py
+++ b/mothstand/tests/test_leaving_upstreams.py
@@ -49,7 +49,7 @@
 #: The whole of a cut in these tests, in which an upstream leaves.
 _CUT_S = 12.0
 
-#: Parts of a second by which a cut ends after the start of a try, in steps shorter than one.
+#: Seconds by which cuts are longer than that, so that their ends fall at all points of a try.
 _PHASES_S = [phase / 10 for phase in range(18)]
 
 
