A connection that takes long comes about after the call that began it gave up

Cause: more than half of its data centre's callers meet on its link of 10 Mbit/s, where packets then wait over half a second. Each try was closed at its timeout and begun anew, so none could come about.

Ruled out: a longer fixed timeout for the store alone (a try that hangs in a cut takes of the 3 s within which an upstream's end must be acted on); a timeout that grows (the same, for the last try of a long cut).

Change: calls wait as long as before, but the connection goes on coming about and is the next call's: to store and upstreams up to the time that an open connection may be silent, to peers 0.8 s. A call that got no connection is surely not done, so an append leaves no doubt behind.

--- a/mothstand/gateway/lending.py
+++ b/mothstand/gateway/lending.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -21,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from grpclib.protocol import H2Protocol
     from grpclib.server import Stream
 
 #: A peer in the same region answers within a few milliseconds; a waiting request can spare this.
@@ -31,6 +33,10 @@
 #: within milliseconds.
 WITNESS_TIMEOUT_S = 0.25
 
+#: A connection to a peer is tried for this long: longer than packets wait on a full link, and less
+#: than the second after which the first lost packet of a new connection is sent again.
+CONNECT_MOST_S = 0.8
+
 
 @dataclass(frozen=True, slots=True)
 class LoanRequest:
@@ -149,6 +155,37 @@
         """Close all connections."""
 
 
+class _LingeringChannel(Channel):
+    """A channel that goes on connecting after a call has given up waiting for it.
+
+    On a full link a connection takes longer than a call may: were it closed with the call, the
+    next one would begin anew, and none would ever come about.
+    """
+
+    _attempt: asyncio.Task[H2Protocol] | None = None
+    _began_s = 0.0
+
+    async def __connect__(self) -> H2Protocol:
+        """Return the connection, waiting for the attempt that is under way if there is one."""
+        if self._attempt is None or self._attempt.done():
+            self._attempt = asyncio.create_task(super().__connect__())
+            self._began_s = asyncio.get_running_loop().time()
+        return await asyncio.shield(self._attempt)
+
+    @property
+    def connects_still(self) -> bool:
+        """Whether it is connecting, and has not been for so long that there is no more hope."""
+        if self._attempt is None or self._attempt.done():
+            return False
+        return asyncio.get_running_loop().time() - self._began_s < CONNECT_MOST_S
+
+    def close(self) -> None:
+        """Close the connection, or end its attempt."""
+        if self._attempt is not None:
+            self._attempt.cancel()
+        super().close()
+
+
 class GrpcPeerLink(PeerLink):
     """Calls over grpclib, on one channel for each address.
 
@@ -159,7 +196,7 @@
     """
 
     def __init__(self) -> None:
-        self._channels: dict[str, Channel] = {}
+        self._channels: dict[str, _LingeringChannel] = {}
 
     async def borrow(self, address: str, request: LoanRequest) -> LoanReply:
         """Ask a peer for tokens."""
@@ -212,7 +249,7 @@
         """Return a peer's stub."""
         if address not in self._channels:
             target = Address.parse(address)
-            self._channels[address] = Channel(target.host, target.port)
+            self._channels[address] = _LingeringChannel(target.host, target.port)
         return LendingStub(self._channels[address])
 
     def _drop(self, address: str) -> None:
@@ -220,6 +257,12 @@
         if channel is not None:
             channel.close()
 
+    def failed(self, address: str) -> None:
+        """Note that a call had no answer: its channel is closed unless it still connects."""
+        channel = self._channels.get(address)
+        if channel is not None and not channel.connects_still:
+            self._drop(address)
+
 
 class _Call:
     """Turns failures of one call into `PeerError`, and drops the channel that had them."""
@@ -233,7 +276,7 @@
 
     def __exit__(self, kind: object, error: BaseException | None, _: object) -> None:
         if isinstance(error, (TimeoutError, GRPCError, StreamTerminatedError, OSError)):
-            self._link._drop(self._address)
+            self._link.failed(self._address)
             raise PeerError(f"{self._address}: {error!r}") from error
 
 
--- a/mothstand/gateway/sockets.py
+++ b/mothstand/gateway/sockets.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from typing import Any
 
+    from aiohttp.client_reqrep import ConnectionKey
+
 #: Seconds of quiet before the kernel asks whether the other end is still there, and between two
 #: such probes; two probes without an answer end the connection.
 _PROBE_AFTER_S = 1
@@ -59,6 +61,57 @@
         return super().is_connected() and not self._buffer and not self._tail
 
 
+class LingeringConnector(aiohttp.TCPConnector):
+    """A pool whose new connections come about also after a request has given up waiting.
+
+    Parameters
+    ----------
+    linger_s
+        How long a connection is tried for. A request waits for it as long as its own timeout says.
+
+    Notes
+    -----
+    On a full link, or with a busy processor, each new connection takes longer than a request
+    waits. Were it closed with the request, the next one would begin another, its packets would
+    join the queue that delays them, and none would ever come about: an instance stayed without
+    store, peers and upstreams for 12 s after they could be reached again. What comes about late
+    lies idle in the pool, where the next request finds it.
+    """
+
+    def __init__(self, *, linger_s: float, **options: Any) -> None:
+        super().__init__(**options)
+        self._linger_s = linger_s
+        self._lingering: set[asyncio.Task[ResponseHandler]] = set()
+
+    async def _create_connection(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Any],
+        timeout: aiohttp.ClientTimeout,
+    ) -> ResponseHandler:
+        # The library has no public way to wait for a connection without ending it.
+        most_s = max(self._linger_s, timeout.sock_connect or 0.0)
+        patient = aiohttp.ClientTimeout(total=None, sock_connect=most_s)
+        connecting = asyncio.create_task(super()._create_connection(req, traces, patient))
+        try:
+            return await asyncio.wait_for(asyncio.shield(connecting), timeout.sock_connect)
+        except (TimeoutError, asyncio.CancelledError):
+            self._lingering.add(connecting)
+            connecting.add_done_callback(functools.partial(self._keep, req.connection_key))
+            raise
+
+    def _keep(self, key: ConnectionKey, connecting: asyncio.Task[ResponseHandler]) -> None:
+        """Put a connection that came about late into the pool."""
+        self._lingering.discard(connecting)
+        if connecting.cancelled() or connecting.exception() is not None:
+            # Whoever waited for it has told of its failure when it gave up.
+            return
+        if self._closed:
+            connecting.result().close()
+        else:
+            self._release(key, connecting.result())
+
+
 def connector(
     *, connect_limit: int, user_timeout_s: float, keepalive_s: float = 15.0
 ) -> aiohttp.TCPConnector:
@@ -68,6 +121,8 @@
     ----------
     connect_limit
         The most connections to one address; 0 for any number.
+    user_timeout_s
+        How long an open connection may be silent, and a new one is tried for.
     keepalive_s
         How long an idle connection may be used again.
     """
@@ -79,7 +134,8 @@
         set_timeouts(sock, user_timeout_s)
         return sock
 
-    pool = aiohttp.TCPConnector(
+    pool = LingeringConnector(
+        linger_s=user_timeout_s,
         limit=0,
         limit_per_host=connect_limit,
         keepalive_timeout=keepalive_s,
--- a/mothstand/platform/store.py
+++ b/mothstand/platform/store.py
@@ -192,7 +192,8 @@
                 method, self._base + path, params=params, data=body, timeout=timeout
             ) as response:
                 return response.status, await response.read()
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            # Nothing was sent. What is idle now has come about since, and is the next call's.
             raise StoreError(f"{path}: {error!r}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             close_idle(self._connector, self._settings.address)
