What may not have been consumed uses a budget up for spending, and not for a 402

Cause: the prompt of a request that was sent and showed no event of an answer counts as consumed, and the same sum served as limit and as proof that a budget is used up. Such a request may have begun to run or not.

Ruled out: giving such tokens back once the upstream has closed its side without a byte after the request's end. An upstream may run a request and lose its answer; it then closes without a byte, too, when the caller gives up, and the budget could be overspent.

Change: a request's usage has a most, which no other request gets, and a sure part, which alone is recorded in claims, told to lenders and held against a budget before a 402. What is refused for the rest is asked to come back (503). Request log lines tell tokens_in_doubt.

Conclusion: every 402 rests on consumption that was seen. Not served: giving the doubtful tokens back; nobody can tell later.

--- a/mothstand/core/claims.py
+++ b/mothstand/core/claims.py
@@ -102,6 +102,27 @@
         return 0 if claim is None else claim.base_tokens
 
 
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What a request that has ended consumed of its budget.
+
+    Parameters
+    ----------
+    most_tokens
+        What it may have consumed; so much is never given to another request.
+    sure_tokens
+        What it surely did. An upstream that got a request and showed no event of an answer may
+        have begun to run it or not, and nobody can tell later.
+    """
+
+    most_tokens: int
+    sure_tokens: int
+
+
+#: Of a request that did not run.
+UNUSED = Usage(0, 0)
+
+
 @dataclass(slots=True)
 class Reservation:
     """Tokens set aside for one running request, at its most."""
@@ -130,6 +151,9 @@
         Of these, what no lender has been told.
     heard_spent_tokens
         Spent by borrowers, by their own word.
+    doubtful_tokens
+        Of what is counted as spent here, what may not have been consumed. It is never written as
+        spent, nor told to lenders: a refusal that says a budget is used up rests on what is.
     """
 
     budget: BudgetName
@@ -144,11 +168,13 @@
     borrowed_spent_tokens: int = 0
     untold_tokens: int = 0
     heard_spent_tokens: int = 0
+    doubtful_tokens: int = 0
 
     @property
     def recorded_spent_tokens(self) -> int:
         """What this process writes as spent; summed over all claims it is never too much."""
-        return self.spent_tokens - self.borrowed_spent_tokens + self.heard_spent_tokens
+        own = self.spent_tokens - self.doubtful_tokens - self.borrowed_spent_tokens
+        return own + self.heard_spent_tokens
 
     @property
     def available_tokens(self) -> int:
@@ -176,15 +202,17 @@
         self.reserved_tokens += tokens
         return Reservation(self.budget, tokens)
 
-    def settle(self, reservation: Reservation, used_tokens: int) -> int:
-        """End a reservation and return what it spent; a second call changes nothing."""
+    def settle(self, reservation: Reservation, usage: Usage) -> int:
+        """End a reservation, return what it surely spent; a second call changes nothing."""
         if not reservation.open:
             return 0
         reservation.open = False
         self.reserved_tokens -= reservation.tokens
-        spent = min(used_tokens, reservation.tokens)
+        spent = min(usage.most_tokens, reservation.tokens)
+        sure = min(usage.sure_tokens, spent)
         self.spent_tokens += spent
-        return spent
+        self.doubtful_tokens += spent - sure
+        return sure
 
     def spend_borrowed(self, tokens: int) -> None:
         """Note that of what was settled just now tokens came from lenders."""
--- a/mothstand/gateway/accounts.py
+++ b/mothstand/gateway/accounts.py
@@ -19,7 +19,7 @@
     from anyio.abc import TaskGroup
 
     from ..clock import Clock
-    from ..core.claims import Reservation
+    from ..core.claims import Reservation, Usage
     from ..core.loans import Peer
     from ..log.health import LogHealth
     from ..settings.gateway import GatewaySettings
@@ -193,8 +193,9 @@
     def is_exhausted(self, budget: BudgetName, tokens: int) -> bool:
         """Return whether a request surely does not fit any more.
 
-        What holders have spent only grows, so a request that does not fit into what is left of it
-        never will, short of a top-up. What others merely hold may come back.
+        What holders have surely spent only grows, so a request that does not fit into what is left
+        of it never will, short of a top-up. What others merely hold may come back, and what is in
+        doubt may not have been consumed: neither makes a budget used up.
         """
         keeper = self.keeper
         spent = self.borrower.spent_tokens(budget)
@@ -301,10 +302,10 @@
         come_back_s = shard.come_back_s()
         return Refusal(ErrorKind.BUDGET_OUT_OF_REACH, detail, retry_after_s=come_back_s)
 
-    def settle(self, reservation: Reservation, used_tokens: int) -> None:
+    def settle(self, reservation: Reservation, usage: Usage) -> None:
         """End a reservation with what its request consumed."""
         shard = self.shard_of(reservation.budget)
-        shard.keeper.settle(reservation, used_tokens)
+        shard.keeper.settle(reservation, usage)
         shard.announce()
 
     async def lend(self, request: LoanRequest) -> LoanReply:
--- a/mothstand/gateway/call.py
+++ b/mothstand/gateway/call.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ..core.claims import UNUSED, Usage
 from ..core.event_stream import StreamProgress
 
 if TYPE_CHECKING:
@@ -85,11 +86,19 @@
         tried = f"{len(self.tried)} tried, {self.sent} sent, {self.refusals} refused"
         return f"{self.service}: {tried}"
 
-    def used_tokens(self, event_tokens: int) -> int:
-        """Return what the request consumed: its prompt once, and the output passed on."""
+    def usage(self, event_tokens: int, *, is_answered: bool) -> Usage:
+        """Return what the request consumed: its prompt once, and the output passed on.
+
+        Parameters
+        ----------
+        is_answered
+            Whether anything of an upstream's answer was passed on: only then it surely ran. A run
+            may begin, and its answer be lost, so what was sent and gave nothing stays in doubt.
+        """
         if not self.sent:
-            return 0
-        return self.fields.prompt.input_tokens + self.progress.events * event_tokens
+            return UNUSED
+        tokens = self.fields.prompt.input_tokens + self.progress.events * event_tokens
+        return Usage(tokens, tokens if is_answered else 0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mothstand/gateway/claim_keeper.py
+++ b/mothstand/gateway/claim_keeper.py
@@ -34,7 +34,7 @@
     from collections.abc import Callable
 
     from ..clock import Clock
-    from ..core.claims import Reservation
+    from ..core.claims import Reservation, Usage
     from ..core.loans import Peer
     from ..log.health import LogHealth
     from ..types import BudgetName, Shard
@@ -179,10 +179,10 @@
         spent = sum(c.spent_tokens for holder, c in claims.items() if holder != self.book.me)
         return spent + self.book.of(budget).recorded_spent_tokens
 
-    def settle(self, reservation: Reservation, used_tokens: int) -> None:
+    def settle(self, reservation: Reservation, usage: Usage) -> None:
         """End a reservation with what its request consumed."""
         held = self.book.of(reservation.budget)
-        spent = held.settle(reservation, used_tokens)
+        spent = held.settle(reservation, usage)
         if not self.is_claimant:
             held.spend_borrowed(spent)
 
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable
 
     from ..clock import Clock
-    from ..core.claims import Reservation
+    from ..core.claims import Reservation, Usage
     from ..core.routes import GatewayConfig, GatewayWorkspace, RequestLimits, Route
     from ..core.shutdown import Shutdown
     from .accounts import Accounts
@@ -210,10 +210,10 @@
             outcome = "refused"
             raise
         finally:
-            used_tokens = call.used_tokens(event_tokens)
+            usage = call.usage(event_tokens, is_answered=caller.started)
             if reservation is not None:
-                self._accounts.settle(reservation, used_tokens)
-            self._log_end(call, caller, outcome, used_tokens)
+                self._accounts.settle(reservation, usage)
+            self._log_end(call, caller, outcome, usage)
 
     async def _reserve(self, call: Call, workspace: GatewayWorkspace | None) -> Reservation | None:
         tokens = call.fields.prompt.max_tokens
@@ -263,7 +263,7 @@
         body = {"error": refusal.kind.value, "message": refusal.row.text, "detail": refusal.detail}
         await caller.send_whole(refusal.row.status, "", headers, json.dumps(body).encode())
 
-    def _log_end(self, call: Call, caller: HttpCaller, outcome: str, used_tokens: int) -> None:
+    def _log_end(self, call: Call, caller: HttpCaller, outcome: str, usage: Usage) -> None:
         self._metrics.counts[f"requests_{outcome}"] += 1
         if outcome == "refused":
             return
@@ -277,7 +277,8 @@
             attempts=call.sent,
             upstream=call.upstream_id,
             registrations_age_s=_rounded(call.registrations_age_s),
-            tokens=used_tokens,
+            tokens=usage.most_tokens,
+            tokens_in_doubt=usage.most_tokens - usage.sure_tokens,
             reserved_after_s=round(call.reserved_after_s, 3),
             started_after_s=round(call.started_after_s, 3),
             elapsed_s=round(self._clock.monotonic_s() - call.arrived_s, 3),
--- a/mothstand/testing/budget_fleet.py
+++ b/mothstand/testing/budget_fleet.py
@@ -14,6 +14,7 @@
 
 import anyio
 
+from ..core.claims import Usage
 from ..core.fleet import CLAIMANTS_PER_DATA_CENTRE, FleetView, Member
 from ..core.loans import Peer
 from ..errors import Refusal
@@ -144,16 +145,21 @@
         Instances of each data centre.
     claimants
         Of these, how many claim.
+    unanswered_share
+        Part of the requests whose upstreams show nothing of an answer, so that it stays open
+        whether they consumed anything.
     """
 
     data_centres: int
     per_data_centre: int
     prepaid_tokens: int
     claimants: int = CLAIMANTS_PER_DATA_CENTRE
+    unanswered_share: float = 0.0
     counts: Counter[str] = field(default_factory=Counter)
     instances: dict[str, BudgetInstance] = field(default_factory=dict)
     dead: set[str] = field(default_factory=set)
     spent_tokens: int = 0
+    sure_tokens: int = 0
     is_cut: bool = False
     _tasks: TaskGroup | None = None
     _starts: int = 0
@@ -166,6 +172,8 @@
         The bound of a request is 1,000 to 17,000 tokens, of which nine tenths are spent in 0.4 s.
         """
         rng = random.Random(seed)
+        # Of its own, so that the requests stay the same whatever becomes of them.
+        answers = random.Random(seed)
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             for number in range(self.data_centres):
@@ -183,7 +191,8 @@
                     continue
                 instance = self.instances[rng.choice(alive)]
                 tokens = rng.randrange(1_000, 17_000)
-                instance.serve(partial(self._request, instance.accounts, tokens))
+                is_answered = answers.random() >= self.unanswered_share
+                instance.serve(partial(self._request, instance.accounts, tokens, is_answered))
             await anyio.sleep(2.0)
             tasks.cancel_scope.cancel()
 
@@ -222,7 +231,7 @@
         shards = [shard for i in self.instances.values() for shard in i.accounts.shards]
         return sum(shard.keeper.book.of(_BUDGET).recorded_spent_tokens for shard in shards)
 
-    async def _request(self, accounts: Accounts, tokens: int) -> None:
+    async def _request(self, accounts: Accounts, tokens: int, is_answered: bool) -> None:
         self.counts["asked"] += 1
         reserved = await accounts.reserve(_BUDGET, tokens, 0, 5.0)
         if isinstance(reserved, Refusal):
@@ -232,8 +241,9 @@
         used = tokens * 9 // 10
         # What runs when its process dies is consumed all the same.
         self.spent_tokens += used
+        self.sure_tokens += used if is_answered else 0
         await anyio.sleep(0.4)
-        accounts.settle(reserved, used)
+        accounts.settle(reserved, Usage(used, used if is_answered else 0))
 
     def _start(self, name: str, data_centre: DataCentre) -> None:
         assert self._tasks is not None, "start before run()"
--- a/mothstand/tests/test_fleet.py
+++ b/mothstand/tests/test_fleet.py
@@ -191,6 +191,24 @@
         fleet = self.play(CLAIMANTS_PER_DATA_CENTRE, 36_000_000)
         assert 0.8 * fleet.spent_tokens < fleet.recorded_spent_tokens <= fleet.spent_tokens
 
+    @pytest.mark.parametrize("claimants", [CLAIMANTS_PER_DATA_CENTRE, 1])
+    def test_a_budget_in_doubt_is_not_called_used_up(self, claimants: int) -> None:
+        """Symptom: 640 requests of a day are refused for good (402), and next to none rightly.
+
+        Sequence: engines are slow, callers leave before the first event; their prompts, which may
+        have been read or not, use up a workspace's budget.
+        Cause: what was in doubt counted as consumed. It may not be spent again, but until it is
+        known to be consumed a request is asked to come back.
+        """
+        prepaid_tokens = 3_000_000
+        fleet = BudgetFleet(4, 3, prepaid_tokens, claimants, unanswered_share=0.5)
+        run_in_virtual_time(lambda: fleet.run(12.0, requests_per_s=40))
+        assert fleet.counts["budget_out_of_reach"] > 0
+        assert fleet.sure_tokens < 0.9 * prepaid_tokens
+        assert fleet.counts["budget_exhausted"] == 0
+        assert fleet.recorded_spent_tokens <= fleet.sure_tokens
+        assert fleet.spent_tokens <= prepaid_tokens
+
     def test_an_outage_of_the_store_is_served_from_what_claimants_hold(self) -> None:
         """Symptom: in an outage of the store most requests are refused.
 
