A caller that leaves, a stop and a library's complaint are one event each

Cause: the round of loans was begun in a task group that had ended; the library's errors went up through the handler; libraries' records went to the output as they were.

--- /dev/null
+++ b/benchmarks/placement.py
@@ -0,0 +1,204 @@
+"""Placement of prompts by many instances, each of which knows only what it sent itself.
+
+Run ``python -m benchmarks.placement``. Fake time, the real `Placement`, one for each instance,
+before the small model of engines. Two kinds of requests: documents, long prompts whose sessions
+share large parts, and questions, short prompts with long answers. Instances are unequally busy,
+as where a platform chooses them by a hash of the caller.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+import fire
+
+from mothstand.core.placement import Placed, Placement, PlacementPolicy, session_of
+from mothstand.core.prompt import Prompt, PromptPart
+from mothstand.core.upstreams import RegisteredUpstream
+from mothstand.types import DataCentre
+
+from .engine_model import STEP_S, Engine, EngineSize, Work
+
+#: Shared leading parts of documents, their sessions' parts, and what is new in each request.
+_STYLES, _STYLE_TOKENS = 4, 2_520
+_SESSIONS, _SESSION_TOKENS = 1_209, 3_780
+_DOCUMENT_TOKENS, _DOCUMENT_ANSWER_TOKENS = 2_890, 52
+_QUESTION_TOKENS, _QUESTION_ANSWER_TOKENS = 750, 290
+
+_ENGINE = EngineSize(
+    slots=16,
+    prefill_tokens_per_s=41_400.0,
+    decode_tokens_per_s=3_200.0,
+    one_tokens_per_s=200.0,
+    cache_tokens=150_000,
+)
+
+#: Seconds until the first token that count as on time.
+DOCUMENT_OBJECTIVE_S, QUESTION_OBJECTIVE_S = 0.6, 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """A deployment and its load.
+
+    Parameters
+    ----------
+    skew
+        Exponent of the instances' shares of the load: 0 for equal ones.
+    """
+
+    data_centres: int
+    instances_each: int
+    engines_each: int
+    documents_per_s: float
+    questions_per_s: float
+    skew: float = 0.8
+    seconds: float = 20.0
+
+
+SITES = {
+    "few": Site(3, 2, 3, 17.0, 37.0, skew=0.0),
+    "few busy": Site(3, 2, 3, 40.0, 80.0, skew=0.0),
+    "dozens": Site(4, 18, 14, 137.0, 98.0),
+    "hundreds": Site(5, 39, 12, 107.0, 118.0),
+    "hundreds busy": Site(5, 39, 12, 220.0, 240.0),
+}
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What callers got.
+
+    Parameters
+    ----------
+    read_tokens
+        Prompt tokens that engines read.
+    """
+
+    asked: Counter[str] = field(default_factory=Counter)
+    late: Counter[str] = field(default_factory=Counter)
+    read_tokens: float = 0.0
+
+    def late_share(self, kind: str) -> float:
+        """Return which part of the requests of a kind got its first token late."""
+        return self.late[kind] / max(1, self.asked[kind])
+
+
+@dataclass(slots=True)
+class _Running:
+    kind: str
+    work: Work
+    placement: Placement
+    placed: Placed
+
+
+class Fleet:
+    """All instances and engines of a site."""
+
+    def __init__(self, site: Site, policy: PlacementPolicy, seed: int) -> None:
+        self._site = site
+        self._rng = random.Random(seed)
+        places = [DataCentre(f"dc-{n}") for n in range(site.data_centres)]
+        self._instances = [Placement(p, policy) for p in places for _ in range(site.instances_each)]
+        self._rng.shuffle(self._instances)
+        self._shares = [1 / (n + 1) ** site.skew for n in range(len(self._instances))]
+        self._engines: dict[str, Engine] = {}
+        self._upstreams: list[RegisteredUpstream] = []
+        for place in places:
+            for number in range(site.engines_each):
+                name = f"{place}-{number}"
+                self._engines[name] = Engine(_ENGINE)
+                self._upstreams.append(RegisteredUpstream(name, "llm", name, place, 16, False))
+        self._running: list[_Running] = []
+        self._number = 0
+        self.outcome = Outcome()
+
+    def play(self) -> Outcome:
+        """Play the load and return what callers got."""
+        now_s = 0.0
+        next_s = {"document": 0.0, "question": 0.0}
+        rates = {"document": self._site.documents_per_s, "question": self._site.questions_per_s}
+        while now_s < self._site.seconds:
+            for kind, rate in rates.items():
+                while next_s[kind] <= now_s:
+                    next_s[kind] += self._rng.expovariate(rate)
+                    self._ask(kind, now_s)
+            now_s += STEP_S
+            self._step(now_s)
+        return self.outcome
+
+    def _ask(self, kind: str, now_s: float) -> None:
+        self._number += 1
+        prompt, work = self._document(now_s) if kind == "document" else self._question(now_s)
+        (placement,) = self._rng.choices(self._instances, self._shares)
+        subject = session_of(prompt, f"r{self._number}")
+        upstream = placement.choose(
+            self._upstreams, prompt, subject, tried=frozenset(), now_s=now_s
+        )
+        assert upstream is not None
+        placed = placement.started(upstream, prompt, now_s)
+        self._engines[upstream.upstream_id].add(work)
+        self._running.append(_Running(kind, work, placement, placed))
+
+    def _document(self, now_s: float) -> tuple[Prompt, Work]:
+        session = self._rng.randrange(_SESSIONS)
+        own = min(18_300, int(_DOCUMENT_TOKENS * self._rng.lognormvariate(-0.35, 0.83)))
+        parts = (
+            PromptPart(f"style-{session % _STYLES}", _STYLE_TOKENS),
+            PromptPart(f"session-{session}", _SESSION_TOKENS),
+            PromptPart(f"request-{self._number}", own),
+        )
+        total = _STYLE_TOKENS + _SESSION_TOKENS + own
+        # The few leading parts are cached at every engine after a moment.
+        work = Work(f"session-{session}", _SESSION_TOKENS, own, _DOCUMENT_ANSWER_TOKENS, now_s)
+        return Prompt("m", total, _DOCUMENT_ANSWER_TOKENS, parts), work
+
+    def _question(self, now_s: float) -> tuple[Prompt, Work]:
+        own = min(3_300, int(_QUESTION_TOKENS * self._rng.lognormvariate(-0.35, 0.83)))
+        answer = max(5, int(_QUESTION_ANSWER_TOKENS * self._rng.lognormvariate(-0.2, 0.62)))
+        part = PromptPart(f"request-{self._number}", own)
+        return Prompt("m", own, answer, (part,)), Work("", 0, own, answer, now_s)
+
+    def _step(self, now_s: float) -> None:
+        for engine in self._engines.values():
+            before = sum(work.prefill_left for work in engine.batch)
+            engine.step(now_s)
+            after = sum(work.prefill_left for work in engine.batch)
+            self.outcome.read_tokens += max(0.0, before - after)
+        going_on = []
+        for running in self._running:
+            if running.work.first_token_s is not None and running.placed.reading:
+                self._note_first(running)
+            if running.work.made >= running.work.answer_tokens:
+                running.placement.ended(running.placed)
+            else:
+                going_on.append(running)
+        self._running = going_on
+
+    def _note_first(self, running: _Running) -> None:
+        running.placement.read(running.placed)
+        assert running.work.first_token_s is not None
+        took_s = running.work.first_token_s - running.work.arrived_s
+        is_document = running.kind == "document"
+        objective_s = DOCUMENT_OBJECTIVE_S if is_document else QUESTION_OBJECTIVE_S
+        self.outcome.asked[running.kind] += 1
+        self.outcome.late[running.kind] += took_s > objective_s
+
+
+def main(*, seeds: int = 3, site: str = "") -> None:
+    """Print which part of the requests is late on each site."""
+    print(f"{'site':14} {'documents late':>15} {'questions late':>15} {'read, Mtokens':>14}")
+    for name, played in SITES.items():
+        if site and name != site:
+            continue
+        outcomes = [Fleet(played, PlacementPolicy(), seed).play() for seed in range(seeds)]
+        documents = sum(o.late_share("document") for o in outcomes) / seeds
+        questions = sum(o.late_share("question") for o in outcomes) / seeds
+        read = sum(o.read_tokens for o in outcomes) / seeds / 1e6
+        print(f"{name:14} {documents:15.3f} {questions:15.3f} {read:14.2f}")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/mothstand/core/shutdown.py
+++ b/mothstand/core/shutdown.py
@@ -12,6 +12,9 @@
 #: Seconds before the process is killed at which it ends by itself.
 STOP_MARGIN_S = 1.2
 
+#: A caller that comes back from a stopping instance meets another one at once.
+STOPPING_COME_BACK_S = 0.05
+
 
 @dataclass(slots=True)
 class Shutdown:
--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -74,6 +74,7 @@
     REQUEST_ANSWERED = (7003, logging.INFO, "A request got an upstream's answer.")
     REQUEST_LEFT = (7004, logging.INFO, "A caller went away before its answer.")
     INTERNAL_ERROR = (9001, logging.ERROR, "A request hit a fault of this program.")
+    LIBRARY_MESSAGE = (9002, logging.WARNING, "A library has something to say.")
 
     @property
     def number(self) -> int:
--- a/mothstand/gateway/call.py
+++ b/mothstand/gateway/call.py
@@ -15,8 +15,12 @@
     from .upstream_client import OutgoingRequest
 
 
+class CallerGoneError(Exception):
+    """The caller has closed its connection; nobody reads the rest of the answer."""
+
+
 class CallerConnection(ABC):
-    """Where an answer goes."""
+    """Where an answer goes; each call raises `CallerGoneError` once nobody is there."""
 
     started = False
 
--- a/mothstand/gateway/log_output.py
+++ b/mothstand/gateway/log_output.py
@@ -24,6 +24,12 @@
 _TELL_AFTER_S = 1.0
 
 
+#: The logger that `emit` writes to.
+_EVENT_LOGGER = "absl"
+
+_MOST_MESSAGE_CHARACTERS = 200
+
+
 @dataclass(slots=True)
 class LineBudget:
     """How many lines may be written; a token bucket."""
@@ -70,6 +76,25 @@
         return taken
 
 
+class LibraryLines(logging_of_python.Filter):
+    """Turns what libraries log into events of one line.
+
+    Notes
+    -----
+    Some print a traceback of twenty lines for each caller that goes away, past the bound on lines,
+    and whoever reads the log finds no number and no field to search for.
+    """
+
+    def filter(self, record: logging_of_python.LogRecord) -> bool:
+        """Return whether a record is an event already."""
+        if record.name == _EVENT_LOGGER:
+            return True
+        error = record.exc_info[1] if record.exc_info else None
+        message = record.getMessage()[:_MOST_MESSAGE_CHARACTERS]
+        emit(Event.LIBRARY_MESSAGE, library=record.name, message=message, error=repr(error))
+        return False
+
+
 class _NonBlockingOutput:
     """Standard output; what a full pipe does not take is dropped."""
 
@@ -97,6 +122,6 @@
     logging.set_verbosity(logging.INFO)
     handler = logging.get_absl_handler()
     handler.python_handler.stream = _NonBlockingOutput()
+    handler.addFilter(LibraryLines())
     handler.addFilter(BoundedOutput(clock))
-    # Libraries' own lines are no events of the catalogue.
     logging_of_python.getLogger("asyncio").setLevel(logging_of_python.WARNING)
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -3,21 +3,25 @@
 from __future__ import annotations
 
 import json
+import traceback
+from contextlib import contextmanager
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import aiohttp
 from aiohttp import web
 from multidict import CIMultiDict
 
+from ..core.shutdown import STOPPING_COME_BACK_S
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..events import Event, emit
 from ..types import BudgetName
-from .call import Call, CallerConnection
+from .call import Call, CallerConnection, CallerGoneError
 from .caller_connections import CallerServer
 from .upstream_client import OutgoingRequest
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from ..clock import Clock
     from ..core.claims import Reservation, Usage
@@ -32,13 +36,14 @@
 #: Larger heads than any operator's limit are refused by the server library with a 400.
 _MOST_HEAD_BYTES = 65_536
 
-#: A caller that comes back from a stopping instance meets another one at once.
-_STOPPING_COME_BACK_S = 0.05
-
 #: How long an idle connection is kept that began before there was a configuration to say so.
 _FIRST_IDLE_TIMEOUT_S = 75.0
 
 
+#: Calls that a line tells of a fault.
+_MOST_FRAMES = 6
+
+
 class HttpCaller(CallerConnection):
     """A caller's connection under the server library."""
 
@@ -56,12 +61,14 @@
     async def write(self, data: bytes) -> None:
         """Send a piece of a streamed answer."""
         assert self.response is not None
-        await self.response.write(data)
+        with _caller_is_there():
+            await self.response.write(data)
 
     async def finish(self) -> None:
         """End a streamed answer as complete."""
         assert self.response is not None
-        await self.response.write_eof()
+        with _caller_is_there():
+            await self.response.write_eof()
 
     def abort(self) -> None:
         """Close the connection before the body's end mark, so that the caller sees the break."""
@@ -75,13 +82,24 @@
             status=status, reason=reason, headers=CIMultiDict(headers), body=body
         )
         await self._prepare(response)
-        await response.write_eof()
+        with _caller_is_there():
+            await response.write_eof()
 
     async def _prepare(self, response: web.StreamResponse) -> None:
         if self._shutdown.is_stopping:
             response.force_close()
         self.response = response
-        await response.prepare(self._request)
+        with _caller_is_there():
+            await response.prepare(self._request)
+
+
+@contextmanager
+def _caller_is_there() -> Iterator[None]:
+    """Turn the library's error of a closed connection into `CallerGoneError`."""
+    try:
+        yield
+    except ConnectionResetError as error:
+        raise CallerGoneError from error
 
 
 class GatewayServer:
@@ -146,12 +164,37 @@
             await self._serve(request, headers, fields, caller, arrived_s)
         except RefusedError as error:
             await self._refuse(caller, request_id, error.refusal, arrived_s)
+        except CallerGoneError:
+            # Its request's line tells that it left; the library ends the connection.
+            self._metrics.counts["callers_gone"] += 1
+        except Exception as error:
+            await self._fail(caller, request_id, error, arrived_s)
         finally:
             self.running -= 1
             self._metrics.record_whole(self._clock.monotonic_s() - arrived_s)
         assert caller.response is not None
         return caller.response
 
+    async def _fail(
+        self, caller: HttpCaller, request_id: str, error: Exception, arrived_s: float
+    ) -> None:
+        """Answer a request that hit a fault of this program, with one line of log.
+
+        The library would answer by itself, with some twenty lines of log and nothing to tell whose
+        request it was.
+        """
+        emit(
+            Event.INTERNAL_ERROR,
+            request=request_id,
+            error=repr(error),
+            at=_place_of(error),
+            is_answer_begun=caller.started,
+        )
+        if caller.started:
+            caller.abort()
+        else:
+            await self._refuse(caller, request_id, Refusal(ErrorKind.INTERNAL), arrived_s)
+
     def _read_fields(self, headers: RawHeaders) -> CallerFields:
         try:
             return self._translator.read_caller(headers)
@@ -171,7 +214,7 @@
         if config is None:
             raise RefusedError(Refusal(ErrorKind.NOT_READY))
         if self._shutdown.refuses(arrived_s):
-            raise RefusedError(Refusal(ErrorKind.STOPPING, retry_after_s=_STOPPING_COME_BACK_S))
+            raise RefusedError(Refusal(ErrorKind.STOPPING, retry_after_s=STOPPING_COME_BACK_S))
         _check_head(headers, config)
         route = self._route(config, fields, request.raw_path)
         workspace = self._workspace(config, route, fields)
@@ -285,6 +328,12 @@
         )
 
 
+def _place_of(error: Exception) -> list[str]:
+    """Return where an exception was raised, the innermost calls last."""
+    frames = traceback.extract_tb(error.__traceback__)[-_MOST_FRAMES:]
+    return [f"{Path(frame.filename).name}:{frame.lineno}" for frame in frames]
+
+
 def _rounded(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 3)
 
--- a/mothstand/testing/gateway_fleet.py
+++ b/mothstand/testing/gateway_fleet.py
@@ -117,17 +117,20 @@
         path: str = PREFIX,
     ) -> httpx.Response:
         """Send one request."""
-        headers = {
-            "Host": HOST,
-            "X-Request-Id": request_id,
-            "X-Api-Key": key,
-            "X-Model": "m",
-            "X-Token-Counts": tokens,
-            "X-Prompt-Prefix": f"aa:{tokens.partition(',')[0]}",
-            "X-Deadline-Milliseconds": "4000",
-        }
+        headers = _headers(request_id, tokens, key)
         return httpx.post(instance.url + path, headers=headers, content=b"body", timeout=10)
 
+    def leave_after_first_event(self, instance: FleetProcess, request_id: str) -> None:
+        """Send one request, and close the connection once its answer has begun."""
+        headers = _headers(request_id, "100,20", KEY)
+        url = instance.url + PREFIX
+        with httpx.stream("POST", url, headers=headers, content=b"body", timeout=10) as answer:
+            next(answer.iter_raw())
+
+    def log(self, instance: FleetProcess) -> str:
+        """Return what an instance has written."""
+        return (self.folder / f"{instance.name}.log").read_text(encoding="utf-8")
+
     def metrics(self, instance: FleetProcess) -> str:
         """Return an instance's metrics."""
         return httpx.get(f"http://{self._metrics[instance.name]}/metrics").text
@@ -159,6 +162,19 @@
         return process
 
 
+def _headers(request_id: str, tokens: str, key: str) -> dict[str, str]:
+    """Return the headers of a request."""
+    return {
+        "Host": HOST,
+        "X-Request-Id": request_id,
+        "X-Api-Key": key,
+        "X-Model": "m",
+        "X-Token-Counts": tokens,
+        "X-Prompt-Prefix": f"aa:{tokens.partition(',')[0]}",
+        "X-Deadline-Milliseconds": "4000",
+    }
+
+
 def _status(url: str) -> int:
     """Return the status of a GET, 0 for no answer."""
     try:
--- a/mothstand/tests/test_fleet.py
+++ b/mothstand/tests/test_fleet.py
@@ -17,13 +17,14 @@
     Member,
 )
 from ..core.loans import Peer
+from ..errors import ErrorKind, Refusal
 from ..gateway.member_feed import MemberFeed, decode_member, encode_member
 from ..gateway.store import KeyedRecord
 from ..log.health import LogHealth
 from ..testing.budget_fleet import BudgetFleet
 from ..testing.memory_store import MemoryStore, StoreLink
 from ..testing.virtual_time import VirtualClock, run_in_virtual_time
-from ..types import DataCentre, Shard
+from ..types import BudgetName, DataCentre, Shard
 
 _SHARD = Shard(0)
 
@@ -218,6 +219,26 @@
         fleet = self.play(CLAIMANTS_PER_DATA_CENTRE, 36_000_000)
         assert 0.8 * fleet.spent_tokens < fleet.recorded_spent_tokens <= fleet.spent_tokens
 
+    def test_a_request_that_comes_after_the_stop_of_the_claims_is_refused(self) -> None:
+        """Symptom: a request gets an answer 500 of the HTTP library, and no line tells of it.
+
+        Sequence: an instance stops; a request of a kept connection, for which a loan is needed,
+        arrives after its claims' tasks have ended.
+        Cause: the round of loans was begun in a task group that had ended.
+        """
+        fleet = BudgetFleet(1, 2, 1_000)
+        refused: list[Refusal | object] = []
+
+        async def run() -> None:
+            await fleet.run(1.0, requests_per_s=1)
+            accounts = next(iter(fleet.instances.values())).accounts
+            refused.append(await accounts.reserve(BudgetName("seniors"), 900_000, 0, 5.0))
+
+        run_in_virtual_time(run)
+        (refusal,) = refused
+        assert isinstance(refusal, Refusal)
+        assert refusal.kind is ErrorKind.STOPPING
+
     @pytest.mark.parametrize("claimants", [CLAIMANTS_PER_DATA_CENTRE, 1])
     def test_a_budget_in_doubt_is_not_called_used_up(self, claimants: int) -> None:
         """Symptom: 640 requests of a day are refused for good (402), and next to none rightly.
--- a/mothstand/tests/test_log_output.py
+++ b/mothstand/tests/test_log_output.py
@@ -75,6 +75,24 @@
             os.close(write_end)
         assert done.returncode == 0
 
+    def test_what_a_library_logs_is_one_event(self) -> None:
+        """Symptom: a log of tracebacks, of which no line names a request or can be searched for.
+
+        Sequence: callers go away in mid-stream; the HTTP library logs each with its traceback.
+        Cause: libraries' records went to the output as they were.
+        """
+        code = _SET_UP + (
+            "import logging\n"
+            "try:\n    raise ConnectionError('gone')\n"
+            "except ConnectionError:\n"
+            "    logging.getLogger('aiohttp.server').exception('Error handling request')\n"
+        )
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, timeout=20)
+        (line,) = done.stdout.decode().splitlines()
+        assert "MS9002 library_message" in line
+        assert "aiohttp.server" in line and "ConnectionError('gone')" in line
+        assert done.stderr == b""
+
     def test_events_go_to_standard_output(self) -> None:
         """Symptom: who collects standard output gets no events.
 
