While upstreams are slow for all, a part of the requests is turned away at arrival

Change: per service the mean time to an answer's beginning over the last second, beside each request's objective; above 0.6 of it only a part is taken on, less of the less urgent, never under a quarter, with a Retry-After spread over 0.8 to 2.4 s. Decided before tokens are set aside. Attempts without an answer count for nothing, so a cut turns nobody away; under six answers a second at an instance it decides nothing, which a large fleet's instances mostly see.

--- a/mothstand/gateway/call.py
+++ b/mothstand/gateway/call.py
@@ -59,6 +59,8 @@
         Whether its next attempt has been taken from the retry budget already.
     reserved_after_s, started_after_s
         From the arrival until its tokens were set aside, and until its answer began.
+    attempt_began_s
+        When the latest attempt was begun, on the monotonic clock.
     upstream_id, registrations_age_s
         Where it was sent last, and how old what was known of the upstreams was then; None if the
         store had never been heard.
@@ -81,6 +83,7 @@
     failed_answer: WholeAnswer | None = None
     reserved_after_s: float = 0.0
     started_after_s: float = 0.0
+    attempt_began_s: float = 0.0
     upstream_id: str = ""
     registrations_age_s: float | None = None
 
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import random
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import anyio
 
+from ..core.admission import Admission, come_back_s
 from ..core.patience import Patience
 from ..core.placement import session_of
 from ..core.retry_budget import RetryBudget
@@ -80,6 +83,21 @@
         self._metrics = metrics
         self._budgets: dict[str, RetryBudget] = {}
         self._patience = Patience()
+        self._admissions: defaultdict[str, Admission] = defaultdict(Admission)
+
+    def admit(self, call: Call) -> None:
+        """Turn a request away that would only make all others late.
+
+        Raises
+        ------
+        RefusedError
+            It has not run, and should come back later.
+        """
+        share = self._admissions[call.service].share(call.priority, self._clock.monotonic_s())
+        if random.random() >= share:
+            detail = f"{call.service}: slow, {share:.2f} of such requests are taken on"
+            refusal = Refusal(ErrorKind.OVERLOADED, detail, retry_after_s=come_back_s())
+            raise RefusedError(refusal)
 
     async def run(self, call: Call, caller: CallerConnection) -> None:
         """Forward a request and pass its answer on.
@@ -184,6 +202,7 @@
         call.registrations_age_s = self._directory.age_s(self._clock.monotonic_s())
         placed = self._placement.started(upstream, call.fields.prompt, self._clock.monotonic_s())
         answer: UpstreamAnswer | None = None
+        call.attempt_began_s = self._clock.monotonic_s()
         # Counted first: once the request is on its way, a cancelled attempt may have run too.
         call.sent += 1
         try:
@@ -310,6 +329,7 @@
         if answer.status >= _SERVER_ERROR and call.route.may_run_twice:
             call.failed_answer = whole
             raise MayHaveRunError(f"status {answer.status}")
+        self._note_begin(call)
         await caller.send_whole(whole.status, whole.reason, whole.headers, whole.body)
 
     async def _pass_stream(
@@ -335,9 +355,16 @@
     ) -> None:
         """Send the head along with the first event: before it, another upstream can still be."""
         call.started_after_s = self._clock.monotonic_s() - call.arrived_s
+        self._note_begin(call)
         self._metrics.record_first_event(call.started_after_s)
         await caller.start(answer.status, answer.reason, self._translator.to_caller(answer.headers))
 
+    def _note_begin(self, call: Call) -> None:
+        """Note how long the upstream took that answers."""
+        now_s = self._clock.monotonic_s()
+        took_s = now_s - call.attempt_began_s
+        self._admissions[call.service].answered(took_s, call.route.objective_s, now_s)
+
     def _note_failure(
         self, call: Call, upstream: RegisteredUpstream, error: Exception, pause_s: float
     ) -> None:
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -242,6 +242,8 @@
         workspace: GatewayWorkspace | None,
         caller: HttpCaller,
     ) -> None:
+        # Before the tokens: what is turned away takes none from those who are served.
+        self._forwarder.admit(call)
         reservation = await self._reserve(call, workspace)
         service = config.services.get(call.service)
         event_tokens = 0 if service is None else service.event_tokens
