--- a/mothstand/gateway/claim_keeper.py
+++ b/mothstand/gateway/claim_keeper.py
@@ -342,6 +342,7 @@
             told["reserved"] = held.reserved_tokens
             told["given"] = held.given_tokens
             told["received"] = held.received_tokens
+            told["in_doubt"] = held.doubtful_tokens
         return told
 
     def _plan(self) -> tuple[Claim, ...]:
--- a/mothstand/operators/explain.py
+++ b/mothstand/operators/explain.py
@@ -45,12 +45,14 @@
     reserved: int = 0
     given: int = 0
     received: int = 0
+    doubtful: int = 0
     reclaimed_at_s: float | None = None
 
     @property
     def unused_tokens(self) -> int:
-        """What is claimed and neither used, set aside nor given away."""
-        return max(0, self.claimed - self.spent - self.reserved - self.given + self.received)
+        """What is claimed and neither used, in doubt, set aside nor given away."""
+        taken = self.spent + self.doubtful + self.reserved + self.given
+        return max(0, self.claimed - taken + self.received)
 
 
 @dataclass(slots=True)
@@ -59,6 +61,7 @@
 
     prepaid_tokens: int = 0
     consumed_tokens: int = 0
+    doubtful_tokens: int = 0
     holders: dict[Holder, HolderAccount] = field(default_factory=lambda: defaultdict(HolderAccount))
     refused: Counter[str] = field(default_factory=Counter)
 
@@ -102,7 +105,9 @@
             holder = Holder(*fields["holder"])
             self.budgets[fields["budget"]].holders[holder].given += fields["tokens"]
         elif event.number in (Event.REQUEST_ANSWERED.number, Event.REQUEST_LEFT.number):
-            self.budgets[fields["workspace"]].consumed_tokens += fields["tokens"]
+            in_doubt = fields.get("tokens_in_doubt", 0)
+            self.budgets[fields["workspace"]].consumed_tokens += fields["tokens"] - in_doubt
+            self.budgets[fields["workspace"]].doubtful_tokens += in_doubt
         elif event.number == Event.REQUEST_REFUSED.number:
             self._take_refusal(event)
 
@@ -124,6 +129,7 @@
             account.reserved = claim["reserved"]
             account.given = claim["given"]
             account.received = claim["received"]
+            account.doubtful = claim.get("in_doubt", 0)
 
     def _take_refusal(self, event: LoggedEvent) -> None:
         kind = event.fields["kind"]
@@ -180,7 +186,16 @@
     return explanation
 
 
-_BUDGET_COLUMNS = ("prepaid", "consumed", "held", "free", "stranded", "in flight", "refused")
+_BUDGET_COLUMNS = (
+    "prepaid",
+    "consumed",
+    "in doubt",
+    "held",
+    "free",
+    "stranded",
+    "in flight",
+    "refused",
+)
 
 
 def explanation_lines(explanation: Explanation) -> Iterator[str]:
@@ -193,6 +208,7 @@
         figures = (
             budget.prepaid_tokens,
             budget.consumed_tokens,
+            budget.doubtful_tokens,
             sum(h.unused_tokens for h in alive),
             budget.free_tokens,
             sum(h.unused_tokens for h in dead),
--- a/mothstand/tests/test_explain.py
+++ b/mothstand/tests/test_explain.py
@@ -58,6 +58,25 @@
             "budget_exhausted": 1,
         }
 
+    def test_what_is_in_doubt_is_neither_consumed_nor_stranded(self) -> None:
+        """Symptom: most of a budget is called stranded with the dead, and nothing is.
+
+        Sequence: callers leave before their answers begin; the holder of the tokens dies.
+        Cause: claims say as spent only what surely was.
+        """
+        left = line(
+            "10:00:03.0", 7004, "request_left", workspace="lund", tokens=80, tokens_in_doubt=80
+        )
+        log = [
+            *_LOG[:4],
+            left,
+            written("10:00:04.0", "1", lund=claim(400, spent=100, in_doubt=80)),
+            started("10:00:09.0", "2"),
+        ]
+        budget = explain({"a.log": log}).budgets["lund"]
+        assert (budget.consumed_tokens, budget.doubtful_tokens) == (100, 80)
+        assert [h.unused_tokens for h in budget.holders.values()] == [220]
+
     def test_lines_say_what_is_stranded_and_why(self) -> None:
         text = "\n".join(explanation_lines(explain({"a.log": _LOG})))
         assert "100 of lund with a/1: rest given back" in text
