--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -39,6 +39,54 @@
 DOCUMENT_OBJECTIVE_S, QUESTION_OBJECTIVE_S = 0.6, 0.3
 
 
+#: One pass over the batch: its fixed time, and the most prompt tokens that are read in it.
+_PASS_S = 0.00463
+_CHUNK_TOKENS = 1_024
+
+#: Tokens of an event; the first one is sent when so many are made.
+_EVENT_TOKENS = 5
+
+
+@dataclass(slots=True)
+class ChunkedEngine(Engine):
+    """An engine that reads a piece of one prompt in each pass, and makes a token of each answer.
+
+    A long prompt so delays the prompts behind it, and the tokens of everything that runs.
+    """
+
+    read_tokens: float = 0.0
+    _ahead_s: float = 0.0
+
+    def step(self, now_s: float) -> list[Work]:
+        """Work for `STEP_S` and return what has ended."""
+        ended: list[Work] = []
+        self._ahead_s -= STEP_S
+        while self._ahead_s < 0:
+            while self.waiting and len(self.batch) < self.size.slots:
+                self._admit(self.waiting.popleft())
+            if not self.batch:
+                self._ahead_s = 0.0
+                break
+            self._ahead_s += self._pass(now_s, ended)
+        return ended
+
+    def _pass(self, now_s: float, ended: list[Work]) -> float:
+        """Read and make tokens once; return how long it took."""
+        unread = next((work for work in self.batch if work.prefill_left > 0), None)
+        chunk = 0.0 if unread is None else min(_CHUNK_TOKENS, unread.prefill_left)
+        for work in self.batch:
+            if work.prefill_left <= 0:
+                work.made += 1
+            if work.first_token_s is None and work.made >= min(_EVENT_TOKENS, work.answer_tokens):
+                work.first_token_s = now_s
+        if unread is not None:
+            unread.prefill_left -= chunk
+            self.read_tokens += chunk
+        ended += [work for work in self.batch if work.made >= work.answer_tokens]
+        self.batch = [work for work in self.batch if work.made < work.answer_tokens]
+        return _PASS_S + chunk / self.size.prefill_tokens_per_s
+
+
 @dataclass(frozen=True, slots=True)
 class Site:
     """A deployment and its load.
@@ -104,12 +152,12 @@
         self._instances = [Placement(p, policy) for p in places for _ in range(site.instances_each)]
         self._rng.shuffle(self._instances)
         self._shares = [1 / (n + 1) ** site.skew for n in range(len(self._instances))]
-        self._engines: dict[str, Engine] = {}
+        self._engines: dict[str, ChunkedEngine] = {}
         self._upstreams: list[RegisteredUpstream] = []
         for place in places:
             for number in range(site.engines_each):
                 name = f"{place}-{number}"
-                self._engines[name] = Engine(_ENGINE)
+                self._engines[name] = ChunkedEngine(_ENGINE)
                 self._upstreams.append(RegisteredUpstream(name, "llm", name, place, 16, False))
         self._running: list[_Running] = []
         self._number = 0
@@ -127,6 +175,7 @@
                     self._ask(kind, now_s)
             now_s += STEP_S
             self._step(now_s)
+        self.outcome.read_tokens = sum(e.read_tokens for e in self._engines.values())
         return self.outcome
 
     def _ask(self, kind: str, now_s: float) -> None:
@@ -163,10 +212,7 @@
 
     def _step(self, now_s: float) -> None:
         for engine in self._engines.values():
-            before = sum(work.prefill_left for work in engine.batch)
             engine.step(now_s)
-            after = sum(work.prefill_left for work in engine.batch)
-            self.outcome.read_tokens += max(0.0, before - after)
         going_on = []
         for running in self._running:
             if running.work.first_token_s is not None and running.placed.reading:
