A rest is given back once: without an answer it is nobody's, without a connection it is kept

Seen when reading the change again: a repeated handover could meet a later start of the lender, which knows no ids; what the start before had added and spent would be added once more, and the budget overspent. A call for which no connection came about is told apart (PeerUnreachableError), and its tokens stay with the borrower.

--- a/mothstand/gateway/borrowing.py
+++ b/mothstand/gateway/borrowing.py
@@ -8,7 +8,7 @@
 
 from ..core.loans import LoanBook, Peer, PeerChoice
 from ..events import Event, emit
-from ..peers.failures import PeerError
+from ..peers.failures import PeerError, PeerUnreachableError
 from .lending import Handover, LoanReply, LoanRequest, PeerLink
 
 if TYPE_CHECKING:
@@ -28,15 +28,6 @@
 _DOUBT_KEPT_S = 30.0
 
 
-@dataclass(frozen=True, slots=True)
-class _DoubtfulHandover:
-    """Tokens handed over without an answer: the peer may have added them."""
-
-    peer: Peer
-    handover: Handover
-    until_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class _DoubtfulLoan:
     """A loan without an answer: the peer may have taken the tokens out."""
@@ -67,7 +58,6 @@
         self._choice = PeerChoice()
         self._running: set[tuple[BudgetName, int]] = set()
         self._doubtful: list[_DoubtfulLoan] = []
-        self._doubtful_handovers: list[_DoubtfulHandover] = []
 
     def is_running(self, budget: BudgetName, priority: int) -> bool:
         """Return whether a round for requests of a priority is under way."""
@@ -132,9 +122,7 @@
             lenders = self._choice.answering(self._lenders(), self._clock.monotonic_s())
             if not lenders:
                 return
-            given = self._keeper.book.of(handover.budget).give(handover.tokens)
-            until_s = self._clock.monotonic_s() + _DOUBT_KEPT_S
-            await self._hand_over(lenders[0], replace(handover, tokens=given), until_s)
+            await self._hand_over(lenders[0], handover)
 
     def _rests(self) -> list[Handover]:
         """Return what can be given back of each budget."""
@@ -147,16 +135,29 @@
             if held.available_tokens > 0 and not self._keeper.waiting_of(held.budget).total()
         ]
 
-    async def _hand_over(self, peer: Peer, handover: Handover, until_s: float) -> None:
-        """Hand over tokens that are taken out already; once more later if no answer comes."""
+    async def _hand_over(self, peer: Peer, handover: Handover) -> None:
+        """Take tokens out and hand them over, once.
+
+        Without an answer they are nobody's. Sent again they might meet a later start of the peer,
+        which knows no ids of the one before: what that one had added and spent would be added once
+        more.
+        """
+        held = self._keeper.book.of(handover.budget)
+        sent = replace(handover, tokens=held.give(handover.tokens))
         try:
-            await self._link.hand_over(peer.address, handover)
+            await self._link.hand_over(peer.address, sent)
+        except PeerUnreachableError as error:
+            held.receive(sent.tokens)
+            self._suspect(peer, error)
         except PeerError as error:
-            self._choice.silent(peer, self._clock.monotonic_s())
-            self._doubtful_handovers.append(_DoubtfulHandover(peer, handover, until_s))
-            emit(Event.PEER_SUSPECTED, peer=peer.instance, error=str(error))
+            self._suspect(peer, error)
         else:
-            self._tell_handover(peer, handover)
+            self._tell_handover(peer, sent)
+
+    def _suspect(self, peer: Peer, error: PeerError) -> None:
+        """Ask a peer that did not answer nothing for a while."""
+        self._choice.silent(peer, self._clock.monotonic_s())
+        emit(Event.PEER_SUSPECTED, peer=peer.instance, error=str(error))
 
     def _tell_handover(self, peer: Peer, handover: Handover) -> None:
         emit(
@@ -202,15 +203,11 @@
             self._changed()
 
     async def ask_again(self) -> None:
-        """Repeat the loans and the handovers whose answers were lost, under their ids."""
+        """Ask for the loans whose answers were lost."""
         doubtful, self._doubtful = self._doubtful, []
         for doubt in doubtful:
             if doubt.until_s > self._clock.monotonic_s():
                 await self._borrow(doubt.peer, doubt.request, doubt.until_s)
-        handovers, self._doubtful_handovers = self._doubtful_handovers, []
-        for lost in handovers:
-            if lost.until_s > self._clock.monotonic_s():
-                await self._hand_over(lost.peer, lost.handover, lost.until_s)
 
     def _missing(self, budget: BudgetName, priority: int) -> int:
         wanted = self._keeper.wanted_tokens(budget, priority)
@@ -255,10 +252,9 @@
         try:
             reply = await self._link.borrow(peer.address, request)
         except PeerError as error:
-            self._choice.silent(peer, self._clock.monotonic_s())
             again = replace(request, spent_tokens=0)
             self._doubtful.append(_DoubtfulLoan(peer, again, until_s))
-            emit(Event.PEER_SUSPECTED, peer=peer.instance, error=str(error))
+            self._suspect(peer, error)
             return 0
         given = reply.given_tokens
         self._keeper.book.of(request.budget).receive(given)
--- a/mothstand/gateway/lending.py
+++ b/mothstand/gateway/lending.py
@@ -13,7 +13,7 @@
 from grpclib.server import Server
 
 from ..peers import lending_pb2 as pb
-from ..peers.failures import PeerError
+from ..peers.failures import PeerError, PeerUnreachableError
 from ..peers.lending_grpc import LendingBase, LendingStub
 from ..settings.instance import Address
 from ..types import BudgetName
@@ -257,11 +257,19 @@
         if channel is not None:
             channel.close()
 
-    def failed(self, address: str) -> None:
-        """Note that a call had no answer: its channel is closed unless it still connects."""
+    def failed(self, address: str) -> bool:
+        """Note that a call had no answer: its channel is closed unless it still connects.
+
+        Returns
+        -------
+        bool
+            Whether it still connects, so that nothing was sent.
+        """
         channel = self._channels.get(address)
-        if channel is not None and not channel.connects_still:
-            self._drop(address)
+        if channel is not None and channel.connects_still:
+            return True
+        self._drop(address)
+        return False
 
 
 class _Call:
@@ -276,8 +284,10 @@
 
     def __exit__(self, kind: object, error: BaseException | None, _: object) -> None:
         if isinstance(error, (TimeoutError, GRPCError, StreamTerminatedError, OSError)):
-            self._link.failed(self._address)
-            raise PeerError(f"{self._address}: {error!r}") from error
+            was_refused = isinstance(error, ConnectionRefusedError)
+            was_not_sent = self._link.failed(self._address) or was_refused
+            kind = PeerUnreachableError if was_not_sent else PeerError
+            raise kind(f"{self._address}: {error!r}") from error
 
 
 class LendingService(LendingBase):
--- a/mothstand/tests/test_fleet.py
+++ b/mothstand/tests/test_fleet.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 import anyio
 import pytest
 
+from ..core.claim_policy import ClaimPolicy
 from ..core.fleet import (
     ANNOUNCE_S,
     CLAIMANTS_PER_DATA_CENTRE,
@@ -18,14 +20,22 @@
 )
 from ..core.loans import Peer
 from ..errors import ErrorKind, Refusal
+from ..gateway.borrowing import Borrower
+from ..gateway.claim_keeper import ClaimKeeper
 from ..gateway.member_feed import MemberFeed, decode_member, encode_member
 from ..gateway.store import KeyedRecord
 from ..log.health import LogHealth
+from ..peers.failures import PeerError, PeerUnreachableError
 from ..testing.budget_fleet import BudgetFleet
+from ..testing.fakes import SilentPeers
 from ..testing.memory_store import MemoryStore, StoreLink
 from ..testing.virtual_time import VirtualClock, run_in_virtual_time
 from ..types import BudgetName, DataCentre, Shard
 
+if TYPE_CHECKING:
+    from ..core.claims import HeldBudget
+    from ..gateway.lending import Handover, PeerLink
+
 _SHARD = Shard(0)
 
 
@@ -156,6 +166,28 @@
         assert run_in_virtual_time(run) == (False, True, True)
 
 
+def borrower_with(link: PeerLink, *, tokens: int) -> tuple[Borrower, HeldBudget]:
+    """Return an instance's borrower, with tokens of a loan that nobody needs any more."""
+    clock = VirtualClock()
+    me = Peer("a0", "a0-1", "a0:1")
+    keeper = ClaimKeeper(
+        _SHARD,
+        me,
+        StoreLink(MemoryStore()),
+        clock,
+        LogHealth(clock),
+        ClaimPolicy(),
+        lambda: {BudgetName("seniors"): 1_000_000},
+        lambda: 0,
+        0.35,
+        lambda: None,
+    )
+    held = keeper.book.of(BudgetName("seniors"))
+    held.receive(tokens)
+    lender = Peer("a1", "a1-1", "a1:1")
+    return Borrower(keeper, link, lambda: [lender], clock, lambda: None), held
+
+
 class TestBorrowers:
     """Requests of 1,000 to 17,000 tokens, 100 a second, at 64 instances in four data centres."""
 
@@ -227,6 +259,34 @@
         assert resting < 0.01 * fleet.prepaid_tokens
         assert fleet.spent_tokens <= fleet.prepaid_tokens
 
+    @pytest.mark.parametrize("error", [PeerError, PeerUnreachableError])
+    def test_a_rest_that_no_peer_confirms_is_never_spent_twice(
+        self, error: type[PeerError]
+    ) -> None:
+        """Symptom: more is spent of a budget than was paid.
+
+        Sequence: a borrower gives a rest back, no answer comes; the lender had added it, spent it,
+        died and started again.
+        Cause it guards against: giving the same rest once more, to a start that knows no ids, or
+        keeping it.
+        """
+        calls: list[Handover] = []
+
+        class Silent(SilentPeers):
+            async def hand_over(self, address: str, handover: Handover) -> None:
+                calls.append(handover)
+                raise error(address)
+
+        async def run() -> int:
+            borrower, held = borrower_with(Silent(), tokens=700)
+            for _ in range(3):
+                await borrower.give_back_rests()
+            return held.available_tokens
+
+        kept_tokens = run_in_virtual_time(run)
+        assert [call.tokens for call in calls] == [700]
+        assert kept_tokens == (700 if error is PeerUnreachableError else 0)
+
     def test_what_borrowers_spent_is_written_by_lenders_and_never_twice(self) -> None:
         """Symptom: a request is refused for good (402) though its budget covers it.
 
