Calls that wait for one connection end each by itself

Cause: closing a peer's channel cancelled its attempt to connect, and so every call that waited for it; a cancelled background task cancels the task group that is the program.

A failed attempt that nobody waits for is taken without the library's complaint.

--- a/mothstand/gateway/lending.py
+++ b/mothstand/gateway/lending.py
@@ -163,29 +163,37 @@
     """
 
     _attempt: asyncio.Task[H2Protocol] | None = None
-    _began_s = 0.0
 
     async def __connect__(self) -> H2Protocol:
-        """Return the connection, waiting for the attempt that is under way if there is one."""
+        """Return the connection, waiting for the attempt that is under way if there is one.
+
+        An attempt ends by itself only. Cancelled by one call, it would cancel all that wait for it,
+        and the whole program with them, which takes that for its own end.
+        """
         if self._attempt is None or self._attempt.done():
-            self._attempt = asyncio.create_task(super().__connect__())
-            self._began_s = asyncio.get_running_loop().time()
+            connecting = asyncio.wait_for(super().__connect__(), CONNECT_MOST_S)
+            self._attempt = asyncio.create_task(connecting)
+            # Whoever waits is told; if nobody does any more, nobody needs to know.
+            self._attempt.add_done_callback(_take_failure)
         return await asyncio.shield(self._attempt)
 
     @property
     def connects_still(self) -> bool:
-        """Whether it is connecting, and has not been for so long that there is no more hope."""
-        if self._attempt is None or self._attempt.done():
-            return False
-        return asyncio.get_running_loop().time() - self._began_s < CONNECT_MOST_S
+        """Whether it is connecting."""
+        return self._attempt is not None and not self._attempt.done()
 
     def close(self) -> None:
-        """Close the connection, or end its attempt."""
-        if self._attempt is not None:
-            self._attempt.cancel()
+        """Close the connection, also one that is still to come about."""
+        if self._attempt is not None and not self._attempt.done():
+            self._attempt.add_done_callback(lambda _: Channel.close(self))
         super().close()
 
 
+def _take_failure(attempt: asyncio.Task[H2Protocol]) -> None:
+    if not attempt.cancelled():
+        attempt.exception()
+
+
 class GrpcPeerLink(PeerLink):
     """Calls over grpclib, on one channel for each address.
 
--- a/mothstand/tests/test_slow_connections.py
+++ b/mothstand/tests/test_slow_connections.py
@@ -136,6 +136,39 @@
             await peer.wait_closed()
         assert calls > 1
 
+    @pytest.mark.anyio
+    async def test_calls_that_wait_for_one_connection_end_each_by_itself(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Symptom: an instance ends by itself, with exit code 0, as if it had been told to.
+
+        Sequence: several calls wait for the connection to a peer that takes no new ones; the first
+        gives up for good and closes the channel.
+        Cause: closing cancelled the attempt, and with it all calls that waited for it; a cancelled
+        background task cancels the whole program.
+        """
+        loop = asyncio.get_running_loop()
+
+        async def never(sock: Any, address: Any) -> None:
+            await asyncio.sleep(60.0)
+
+        monkeypatch.setattr(loop, "sock_connect", never)
+        link = GrpcPeerLink()
+        failures: list[PeerError] = []
+
+        async def call() -> None:
+            try:
+                await link.registrations_followed_s("127.0.0.1:9")
+            except PeerError as error:
+                failures.append(error)
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(20):
+                tasks.start_soon(call)
+                await anyio.sleep(0.1)
+        link.close()
+        assert len(failures) == 20
+
 
 async def _no_loan(_: object) -> LoanReply:
     return LoanReply(0, 0)
