One way to leave tokens to a peer; one look-up of a holder's claim

Behaviour stays, but for two lines of log: a handover without an answer is told (its tokens are nobody's), one without a connection is not, and keeps its tokens also at a stop.

--- a/mothstand/core/claims.py
+++ b/mothstand/core/claims.py
@@ -86,20 +86,10 @@
         """Return what all holders of a budget may consume."""
         return sum(c.claimed_tokens for c in self.claims[budget].values())
 
-    def claim_of(self, budget: BudgetName, holder: Holder) -> int:
-        """Return the claim of one holder, 0 if it has none."""
-        claim = self.claims[budget].get(holder)
-        return 0 if claim is None else claim.claimed_tokens
-
-    def window_of(self, budget: BudgetName, holder: Holder) -> int:
-        """Return the window of one holder, 0 if it has no claim."""
-        claim = self.claims[budget].get(holder)
-        return 0 if claim is None else claim.window_tokens
-
-    def base_of(self, budget: BudgetName, holder: Holder) -> int:
-        """Return the base of one holder, 0 if it has no claim."""
-        claim = self.claims[budget].get(holder)
-        return 0 if claim is None else claim.base_tokens
+    def claim(self, budget: BudgetName, holder: Holder) -> Claim:
+        """Return the claim of one holder, one of nothing if it has none."""
+        written = self.claims[budget].get(holder)
+        return written or Claim(budget, holder, 0, 0, 0, 0, 0.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -290,7 +280,7 @@
     def fits(self, claims: tuple[Claim, ...], prepaid_tokens: dict[BudgetName, int]) -> bool:
         """Return whether raised claims still fit into what was paid."""
         for claim in claims:
-            before = self.table.claim_of(claim.budget, claim.holder)
+            before = self.table.claim(claim.budget, claim.holder).claimed_tokens
             total = self.table.claimed_tokens(claim.budget) - before + claim.claimed_tokens
             raised = claim.claimed_tokens > before
             if raised and total > prepaid_tokens.get(claim.budget, 0):
@@ -300,12 +290,10 @@
     def _settle_limits(self) -> None:
         for budget, held in self.held.items():
             doubtful = [d.claims[budget] for d in self.doubts if budget in d.claims]
-            claims = [self.table.claim_of(budget, self.me), *(c.claimed_tokens for c in doubtful)]
-            windows = [self.table.window_of(budget, self.me), *(c.window_tokens for c in doubtful)]
-            bases = [self.table.base_of(budget, self.me), *(c.base_tokens for c in doubtful)]
-            held.limit_tokens = min(claims)
-            held.window_tokens = min(windows)
-            held.base_tokens = min(bases)
+            claims = [self.table.claim(budget, self.me), *doubtful]
+            held.limit_tokens = min(claim.claimed_tokens for claim in claims)
+            held.window_tokens = min(claim.window_tokens for claim in claims)
+            held.base_tokens = min(claim.base_tokens for claim in claims)
 
     def covers(self, claims: tuple[Claim, ...]) -> bool:
         """Return whether bases cover all that was used, once claims are written.
@@ -315,7 +303,8 @@
         """
         bases = {c.budget: c.base_tokens for c in claims if c.holder == self.me}
         return all(
-            held.needed_claim_tokens <= bases.get(budget, self.table.base_of(budget, self.me))
+            held.needed_claim_tokens
+            <= bases.get(budget, self.table.claim(budget, self.me).base_tokens)
             for budget, held in self.held.items()
         )
 
--- a/mothstand/gateway/borrowing.py
+++ b/mothstand/gateway/borrowing.py
@@ -82,7 +82,7 @@
         return LoanReply(given, self._keeper.spent_tokens(request.budget))
 
     def take_over(self, handover: Handover) -> None:
-        """Take the tokens of a peer that stops."""
+        """Take tokens that a peer leaves: it stops, or has only borrowed them."""
         held = self._keeper.book.of(handover.budget)
         taken = self.loans.take_over(held, handover.loan_id, handover.tokens)
         emit(Event.TOKENS_TAKEN_OVER, budget=handover.budget, tokens=taken, loan=handover.loan_id)
@@ -102,12 +102,8 @@
         if peer is None:
             return
         for held in spare:
-            handover = Handover(held.budget, held.give(held.available_tokens), uuid.uuid4().hex)
-            self._tell_handover(peer, handover)
-            try:
-                await self._link.hand_over(peer.address, handover)
-            except PeerError as error:
-                emit(Event.PEER_SUSPECTED, peer=peer.instance, error=str(error))
+            handover = Handover(held.budget, held.available_tokens, uuid.uuid4().hex)
+            await self._hand_over(peer, handover)
 
     async def give_back_rests(self) -> None:
         """Give lenders back what requests here have left over, where this instance only borrows.
@@ -149,26 +145,24 @@
         except PeerUnreachableError as error:
             held.receive(sent.tokens)
             self._suspect(peer, error)
+            return
         except PeerError as error:
             self._suspect(peer, error)
-        else:
-            self._tell_handover(peer, sent)
-
-    def _suspect(self, peer: Peer, error: PeerError) -> None:
-        """Ask a peer that did not answer nothing for a while."""
-        self._choice.silent(peer, self._clock.monotonic_s())
-        emit(Event.PEER_SUSPECTED, peer=peer.instance, error=str(error))
-
-    def _tell_handover(self, peer: Peer, handover: Handover) -> None:
+        # Told also without an answer: no line of the peer's with this loan says that they are lost.
         emit(
             Event.TOKENS_HANDED_OVER,
             holder=self._keeper.book.me,
-            budget=handover.budget,
+            budget=sent.budget,
             peer=peer.instance,
-            tokens=handover.tokens,
-            loan=handover.loan_id,
+            tokens=sent.tokens,
+            loan=sent.loan_id,
         )
 
+    def _suspect(self, peer: Peer, error: PeerError) -> None:
+        """Ask a peer that did not answer nothing for a while."""
+        self._choice.silent(peer, self._clock.monotonic_s())
+        emit(Event.PEER_SUSPECTED, peer=peer.instance, error=str(error))
+
     async def _answering_peer(self) -> Peer | None:
         """Return the first lender that answers: what is left to a dead one is lost."""
         for peer in self._lenders():
@@ -176,7 +170,7 @@
                 # Any call tells; this one moves nothing.
                 await self._link.registrations_followed_s(peer.address)
             except PeerError as error:
-                emit(Event.PEER_SUSPECTED, peer=peer.instance, error=str(error))
+                self._suspect(peer, error)
             else:
                 return peer
         return None
