A lender that cannot lend all says who holds some

Cause: a borrower knows no claims, and asks fifteen lenders one after the other.

Change: claims say what is left of them, a lender names up to four others who hold some, most first, and the borrower asks those and nobody else. Where none is named it refuses at once.

Test: failed before.

--- a/mothstand/core/claims.py
+++ b/mothstand/core/claims.py
@@ -44,6 +44,8 @@
         Consumed by requests that have ended, as of the record; it only grows.
     demand_tokens_per_s
         What callers asked of it lately.
+    held_tokens
+        What it has left of the claim, as of the record, for others to know whom to ask for a loan.
     """
 
     budget: BudgetName
@@ -53,6 +55,7 @@
     window_tokens: int
     spent_tokens: int
     demand_tokens_per_s: float
+    held_tokens: int = 0
 
     def limit_tokens(self, opening: Opening) -> int:
         """Return the most that its holder consumes up to an opening."""
--- a/mothstand/core/loans.py
+++ b/mothstand/core/loans.py
@@ -82,6 +82,46 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """What an instance holds of a budget, as it last wrote."""
+
+    instance: str
+    tokens: int
+
+
+#: Holders that a lender names at most: more than one loan is seldom put together of.
+_MOST_NAMED = 4
+
+#: A holder whose claims have not changed for this long may have gone.
+_HELD_FOR_S = 4.0
+
+
+def holdings(
+    table: ClaimTable, budget: BudgetName, me: Holder, now_s: float
+) -> tuple[Holding, ...]:
+    """Return what others hold of a budget by their claims, most first."""
+    others = [
+        Holding(holder.instance, claim.held_tokens)
+        for holder, claim in table.claims[budget].items()
+        if holder != me
+        and claim.held_tokens > 0
+        and now_s - table.read_at_s.get(holder, 0.0) < _HELD_FOR_S
+    ]
+    return tuple(sorted(others, key=lambda h: -h.tokens)[:_MOST_NAMED])
+
+
+def next_asked(peers: list[Peer], named: tuple[Holding, ...]) -> list[Peer]:
+    """Return those of the peers that hold some, most first.
+
+    A borrower knows no claims. Asked one after the other, fifteen lenders of a budget that is used
+    up cost it 0.3 s, at the end of which it refuses all the same.
+    """
+    tokens = {holding.instance: holding.tokens for holding in named}
+    holders = [peer for peer in peers if peer.instance in tokens]
+    return sorted(holders, key=lambda peer: -tokens[peer.instance])
+
+
 @dataclass(slots=True)
 class PeerChoice:
     """Whom to ask for a loan: who is believed to hold most, and answers."""
--- a/mothstand/gateway/borrowing.py
+++ b/mothstand/gateway/borrowing.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from ..core.loans import LoanBook, Peer, PeerChoice
+from ..core.loans import Holding, LoanBook, Peer, PeerChoice, next_asked
 from ..events import Event, emit
 from ..peers.failures import PeerError, PeerUnreachableError
 from .lending import Handover, LoanReply, LoanRequest, PeerLink
@@ -79,7 +79,9 @@
             extra_tokens=request.extra_tokens,
         )
         emit(Event.TOKENS_LENT, budget=request.budget, tokens=given, loan=request.loan_id)
-        return LoanReply(given, self._keeper.spent_tokens(request.budget))
+        # Who got all needs no others.
+        named = None if given >= request.needed_tokens else self._keeper.holdings(request.budget)
+        return LoanReply(given, self._keeper.spent_tokens(request.budget), named)
 
     def take_over(self, handover: Handover) -> None:
         """Take tokens that a peer leaves: it stops, or has only borrowed them."""
@@ -187,11 +189,11 @@
         try:
             now_s = self._clock.monotonic_s()
             table = self._keeper.book.table
-            for peer in self._choice.order(self._lenders(), table, budget, now_s):
-                missing = self._missing(budget, priority)
-                if missing <= 0:
-                    break
-                await self._ask(peer, budget, priority, missing)
+            peers = self._choice.order(self._lenders(), table, budget, now_s)
+            while peers and (missing := self._missing(budget, priority)) > 0:
+                named = await self._ask(peers.pop(0), budget, priority, missing)
+                if named is not None and not self._keeper.is_claimant:
+                    peers = next_asked(peers, named)
         finally:
             self._running.discard((budget, priority))
             self._changed()
@@ -207,7 +209,10 @@
         wanted = self._keeper.wanted_tokens(budget, priority)
         return wanted - self._keeper.book.of(budget).available_tokens
 
-    async def _ask(self, peer: Peer, budget: BudgetName, priority: int, missing: int) -> None:
+    async def _ask(
+        self, peer: Peer, budget: BudgetName, priority: int, missing: int
+    ) -> tuple[Holding, ...] | None:
+        """Ask a peer for a loan; return who else holds some, if it said so."""
         now_s = self._clock.monotonic_s()
         loan_id = uuid.uuid4().hex
         if self._keeper.is_claimant:
@@ -218,9 +223,12 @@
             # what its last callers are refused.
             spent = self._take_untold(budget)
             request = LoanRequest(budget, priority, missing, 0, loan_id, True, spent)
-        given = await self._borrow(peer, request, now_s + _DOUBT_KEPT_S)
-        if given < missing:
+        reply = await self._borrow(peer, request, now_s + _DOUBT_KEPT_S)
+        if reply is None:
+            return None
+        if reply.given_tokens < missing:
             self._choice.dry(peer, budget, self._clock.monotonic_s())
+        return reply.holdings
 
     def _extra_tokens(self, budget: BudgetName, now_s: float) -> int:
         """Return what is welcome on top of what waits.
@@ -242,14 +250,14 @@
         untold, held.untold_tokens = held.untold_tokens, 0
         return untold
 
-    async def _borrow(self, peer: Peer, request: LoanRequest, until_s: float) -> int:
+    async def _borrow(self, peer: Peer, request: LoanRequest, until_s: float) -> LoanReply | None:
         try:
             reply = await self._link.borrow(peer.address, request)
         except PeerError as error:
             again = replace(request, spent_tokens=0)
             self._doubtful.append(_DoubtfulLoan(peer, again, until_s))
             self._suspect(peer, error)
-            return 0
+            return None
         given = reply.given_tokens
         self._keeper.book.of(request.budget).receive(given)
         self._spent_tokens[request.budget] = max(
@@ -264,4 +272,4 @@
             loan=request.loan_id,
         )
         self._changed()
-        return given
+        return reply
--- a/mothstand/gateway/claim_keeper.py
+++ b/mothstand/gateway/claim_keeper.py
@@ -17,6 +17,7 @@
     wanted_window,
 )
 from ..core.claims import Claim, ClaimBook, ClaimTable, Holder
+from ..core.loans import Holding, holdings
 from ..core.renewals import CLOSED, UNLOCK_S, Opening, Renewal, opening_after
 from ..core.succession import Succession
 from ..core.urgency import BudgetDemand, Supply
@@ -173,6 +174,12 @@
         waiting = [p for p, tokens in self.waiting_of(budget).items() if tokens > 0]
         return self.wanted_tokens(budget, max(waiting)) if waiting else 0
 
+    def holdings(self, budget: BudgetName) -> tuple[Holding, ...] | None:
+        """Return what other claimants hold of a budget, most first; None if that is not known."""
+        if not (self.is_claimant and self._listed) or self._health.is_failing:
+            return None
+        return holdings(self.book.table, budget, self.book.me, self._clock.monotonic_s())
+
     def spent_tokens(self, budget: BudgetName) -> int:
         """Return what was surely spent of a budget; the truth is this or more."""
         claims = self.book.table.claims[budget]
@@ -411,6 +418,7 @@
             window_tokens=window.window_tokens,
             spent_tokens=held.recorded_spent_tokens,
             demand_tokens_per_s=demand.rate(now_s),
+            held_tokens=max(0, claimed_tokens - held.needed_claim_tokens),
         )
         return claim if wanted is not None or self._is_news(claim) else None
 
--- a/mothstand/gateway/ledger_records.py
+++ b/mothstand/gateway/ledger_records.py
@@ -33,6 +33,7 @@
     window: int
     spent: int
     demand: float
+    held: int = 0
 
 
 class _InstanceValue(BaseModel):
@@ -60,6 +61,7 @@
         window=claim.window_tokens,
         spent=claim.spent_tokens,
         demand=round(claim.demand_tokens_per_s, 1),
+        held=claim.held_tokens,
     )
     key = f"{_CLAIM_KEY}{claim.budget}/{claim.holder.instance}/{claim.holder.incarnation}"
     return KeyedRecord(key, value.model_dump_json().encode())
@@ -112,4 +114,5 @@
         window_tokens=value.window,
         spent_tokens=value.spent,
         demand_tokens_per_s=value.demand,
+        held_tokens=value.held,
     )
--- a/mothstand/gateway/lending.py
+++ b/mothstand/gateway/lending.py
@@ -12,6 +12,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server
 
+from ..core.loans import Holding
 from ..peers import lending_pb2 as pb
 from ..peers.failures import PeerError, PeerUnreachableError
 from ..peers.lending_grpc import LendingBase, LendingStub
@@ -75,10 +76,13 @@
     ----------
     spent_tokens
         Surely spent of the budget by all; the truth is this or more.
+    holdings
+        Who else holds some of it, most first; None if the lender does not know.
     """
 
     given_tokens: int
     spent_tokens: int
+    holdings: tuple[Holding, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,7 +223,9 @@
         )
         with self._call(address) as stub, anyio.fail_after(LOAN_TIMEOUT_S):
             reply = await stub.Lend(message)
-        return LoanReply(reply.given_tokens, reply.spent_tokens)
+        named = tuple(Holding(h.instance, h.tokens) for h in reply.holdings)
+        known = named if reply.knows_holdings else None
+        return LoanReply(reply.given_tokens, reply.spent_tokens, known)
 
     async def hand_over(self, address: str, handover: Handover) -> None:
         """Leave tokens to a peer."""
@@ -329,7 +335,14 @@
         )
         reply = await self._lend(request)
         await stream.send_message(
-            pb.LoanReply(given_tokens=reply.given_tokens, spent_tokens=reply.spent_tokens)
+            pb.LoanReply(
+                given_tokens=reply.given_tokens,
+                spent_tokens=reply.spent_tokens,
+                holdings=[
+                    pb.Holding(instance=h.instance, tokens=h.tokens) for h in reply.holdings or ()
+                ],
+                knows_holdings=reply.holdings is not None,
+            )
         )
 
     async def TakeOver(  # noqa: N802
--- a/mothstand/tests/test_claims.py
+++ b/mothstand/tests/test_claims.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import replace
 
-from ..core.claims import Claim, ClaimBook, HeldBudget, Holder, Usage
-from ..core.loans import LoanBook, Peer, PeerChoice
+from ..core.claims import Claim, ClaimBook, ClaimTable, HeldBudget, Holder, Usage
+from ..core.loans import LoanBook, Peer, PeerChoice, holdings, next_asked
 from ..core.renewals import (
     OPENS_S,
     UNLOCK_S,
@@ -14,6 +15,7 @@
     RenewalLog,
     opening_after,
 )
+from ..gateway.ledger_records import decode, encode_claim
 from ..types import BudgetName
 
 _BUDGET = BudgetName("seniors")
@@ -137,6 +139,36 @@
         assert held.reserve(70, kept_tokens=30) is not None
 
 
+class TestHoldings:
+    _PEERS = tuple(Peer(name, f"{name}-1", f"{name}:1") for name in "abcde")
+
+    def table(self) -> ClaimTable:
+        """Return claims of five holders; `c` has not written for long, `d` has nothing left."""
+        table = ClaimTable()
+        held_tokens = {"a": 50, "b": 700, "c": 900, "d": 0, "e": 60}
+        for name, tokens in held_tokens.items():
+            claim = Claim(_BUDGET, Holder(name, f"{name}-1"), 1000, 0, 0, 0, 0.0, tokens)
+            table.put(claim, 2.0 if name == "c" else 9.0)
+        return table
+
+    def test_a_lender_names_who_lives_and_holds_most(self) -> None:
+        named = holdings(self.table(), _BUDGET, Holder("a", "a-1"), 10.0)
+        assert [(h.instance, h.tokens) for h in named] == [("b", 700), ("e", 60)]
+
+    def test_a_borrower_asks_those_next(self) -> None:
+        named = holdings(self.table(), _BUDGET, Holder("a", "a-1"), 10.0)
+        assert [p.instance for p in next_asked(list(self._PEERS), named)] == ["b", "e"]
+
+    def test_a_claim_of_an_earlier_version_holds_nothing_that_is_known(self) -> None:
+        claim = Claim(_BUDGET, Holder("a", "a-1"), 1000, 10, 20, 5, 1.5, 300)
+        record = encode_claim(claim)
+        assert decode(record) == claim
+        value = json.loads(record.value or b"")
+        del value["held"]
+        without = replace(record, value=json.dumps(value).encode())
+        assert decode(without) == replace(claim, held_tokens=0)
+
+
 class TestLoans:
     def test_lost_answer_of_a_loan(self) -> None:
         """Symptom: tokens are gone that nobody spent.
--- a/mothstand/tests/test_fleet.py
+++ b/mothstand/tests/test_fleet.py
@@ -242,6 +242,17 @@
         assert fleet.spent_tokens > 0.999 * 3_000_000
         assert fleet.counts["budget_exhausted"] > fleet.counts["budget_out_of_reach"]
 
+    def test_at_a_budgets_end_only_those_are_asked_who_hold_some(self) -> None:
+        """Symptom: at a budget's end each refusal takes 0.3 s, and the lenders' time with it.
+
+        Sequence: a budget is used up; each request asks all claimants, one after the other.
+        Cause: a borrower knows no claims, and a lender that had nothing did not say who has. Aimed
+        at is the nearest lender and one that it names, for nearly all requests.
+        """
+        fleet = self.play(CLAIMANTS_PER_DATA_CENTRE, 3_000_000)
+        assert fleet.counts["loans"] < 3 * fleet.counts["asked"]
+        assert fleet.spent_tokens > 0.999 * 3_000_000
+
     def test_borrowers_give_back_what_their_requests_left(self) -> None:
         """Symptom: a budget's last fifth lies idle while its requests are refused.
 
