--- a/mothstand/tests/test_recovery.py
+++ b/mothstand/tests/test_recovery.py
@@ -111,3 +111,8 @@
         Before stopped instances left their tokens to a peer 0, 10, 36 and 10 % were served.
         """
         assert _served_share(_ENOUGH_PAID_TOKENS, seed) >= _LEAST_SERVED_SHARE
+
+    @pytest.mark.parametrize("seed", [5, 11, 14, 17, 18])
+    def test_the_same_with_other_callers(self, seed: int) -> None:
+        """Symptom, sequence and cause: see above. Of seeds 1 to 20 these five serve too few."""
+        assert _served_share(_ENOUGH_PAID_TOKENS, seed) >= _LEAST_SERVED_SHARE
