--- a/mothstand/testing/fleet.py
+++ b/mothstand/testing/fleet.py
@@ -28,11 +28,15 @@
 #: take a port between its choice here and its process's start.
 _PORTS = range(10_000, 30_000)
 
+#: Chance of its own: that of the code under test is seeded, and each test, also of another run
+#: beside this one, would get the same ports ("address already in use").
+_port_chance = random.SystemRandom()
+
 
 def free_port() -> int:
     """Return a TCP port of the loopback address that nothing listens on."""
     while True:
-        port = random.choice(_PORTS)
+        port = _port_chance.choice(_PORTS)
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
