--- a/mothstand/core/admission.py
+++ b/mothstand/core/admission.py
@@ -13,7 +13,7 @@
 
 import math
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 #: Answers begin after this part of their objective, on average, before any request is turned
 #: away. Where the mean is higher the slower half of them is late.
@@ -47,7 +47,7 @@
     _answers: float = 0.0
     _relative_sum: float = 0.0
     _at_s: float = -math.inf
-    _most_urgent: int | None = field(default=None)
+    _most_urgent: int | None = None
 
     def answered(self, took_s: float, objective_s: float, now_s: float) -> None:
         """Note after which time an upstream began an answer, if that has an objective."""
--- a/mothstand/core/fleet.py
+++ b/mothstand/core/fleet.py
@@ -157,8 +157,8 @@
     """Return the claimants of a shard: of each data centre the most capable machines.
 
     A claimant reads what all others write, and its append fails whenever another one came first.
-    On half a core it wrote once in 0.3 to 1.1 s while borrowers wait 0.3 s at most, and every
-    tenth request of the fleet found no tokens within its reach; on two cores once in 0.1 s.
+    A slow machine writes less often than borrowers wait for, and their requests find no tokens
+    within reach though the budget has plenty.
     """
     by_data_centre: dict[DataCentre, list[Member]] = defaultdict(list)
     for member in members:
--- a/mothstand/core/loans.py
+++ b/mothstand/core/loans.py
@@ -114,8 +114,8 @@
 def next_asked(peers: list[Peer], named: tuple[Holding, ...]) -> list[Peer]:
     """Return those of the peers that hold some, most first.
 
-    A borrower knows no claims. Asked one after the other, fifteen lenders of a budget that is used
-    up cost it 0.3 s, at the end of which it refuses all the same.
+    A borrower knows no claims. Asked one after the other, all lenders of a budget that is used up
+    cost it the whole time that a request may wait, and it refuses all the same.
     """
     tokens = {holding.instance: holding.tokens for holding in named}
     holders = [peer for peer in peers if peer.instance in tokens]
--- a/mothstand/gateway/borrowing.py
+++ b/mothstand/gateway/borrowing.py
@@ -111,8 +111,8 @@
         """Give lenders back what requests here have left over, where this instance only borrows.
 
         Each request borrows what it may use at most, and mostly uses less. Left where it is, the
-        rest waits for the next request of that workspace here: of the budgets of a fleet of 195
-        that were near their end up to 28 % lay so, while every other request was refused.
+        rest waits for the next request of that workspace here: a good part of a budget near its end
+        lay so in a large fleet, while every other request was refused.
         """
         if self._keeper.is_claimant:
             return
