Each retry tells from what it was granted or denied

An instance said nothing of its retry budget, so a log could not tell apart a start that forgot its retries, a wrong belief of the fleet's size, and windows that do not lie alike. MS6013 and MS6014 name the request, the service, the retries in the window, those allowed, the requests that count and the instances that share. No decision changes; a request that waits for a retry at another upstream tells only of the one that it gets, since it asks ten times a second.

--- a/mothstand/core/retry_budget.py
+++ b/mothstand/core/retry_budget.py
@@ -23,6 +23,29 @@
     window_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class RetryDecision:
+    """Whether one more retry may be sent, and what it was decided from.
+
+    Parameters
+    ----------
+    taken
+        Retries of this instance in the window, this one included if it is granted.
+    allowed
+        How many of them this instance allows itself.
+    requests
+        Callers' requests that count.
+    sharers
+        By how many instances the burst was divided.
+    """
+
+    is_granted: bool
+    taken: int
+    allowed: float
+    requests: int
+    sharers: int
+
+
 @dataclass(slots=True)
 class RetryBudget:
     """Retries that this instance may still send to one service.
@@ -42,15 +65,17 @@
         """Count a caller's request."""
         self._requests_s.append(now_s)
 
-    def take(self, now_s: float, *, sharers: int) -> bool:
-        """Return whether one more retry fits, and count it if so."""
+    def take(self, now_s: float, *, sharers: int) -> RetryDecision:
+        """Decide whether one more retry fits, and count it if so."""
         since_s = now_s - self.settings.window_s
         for times in (self._requests_s, self._retries_s):
             while times and times[0] < since_s:
                 times.popleft()
         allowed = self.settings.ratio * len(self._requests_s)
         allowed += self.settings.burst / max(1, sharers)
-        if len(self._retries_s) + 1 > allowed:
-            return False
-        self._retries_s.append(now_s)
-        return True
+        is_granted = len(self._retries_s) + 1 <= allowed
+        if is_granted:
+            self._retries_s.append(now_s)
+        return RetryDecision(
+            is_granted, len(self._retries_s), allowed, len(self._requests_s), sharers
+        )
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -30,7 +30,7 @@
 
     from ..clock import Clock
     from ..core.placement import Placed, Placement
-    from ..core.retry_budget import RetryBudgetSettings
+    from ..core.retry_budget import RetryBudgetSettings, RetryDecision
     from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
     from .call import Call, CallerConnection
     from .headers import HeaderTranslator
@@ -164,7 +164,10 @@
         if call.has_retry:
             call.has_retry = False
             return True
-        return self._take_retry(call)
+        decision = self._take_retry(call)
+        if not decision.is_granted:
+            self._note_retry(Event.RETRY_DENIED, call, decision)
+        return decision.is_granted
 
     def _remaining_s(self, call: Call) -> float:
         return call.deadline_s - self._clock.monotonic_s()
@@ -314,12 +317,28 @@
         upstreams = self._directory.of_service(call.service)
         if all(upstream.upstream_id in call.tried for upstream in upstreams):
             return False
-        call.has_retry = self._take_retry(call)
+        # Denials are not told here: they would come ten times a second for each request that waits.
+        call.has_retry = self._take_retry(call).is_granted
         return call.has_retry
 
-    def _take_retry(self, call: Call) -> bool:
+    def _take_retry(self, call: Call) -> RetryDecision:
         now_s = self._clock.monotonic_s()
-        return self._budget(call.service).take(now_s, sharers=self._sharers())
+        decision = self._budget(call.service).take(now_s, sharers=self._sharers())
+        if decision.is_granted:
+            self._note_retry(Event.RETRY_GRANTED, call, decision)
+        return decision
+
+    def _note_retry(self, event: Event, call: Call, decision: RetryDecision) -> None:
+        self._metrics.counts[event.name.lower()] += 1
+        emit(
+            event,
+            request=call.fields.request_id,
+            service=call.service,
+            taken=decision.taken,
+            allowed=round(decision.allowed, 2),
+            requests=decision.requests,
+            sharers=decision.sharers,
+        )
 
     async def _timed(self, call: Call, sending: Awaitable[UpstreamAnswer]) -> UpstreamAnswer:
         """Return an answer's head, and remember how long it took."""
--- a/mothstand/tests/test_upstreams.py
+++ b/mothstand/tests/test_upstreams.py
@@ -113,10 +113,11 @@
             budget = RetryBudget(settings)
             for request in range(100):
                 budget.request(request / 10)
-            taken += sum(budget.take(10.0, sharers=6) for _ in range(1000))
+            taken += sum(budget.take(10.0, sharers=6).is_granted for _ in range(1000))
         assert taken <= 0.2 * 600 + 52
 
     def test_old_requests_and_retries_no_longer_count(self) -> None:
         budget = RetryBudget(RetryBudgetSettings(ratio=0.0, burst=2, window_s=10))
-        assert [budget.take(0.0, sharers=1) for _ in range(3)] == [True, True, False]
-        assert budget.take(10.1, sharers=1)
+        granted = [budget.take(0.0, sharers=1).is_granted for _ in range(3)]
+        assert granted == [True, True, False]
+        assert budget.take(10.1, sharers=1).is_granted
