Failing tests of the retry budget: random histories of a fleet whose upstreams refuse

What callers' operators saw: more arrivals beyond the first of their request than the fleet's budget allows. A model in virtual time plays real announcements and retry budgets against a store in memory (kills, a store away from the start, machines added, load that moves, processes that hang) and counts arrivals as the users' pages do, in each window.

--- /dev/null
+++ b/mothstand/testing/retry_histories.py
@@ -0,0 +1,332 @@
+"""Random histories of a fleet that retries whenever it may, before upstreams that refuse.
+
+Real announcements and retry budgets run in virtual time against a store in memory. Processes are
+killed and start again, hang, are added, and cannot reach the store; callers' load changes and moves
+between instances. Arrivals are counted as the operators count them, in every window.
+"""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect_left, bisect_right
+from dataclasses import dataclass, field
+from enum import Flag, auto
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ..core.fleet import Member
+from ..core.loans import Peer
+from ..core.retry_budget import RetryBudget, RetryBudgetSettings
+from ..gateway.member_feed import MemberFeed
+from ..log.health import LogHealth
+from ..types import DataCentre
+from .memory_store import Fate, MemoryStore, StoreLink, random_fate
+from .virtual_time import VirtualClock, run_in_virtual_time
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from anyio.abc import TaskGroup
+
+    from ..gateway.store import KeyedRecord, Stream, StreamPage
+
+#: Seconds that a call of the store takes, and a try that upstreams refuse.
+_STORE_CALL_S = 0.006
+_TRY_S = 0.004
+
+#: Part of the tries that take up to so long on their way, over links that lose packets.
+_DELAYED_TRIES = 0.05
+_MOST_DELAY_S = 0.8
+
+#: Tries of one request; the upstreams refuse all of them.
+_TRIES = 3
+
+#: Part of the announcements that fail while the store is in trouble.
+_FAILING_APPENDS = 0.3
+
+_SETTINGS = RetryBudgetSettings(ratio=0.2, burst=52.0, window_s=10.0)
+
+#: Seconds from the processes' start to the first callers.
+_LEAD_S = 12.0
+
+
+class Trouble(Flag):
+    """What may happen in a history, beside callers whose requests are all refused."""
+
+    NONE = 0
+    KILLS = auto()
+    STORE_AWAY = auto()
+    ADDED = auto()
+    JUMPS = auto()
+    FREEZES = auto()
+
+
+ALL_TROUBLES = Trouble.KILLS | Trouble.STORE_AWAY | Trouble.ADDED | Trouble.JUMPS | Trouble.FREEZES
+
+
+@dataclass(frozen=True, slots=True)
+class Excess:
+    """The window that went furthest beyond the budget, or came closest to it."""
+
+    began_s: float
+    repeats: int
+    allowed: float
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether there were more arrivals than allowed."""
+        return self.repeats > self.allowed
+
+
+@dataclass(slots=True)
+class ArrivalCount:
+    """Callers' requests and arrivals beyond the first of each, as the operators count them."""
+
+    settings: RetryBudgetSettings
+    requests_s: list[float] = field(default_factory=list)
+    repeats_s: list[float] = field(default_factory=list)
+
+    def worst(self) -> Excess:
+        """Return the window with the most repeats beyond what it allows."""
+        self.requests_s.sort()
+        self.repeats_s.sort()
+        windows = [self._window(began_s) for began_s in self.repeats_s]
+        return max(windows, key=lambda w: w.repeats - w.allowed, default=Excess(0.0, 0, 0.0))
+
+    def _window(self, began_s: float) -> Excess:
+        window_s = self.settings.window_s
+        first = bisect_left(self.repeats_s, began_s)
+        repeats = bisect_right(self.repeats_s, began_s + window_s) - first
+        requests = max(self._requests(began_s - back * window_s) for back in (0.0, 0.5, 1.0))
+        return Excess(began_s, repeats, self.settings.ratio * requests + self.settings.burst)
+
+    def _requests(self, began_s: float) -> int:
+        ends_s = began_s + self.settings.window_s
+        return bisect_right(self.requests_s, ends_s) - bisect_left(self.requests_s, began_s)
+
+
+class _ProcessClock(VirtualClock):
+    """Virtual time of a process that hangs now and then."""
+
+    def __init__(self, history: RetryHistory, name: str) -> None:
+        self._history = history
+        self._name = name
+
+    async def sleep(self, delay_s: float) -> None:
+        """Sleep on the loop, and on while the process hangs."""
+        await super().sleep(delay_s)
+        await self._history.thawed(self._name)
+
+
+class _HangingLink(StoreLink):
+    """A way to the store that takes time, and hangs along with its process."""
+
+    def __init__(
+        self, store: MemoryStore, history: RetryHistory, name: str, fate: Callable[[], Fate]
+    ) -> None:
+        super().__init__(store, fate)
+        self._history = history
+        self._name = name
+
+    async def append(
+        self, stream: Stream, records: tuple[KeyedRecord, ...], *, at_offset: int | None = None
+    ) -> None:
+        """Append after half of the call's time, and answer after the other."""
+        await self._history.thawed(self._name)
+        await anyio.sleep(_STORE_CALL_S / 2)
+        await super().append(stream, records, at_offset=at_offset)
+        await anyio.sleep(_STORE_CALL_S / 2)
+        await self._history.thawed(self._name)
+
+    async def read(self, stream: Stream, from_offset: int, *, wait_s: float = 0.0) -> StreamPage:
+        """Read after the call's time."""
+        await self._history.thawed(self._name)
+        page = await super().read(stream, from_offset, wait_s=wait_s)
+        await anyio.sleep(_STORE_CALL_S)
+        await self._history.thawed(self._name)
+        return page
+
+    async def newest(self, stream: Stream) -> StreamPage:
+        """List after the call's time."""
+        await self._history.thawed(self._name)
+        page = await super().newest(stream)
+        await anyio.sleep(_STORE_CALL_S)
+        await self._history.thawed(self._name)
+        return page
+
+
+@dataclass(slots=True)
+class _Instance:
+    """One process of the fleet."""
+
+    name: str
+    link: _HangingLink
+    members: MemberFeed
+    budget: RetryBudget
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+
+    def counts_request(self, now_s: float) -> None:
+        """Count a caller's request."""
+        self.budget.request(now_s)
+
+    def takes_retry(self, now_s: float) -> bool:
+        """Return whether a retry may be sent."""
+        return self.budget.take(now_s, sharers=self.members.fleet.size).is_granted
+
+
+@dataclass(slots=True)
+class RetryHistory:
+    """One history; `run` plays it and returns its worst window.
+
+    Parameters
+    ----------
+    duration_s
+        From the first callers on.
+    requests_per_s
+        Of the whole fleet while its load does not jump.
+    """
+
+    seed: int
+    troubles: Trouble
+    settings: RetryBudgetSettings = _SETTINGS
+    instances: int = 6
+    duration_s: float = 45.0
+    requests_per_s: float = 30.0
+    _rng: random.Random = field(default_factory=random.Random)
+    _store: MemoryStore = field(default_factory=MemoryStore)
+    _alive: dict[str, _Instance] = field(default_factory=dict)
+    _frozen_until_s: dict[str, float] = field(default_factory=dict)
+    _cut_names: set[str] = field(default_factory=set)
+    _tasks: TaskGroup | None = None
+    _starts: int = 0
+
+    def run(self) -> Excess:
+        """Play the history in virtual time."""
+        self._rng = random.Random(self.seed)
+        count = ArrivalCount(self.settings)
+        run_in_virtual_time(lambda: self._play(count))
+        return count.worst()
+
+    async def thawed(self, name: str) -> None:
+        """Wait until a process no longer hangs."""
+        while (wait_s := self._frozen_until_s.get(name, 0.0) - anyio.current_time()) > 0:
+            await anyio.sleep(wait_s)
+
+    async def _play(self, count: ArrivalCount) -> None:
+        names = [f"i{number}" for number in range(self.instances)]
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            if Trouble.STORE_AWAY in self.troubles and self._rng.random() < 0.4:
+                away_s = _LEAD_S + self._rng.uniform(0.0, 25.0)
+                tasks.start_soon(self._cut, set(names), away_s)
+            for name in names:
+                tasks.start_soon(self._start, name, self._rng.uniform(0.3, 0.6))
+            await anyio.sleep(_LEAD_S)
+            for trouble in Trouble:
+                if trouble in self.troubles:
+                    tasks.start_soon(self._series, trouble)
+            await self._load(count)
+            await anyio.sleep(0.5)
+            tasks.cancel_scope.cancel()
+
+    async def _load(self, count: ArrivalCount) -> None:
+        assert self._tasks is not None
+        weights: dict[str, float] = {}
+        factor = 1.0
+        changes_s = 0.0
+        ends_s = anyio.current_time() + self.duration_s
+        while (now_s := anyio.current_time()) < ends_s:
+            if Trouble.JUMPS in self.troubles and now_s >= changes_s:
+                changes_s = now_s + self._rng.choice([1.0, 2.5, 5.0, 10.0])
+                factor = self._rng.choice([0.1, 0.5, 1.0, 2.0, 4.0])
+                weights = {name: self._rng.choice([0.02, 1.0]) for name in self._alive}
+            await anyio.sleep(self._rng.expovariate(self.requests_per_s * factor))
+            if not self._alive:
+                continue
+            names = list(self._alive)
+            (name,) = self._rng.choices(names, [weights.get(n, 1.0) for n in names])
+            count.requests_s.append(anyio.current_time())
+            self._tasks.start_soon(self._request, self._alive[name], count)
+
+    async def _request(self, instance: _Instance, count: ArrivalCount) -> None:
+        await self.thawed(instance.name)
+        if self._alive.get(instance.name) is not instance:
+            return
+        instance.counts_request(anyio.current_time())
+        for _ in range(_TRIES - 1):
+            await anyio.sleep(_TRY_S)
+            await self.thawed(instance.name)
+            is_running = self._alive.get(instance.name) is instance
+            if not is_running or not instance.takes_retry(anyio.current_time()):
+                return
+            await anyio.sleep(self._delay_s())
+            count.repeats_s.append(anyio.current_time())
+
+    def _delay_s(self) -> float:
+        """Return how long a try is on its way."""
+        if self._rng.random() >= _DELAYED_TRIES:
+            return 0.0
+        return self._rng.uniform(0.0, _MOST_DELAY_S)
+
+    async def _series(self, trouble: Trouble) -> None:
+        """Let one kind of trouble happen again and again."""
+        while True:
+            await anyio.sleep(self._rng.choice([0.7, 2.0, 4.0, 9.0]))
+            match trouble:
+                case Trouble.KILLS:
+                    self._kill(self._some(self._alive))
+                case Trouble.STORE_AWAY:
+                    await self._cut(self._some(self._alive), self._rng.uniform(0.5, 14.0))
+                case Trouble.ADDED:
+                    self._add()
+                case Trouble.FREEZES:
+                    until_s = anyio.current_time() + self._rng.uniform(0.5, 5.0)
+                    self._frozen_until_s |= dict.fromkeys(self._some(self._alive), until_s)
+                case _:
+                    return
+
+    def _some(self, alive: dict[str, _Instance]) -> set[str]:
+        share = self._rng.choice([0.2, 0.5, 1.0])
+        return {name for name in alive if self._rng.random() < share}
+
+    def _kill(self, names: set[str]) -> None:
+        assert self._tasks is not None
+        for name in names:
+            self._alive.pop(name).scope.cancel()
+            if self._rng.random() < 0.9:
+                down_s = self._rng.choice([0.3, 1.0, 3.0, 8.0])
+                self._tasks.start_soon(self._start, name, down_s)
+
+    def _add(self) -> None:
+        assert self._tasks is not None
+        if self._starts < 3 * self.instances:
+            self._tasks.start_soon(self._start, f"added{self._starts}", 0.3)
+
+    async def _cut(self, names: set[str], for_s: float) -> None:
+        self._cut_names |= names
+        self._set_links()
+        await anyio.sleep(for_s)
+        self._cut_names -= names
+        self._set_links()
+
+    def _set_links(self) -> None:
+        for instance in self._alive.values():
+            instance.link.is_cut = instance.name in self._cut_names
+
+    async def _start(self, name: str, after_s: float) -> None:
+        await anyio.sleep(after_s)
+        self._starts += 1
+        instance = self._make(name)
+        instance.link.is_cut = name in self._cut_names
+        self._alive[name] = instance
+        with instance.scope:
+            await instance.members.run()
+
+    def _make(self, name: str) -> _Instance:
+        clock = _ProcessClock(self, name)
+        failing = _FAILING_APPENDS if Trouble.STORE_AWAY in self.troubles else 0.0
+        link = _HangingLink(self._store, self, name, random_fate(self._rng, failing=failing))
+        me = Member(Peer(name, f"{name}-{self._starts}", f"{name}:1"), DataCentre(name[:1]))
+        members = MemberFeed(link, me, clock, LogHealth(clock), lambda: None)
+        return _Instance(name, link, members, RetryBudget(self.settings))
--- a/mothstand/tests/test_upstreams.py
+++ b/mothstand/tests/test_upstreams.py
@@ -121,3 +121,17 @@
         granted = [budget.take(0.0, sharers=1).is_granted for _ in range(3)]
         assert granted == [True, True, False]
         assert budget.take(10.1, sharers=1).is_granted
+
+    def test_load_that_moves_to_another_instance_is_counted_once(self) -> None:
+        # Guards against instances whose windows together cover more than any window of the fleet.
+        settings = RetryBudgetSettings(ratio=0.2, burst=0, window_s=10)
+        retries_s = []
+        for began_s in (0.0, 10.0):
+            budget = RetryBudget(settings)
+            for request in range(300):
+                budget.request(began_s + request / 30)
+            tried_s = began_s + 9.75
+            granted = (budget.take(tried_s, sharers=1).is_granted for _ in range(100))
+            retries_s += [tried_s for is_granted in granted if is_granted]
+        in_window = sum(9.75 <= at_s <= 19.75 for at_s in retries_s)
+        assert in_window <= 0.2 * 300
