The burst of retries is divided in the order of the announcements

What callers' operators saw: more arrivals beyond the first of their request than the fleet's budget allows.

Cause: each instance divided the burst by the size of the fleet as it believed it: 1 before it had read the announcements, which lasts while store and peers are away; and an instance that was added took its part before the others had given up their larger ones. Whoever was taken for gone went on with its part.

An announcement says up to which offset its writer has read the others', whether it may have used its part, and for how long it may after it (a lease of four announcements). An instance uses a part only once all have read its own announcement, and a window after that if they may have used larger ones. A name leaves by a record of the same stream, written under the condition that nothing was announced meanwhile, when its lease and a window are over. Without the store from the start there is no part of the burst; the ratio on the own requests stays.

Why it works: whoever uses a part in a window has all others that use one in its count, so the parts add up to one at most.

Ruled out: asking peers (a call for each retry, and none answers in a cut); the size of the fleet in the settings (they do not tell it).

--- a/mothstand/core/fleet.py
+++ b/mothstand/core/fleet.py
@@ -28,9 +28,8 @@
 MOST_ANNOUNCEMENTS_PER_S = 20.0
 
 #: An instance that has missed so many announcements has gone. The store turns some instances away
-#: for up to 12 s while it serves the others; were they taken for gone, claims would move, and the
-#: rest would share out their part of the retries, which they still use. A claimant that is merely
-#: silent is passed over by its borrowers at once.
+#: for up to 12 s while it serves the others; were they taken for gone, claims would move. A
+#: claimant that is merely silent is passed over by its borrowers at once.
 GONE_AFTER_MISSED = 6
 
 #: The claimants of a shard in each data centre. Two may be down at once; and a small data centre
--- a/mothstand/core/retry_budget.py
+++ b/mothstand/core/retry_budget.py
@@ -45,7 +45,7 @@
     requests
         Callers' requests that pay for them.
     sharers
-        By how many instances the burst was divided.
+        In how many parts the burst was divided, 0 if no part of it may be used here.
     """
 
     is_granted: bool
@@ -77,7 +77,13 @@
         self._requests_s.append(sent_s)
 
     def take(self, now_s: float, *, sharers: int) -> RetryDecision:
-        """Decide whether one more retry fits into each window, and count it if so."""
+        """Decide whether one more retry fits into each window, and count it if so.
+
+        Parameters
+        ----------
+        sharers
+            In how many parts the burst is divided, 0 if no part of it may be used here.
+        """
         self._forget(now_s)
         decision = self._decide(now_s, sharers)
         if decision.is_granted:
@@ -100,7 +106,7 @@
 
     def _decide(self, now_s: float, sharers: int) -> RetryDecision:
         """Look at the windows that begin with each retry, the one asked for first."""
-        share = self.settings.burst / max(1, sharers)
+        share = self.settings.burst / sharers if sharers else 0.0
         decision = RetryDecision(False, 0, 0.0, 0, sharers)
         for taken, began_s in enumerate([now_s, *reversed(self._granted_s)], start=1):
             first = bisect_left(self._requests_s, self._pays_from_s(began_s))
--- a/mothstand/gateway/bootstrap.py
+++ b/mothstand/gateway/bootstrap.py
@@ -66,7 +66,7 @@
             emit(Event.PEER_SUSPECTED, peer=address, error=str(error))
             return
         for record in known.members:
-            peer_address = decode_member(record).peer.address
+            peer_address = decode_member(record).member.peer.address
             if peer_address not in (*self._addresses, self._own_address):
                 self._addresses.append(peer_address)
         if not known.config:
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -87,6 +87,8 @@
             clock,
             self._health,
             lambda: self._accounts.look(),
+            _retry_settings(settings),
+            started_s=started.started_s,
         )
         self._upstream_feed = UpstreamFeed(
             parts.store,
@@ -125,7 +127,7 @@
             self._placement,
             self._upstream_feed.directory,
             _retry_settings(settings),
-            lambda: self._members.fleet.size,
+            lambda: self._members.shares.sharers(clock.monotonic_s()),
             clock,
             self._metrics,
         )
--- a/mothstand/gateway/member_feed.py
+++ b/mothstand/gateway/member_feed.py
@@ -2,21 +2,24 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from pydantic import BaseModel, ValidationError
 
+from ..core.burst_shares import BurstShares, SharerNotice
 from ..core.fleet import Capacity, FleetView, Member
 from ..core.loans import Peer
 from ..events import Event, emit
 from ..types import DataCentre
 from .feeds import KeyedFeed
-from .store import KeyedRecord, Store, Stream
+from .store import KeyedRecord, Store, StoreConflictError, Stream
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..clock import Clock
+    from ..core.retry_budget import RetryBudgetSettings
     from ..log.health import LogHealth
 
 #: The fleet's own topic for announcements.
@@ -30,6 +33,9 @@
 #: Of an announcement that does not say.
 _UNKNOWN_CAPACITY = Capacity()
 
+#: Of an earlier version, which uses a part of the burst for as long as it lives.
+_UNKNOWN_NOTICE = SharerNotice(read_to=-1, lease_s=60.0, may_have_used=True)
+
 
 class _MemberValue(BaseModel):
     """An announcement; its key is the instance's name."""
@@ -39,9 +45,12 @@
     data_centre: str
     cores: float = _UNKNOWN_CAPACITY.cores
     link_mbit_per_s: float = _UNKNOWN_CAPACITY.link_mbit_per_s
+    read_to: int = _UNKNOWN_NOTICE.read_to
+    lease_s: float = _UNKNOWN_NOTICE.lease_s
+    may_have_used: bool = _UNKNOWN_NOTICE.may_have_used
 
 
-def encode_member(member: Member) -> KeyedRecord:
+def encode_member(member: Member, notice: SharerNotice = _UNKNOWN_NOTICE) -> KeyedRecord:
     """Return an announcement as a record."""
     value = _MemberValue(
         incarnation=member.peer.incarnation,
@@ -49,11 +58,22 @@
         data_centre=member.data_centre,
         cores=member.capacity.cores,
         link_mbit_per_s=member.capacity.link_mbit_per_s,
+        read_to=notice.read_to,
+        lease_s=round(notice.lease_s, 1),
+        may_have_used=notice.may_have_used,
     )
     return KeyedRecord(member.peer.instance, value.model_dump_json().encode())
 
 
-def decode_member(record: KeyedRecord) -> Member:
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """What an instance says of itself."""
+
+    member: Member
+    notice: SharerNotice
+
+
+def decode_member(record: KeyedRecord) -> Announcement:
     """Return what an announcement says.
 
     Raises
@@ -67,7 +87,8 @@
         raise ValueError(f"{record.key!r}: {error.error_count()} faults") from error
     peer = Peer(record.key, value.incarnation, value.address)
     capacity = Capacity(value.cores, value.link_mbit_per_s)
-    return Member(peer, DataCentre(value.data_centre), capacity)
+    member = Member(peer, DataCentre(value.data_centre), capacity)
+    return Announcement(member, SharerNotice(value.read_to, value.lease_s, value.may_have_used))
 
 
 class MemberFeed(KeyedFeed):
@@ -77,6 +98,8 @@
     ----------
     changed
         Called when instances came or went, and when the fleet is first known.
+    started_s
+        When this process began, on the monotonic clock.
     """
 
     def __init__(
@@ -86,9 +109,19 @@
         clock: Clock,
         health: LogHealth,
         changed: Callable[[], None],
+        retries: RetryBudgetSettings,
+        *,
+        started_s: float,
     ) -> None:
         super().__init__(store, MEMBERS_STREAM, clock, health)
         self.fleet = FleetView(me)
+        self.shares = BurstShares(
+            me.peer.instance,
+            me.peer.incarnation,
+            span_s=retries.window_s + retries.delivery_s,
+            started_s=started_s,
+        )
+        self._told_sharers = 0
         self._changed = changed
         self._looks = 0
         self._settled = False
@@ -115,14 +148,41 @@
         instance knows that the fleet is listed already.
         """
         await super().look()
-        await self._store.append(self._stream, (encode_member(self.fleet.me),))
+        await self._announce()
+        self._tell_sharers(self._clock.monotonic_s())
         self._looks += 1
         if self._looks > 1 and not self._settled:
             self._settle()
 
+    async def _announce(self) -> None:
+        """Announce this instance, and along with it who has left the fleet."""
+        now_s = self._clock.monotonic_s()
+        read_to = self._next_offset or 0
+        self.shares.read(read_to, now_s, self.fleet.announce_s)
+        notice = self.shares.notice(self.fleet.announce_s)
+        mine = encode_member(self.fleet.me, notice)
+        retired = tuple(KeyedRecord(name, None) for name in self.shares.silent(now_s))
+        is_ordered = bool(retired) or self.shares.must_follow(now_s)
+        try:
+            at_offset = read_to if is_ordered else None
+            await self._store.append(self._stream, (mine, *retired), at_offset=at_offset)
+        except StoreConflictError:
+            # Others announced themselves meanwhile; what needs the order has time until next time.
+            await self._store.append(self._stream, (mine,))
+            if self.shares.must_follow(now_s):
+                return
+        self.shares.announced(notice, now_s)
+
+    def _tell_sharers(self, now_s: float) -> None:
+        sharers = self.shares.sharers(now_s)
+        if sharers != self._told_sharers:
+            self._told_sharers = sharers
+            emit(Event.BURST_SHARED, sharers=sharers, fleet=self.fleet.size)
+
     def list(self, records: tuple[KeyedRecord, ...]) -> None:
         """Take the newest announcement of each instance."""
         mine = self.fleet.me.peer
+        self.shares.keep_only({record.key for record in records if record.value is not None})
         self.apply(records)
         if self._looks == 0 and any(r.key == mine.instance for r in records):
             # Announced by an earlier start: the fleet is listed already.
@@ -133,7 +193,13 @@
         now_s = self._clock.monotonic_s()
         before = self.fleet.size
         for record in records:
-            self._take(record, now_s)
+            announced = self._take(record, now_s)
+            if record.value is None:
+                self.shares.retire(record.key)
+            if announced is not None:
+                incarnation = announced.member.peer.incarnation
+                notice = announced.notice
+                self.shares.note(record.key, incarnation, notice, record.offset, now_s)
         for instance in self.fleet.read(now_s):
             emit(Event.MEMBER_GONE, instance=instance)
         if self.fleet.size != before:
@@ -150,17 +216,19 @@
         """Return the announcements of all instances that are known, this one's included."""
         return tuple(encode_member(m) for m in (*self.fleet.others(), self.fleet.me))
 
-    def _take(self, record: KeyedRecord, now_s: float) -> None:
+    def _take(self, record: KeyedRecord, now_s: float) -> Announcement | None:
         if record.value is None:
-            return
+            return None
         try:
-            member = decode_member(record)
+            announced = decode_member(record)
         except ValueError as error:
             emit(Event.RECORD_SKIPPED, key=record.key, offset=record.offset, error=str(error))
-            return
+            return None
         if not self.fleet.knows(record.key):
-            emit(Event.MEMBER_SEEN, instance=record.key, address=member.peer.address)
-        self.fleet.note(member, now_s)
+            address = announced.member.peer.address
+            emit(Event.MEMBER_SEEN, instance=record.key, address=address)
+        self.fleet.note(announced.member, now_s)
+        return announced
 
     def _settle(self) -> None:
         self._settled = True
--- a/mothstand/testing/budget_fleet.py
+++ b/mothstand/testing/budget_fleet.py
@@ -32,7 +32,7 @@
     StoreSection,
 )
 from ..types import BudgetName, DataCentre
-from .fakes import SilentPeers
+from .fakes import RETRIES, SilentPeers
 from .memory_store import MemoryStore, StoreLink
 from .virtual_time import VirtualClock
 
@@ -270,7 +270,9 @@
         link.is_cut = self.is_cut
         self._links.append(link)
         me = Peer(name, f"{name}-{self._starts}", address)
-        members = MemberFeed(link, Member(me, data_centre), clock, health, lambda: None)
+        members = MemberFeed(
+            link, Member(me, data_centre), clock, health, lambda: None, RETRIES, started_s=0.0
+        )
         members.fleet = FleetView(members.fleet.me, self.claimants)
         accounts = Accounts(
             _settings(name, data_centre),
--- a/mothstand/testing/fakes.py
+++ b/mothstand/testing/fakes.py
@@ -10,6 +10,7 @@
 from ..clock import Clock
 from ..core.membership import Membership
 from ..core.records import Record, RecordId
+from ..core.retry_budget import RetryBudgetSettings
 from ..gateway.lending import Handover, Knowledge, LoanReply, LoanRequest, PeerLink
 from ..gateway.store_witness import StoreWitness
 from ..ledger.calls import PeerCalls, ReserveCall, ReserveReply, Ticket
@@ -26,6 +27,9 @@
 
 _START = datetime(2026, 1, 1, tzinfo=UTC)
 
+#: The retry budget of the users' first deployments.
+RETRIES = RetryBudgetSettings(ratio=0.2, burst=52.0, window_s=10.0, delivery_s=1.0)
+
 
 class NoWitness(StoreWitness):
     """Nobody who could tell whether the store was up."""
--- a/mothstand/testing/retry_histories.py
+++ b/mothstand/testing/retry_histories.py
@@ -17,11 +17,12 @@
 
 from ..core.fleet import Member
 from ..core.loans import Peer
-from ..core.retry_budget import RetryBudget, RetryBudgetSettings
 from ..gateway.member_feed import MemberFeed
 from ..log.health import LogHealth
 from ..types import DataCentre
+from .fakes import RETRIES
 from .memory_store import Fate, MemoryStore, StoreLink, random_fate
+from .retry_plants import Plant, budget_of, plant_shares, sharers_of
 from .virtual_time import VirtualClock, run_in_virtual_time
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
 
     from anyio.abc import TaskGroup
 
+    from ..core.retry_budget import RetryBudget, RetryBudgetSettings
     from ..gateway.store import KeyedRecord, Stream, StreamPage
 
 #: Seconds that a call of the store takes, and a try that upstreams refuse.
@@ -45,8 +47,6 @@
 #: Part of the announcements that fail while the store is in trouble.
 _FAILING_APPENDS = 0.3
 
-_SETTINGS = RetryBudgetSettings(ratio=0.2, burst=52.0, window_s=10.0, delivery_s=1.0)
-
 #: Seconds from the processes' start to the first callers.
 _LEAD_S = 12.0
 
@@ -164,6 +164,7 @@
     link: _HangingLink
     members: MemberFeed
     budget: RetryBudget
+    plant: Plant
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
     def counts_request(self, now_s: float) -> None:
@@ -172,7 +173,8 @@
 
     def takes_retry(self, now_s: float) -> bool:
         """Return whether a retry may be sent."""
-        return self.budget.take(now_s, sharers=self.members.fleet.size).is_granted
+        sharers = sharers_of(self.plant, self.members, now_s)
+        return self.budget.take(now_s, sharers=sharers).is_granted
 
 
 @dataclass(slots=True)
@@ -189,11 +191,11 @@
 
     seed: int
     troubles: Trouble
-    settings: RetryBudgetSettings = _SETTINGS
+    plant: Plant = Plant.NONE
+    settings: RetryBudgetSettings = RETRIES
     instances: int = 6
-    duration_s: float = 45.0
+    duration_s: float = 60.0
     requests_per_s: float = 30.0
-    _rng: random.Random = field(default_factory=random.Random)
     _store: MemoryStore = field(default_factory=MemoryStore)
     _alive: dict[str, _Instance] = field(default_factory=dict)
     _frozen_until_s: dict[str, float] = field(default_factory=dict)
@@ -203,25 +205,29 @@
 
     def run(self) -> Excess:
         """Play the history in virtual time."""
-        self._rng = random.Random(self.seed)
         count = ArrivalCount(self.settings)
         run_in_virtual_time(lambda: self._play(count))
         return count.worst()
 
+    def _chance(self, *what: object) -> random.Random:
+        """Return a source of chance of its own, whatever else is drawn in which order."""
+        return random.Random(f"{self.seed} {what}")
+
     async def thawed(self, name: str) -> None:
         """Wait until a process no longer hangs."""
         while (wait_s := self._frozen_until_s.get(name, 0.0) - anyio.current_time()) > 0:
             await anyio.sleep(wait_s)
 
     async def _play(self, count: ArrivalCount) -> None:
+        rng = self._chance("start")
         names = [f"i{number}" for number in range(self.instances)]
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            if Trouble.STORE_AWAY in self.troubles and self._rng.random() < 0.4:
-                away_s = _LEAD_S + self._rng.uniform(0.0, 25.0)
+            if Trouble.STORE_AWAY in self.troubles and rng.random() < 0.4:
+                away_s = _LEAD_S + rng.uniform(0.0, 25.0)
                 tasks.start_soon(self._cut, set(names), away_s)
             for name in names:
-                tasks.start_soon(self._start, name, self._rng.uniform(0.3, 0.6))
+                tasks.start_soon(self._start, name, rng.uniform(0.3, 0.6))
             await anyio.sleep(_LEAD_S)
             for trouble in Trouble:
                 if trouble in self.troubles:
@@ -232,24 +238,26 @@
 
     async def _load(self, count: ArrivalCount) -> None:
         assert self._tasks is not None
+        rng = self._chance("load")
         weights: dict[str, float] = {}
         factor = 1.0
         changes_s = 0.0
         ends_s = anyio.current_time() + self.duration_s
         while (now_s := anyio.current_time()) < ends_s:
             if Trouble.JUMPS in self.troubles and now_s >= changes_s:
-                changes_s = now_s + self._rng.choice([1.0, 2.5, 5.0, 10.0])
-                factor = self._rng.choice([0.1, 0.5, 1.0, 2.0, 4.0])
-                weights = {name: self._rng.choice([0.02, 1.0]) for name in self._alive}
-            await anyio.sleep(self._rng.expovariate(self.requests_per_s * factor))
+                changes_s = now_s + rng.choice([1.0, 2.5, 5.0, 10.0])
+                factor = rng.choice([0.1, 0.5, 1.0, 2.0, 4.0])
+                weights = {name: rng.choice([0.02, 1.0]) for name in self._alive}
+            await anyio.sleep(rng.expovariate(self.requests_per_s * factor))
             if not self._alive:
                 continue
             names = list(self._alive)
-            (name,) = self._rng.choices(names, [weights.get(n, 1.0) for n in names])
+            (name,) = rng.choices(names, [weights.get(n, 1.0) for n in names])
             count.requests_s.append(anyio.current_time())
-            self._tasks.start_soon(self._request, self._alive[name], count)
+            self._tasks.start_soon(self._request, self._alive[name], count, len(count.requests_s))
 
-    async def _request(self, instance: _Instance, count: ArrivalCount) -> None:
+    async def _request(self, instance: _Instance, count: ArrivalCount, number: int) -> None:
+        rng = self._chance("tries", number)
         await self.thawed(instance.name)
         if self._alive.get(instance.name) is not instance:
             return
@@ -260,42 +268,38 @@
             is_running = self._alive.get(instance.name) is instance
             if not is_running or not instance.takes_retry(anyio.current_time()):
                 return
-            await anyio.sleep(self._delay_s())
+            await anyio.sleep(_delay_s(rng))
             count.repeats_s.append(anyio.current_time())
 
-    def _delay_s(self) -> float:
-        """Return how long a try is on its way."""
-        if self._rng.random() >= _DELAYED_TRIES:
-            return 0.0
-        return self._rng.uniform(0.0, _MOST_DELAY_S)
-
     async def _series(self, trouble: Trouble) -> None:
         """Let one kind of trouble happen again and again."""
+        rng = self._chance(trouble)
         while True:
-            await anyio.sleep(self._rng.choice([0.7, 2.0, 4.0, 9.0]))
+            await anyio.sleep(rng.choice([0.7, 2.0, 4.0, 9.0]))
             match trouble:
                 case Trouble.KILLS:
-                    self._kill(self._some(self._alive))
+                    self._kill(self._some(rng), rng)
                 case Trouble.STORE_AWAY:
-                    await self._cut(self._some(self._alive), self._rng.uniform(0.5, 14.0))
+                    longest_s = rng.choice([14.0, 14.0, 50.0])
+                    await self._cut(self._some(rng), rng.uniform(0.5, longest_s))
                 case Trouble.ADDED:
                     self._add()
                 case Trouble.FREEZES:
-                    until_s = anyio.current_time() + self._rng.uniform(0.5, 5.0)
-                    self._frozen_until_s |= dict.fromkeys(self._some(self._alive), until_s)
+                    until_s = anyio.current_time() + rng.uniform(0.5, 5.0)
+                    self._frozen_until_s |= dict.fromkeys(self._some(rng), until_s)
                 case _:
                     return
 
-    def _some(self, alive: dict[str, _Instance]) -> set[str]:
-        share = self._rng.choice([0.2, 0.5, 1.0])
-        return {name for name in alive if self._rng.random() < share}
+    def _some(self, rng: random.Random) -> set[str]:
+        share = rng.choice([0.2, 0.5, 1.0])
+        return {name for name in self._alive if rng.random() < share}
 
-    def _kill(self, names: set[str]) -> None:
+    def _kill(self, names: set[str], rng: random.Random) -> None:
         assert self._tasks is not None
         for name in names:
             self._alive.pop(name).scope.cancel()
-            if self._rng.random() < 0.9:
-                down_s = self._rng.choice([0.3, 1.0, 3.0, 8.0])
+            if rng.random() < 0.9:
+                down_s = rng.choice([0.3, 1.0, 3.0, 8.0])
                 self._tasks.start_soon(self._start, name, down_s)
 
     def _add(self) -> None:
@@ -326,7 +330,19 @@
     def _make(self, name: str) -> _Instance:
         clock = _ProcessClock(self, name)
         failing = _FAILING_APPENDS if Trouble.STORE_AWAY in self.troubles else 0.0
-        link = _HangingLink(self._store, self, name, random_fate(self._rng, failing=failing))
+        link = _HangingLink(
+            self._store, self, name, random_fate(self._chance(name, self._starts), failing=failing)
+        )
         me = Member(Peer(name, f"{name}-{self._starts}", f"{name}:1"), DataCentre(name[:1]))
-        members = MemberFeed(link, me, clock, LogHealth(clock), lambda: None)
-        return _Instance(name, link, members, RetryBudget(self.settings))
+        started_s = clock.monotonic_s()
+        members = MemberFeed(
+            link, me, clock, LogHealth(clock), lambda: None, self.settings, started_s=started_s
+        )
+        plant_shares(self.plant, members)
+        budget = budget_of(self.plant, self.settings)
+        return _Instance(name, link, members, budget, self.plant)
+
+
+def _delay_s(rng: random.Random) -> float:
+    """Return how long a try is on its way."""
+    return rng.uniform(0.0, _MOST_DELAY_S) if rng.random() < _DELAYED_TRIES else 0.0
--- a/mothstand/tests/test_bootstrap.py
+++ b/mothstand/tests/test_bootstrap.py
@@ -24,7 +24,7 @@
     decode_config,
     decode_upstream,
 )
-from ..testing.fakes import NoWitness, SilentPeers
+from ..testing.fakes import RETRIES, NoWitness, SilentPeers
 from ..testing.memory_store import MemoryStore, StoreLink
 from ..testing.registrations import registration
 from ..testing.virtual_time import VirtualClock, run_in_virtual_time
@@ -85,7 +85,9 @@
             1.0,
             NoWitness(),
         )
-        self.members = MemberFeed(self.link, member("a"), clock, health, lambda: None)
+        self.members = MemberFeed(
+            self.link, member("a"), clock, health, lambda: None, RETRIES, started_s=0.0
+        )
         self._bootstrap = Bootstrap(
             seeds, "a:1", self.peers, self.config, self.upstreams, self.members, clock
         )
--- a/mothstand/tests/test_fleet.py
+++ b/mothstand/tests/test_fleet.py
@@ -27,7 +27,7 @@
 from ..log.health import LogHealth
 from ..peers.failures import PeerError, PeerUnreachableError
 from ..testing.budget_fleet import BudgetFleet
-from ..testing.fakes import SilentPeers
+from ..testing.fakes import RETRIES, SilentPeers
 from ..testing.memory_store import MemoryStore, StoreLink
 from ..testing.virtual_time import VirtualClock, run_in_virtual_time
 from ..types import BudgetName, DataCentre, Shard
@@ -129,11 +129,11 @@
 
     def test_an_announcement_is_read_as_it_was_written(self) -> None:
         large = replace(member("a0"), capacity=Capacity(2.15, 100.0))
-        assert decode_member(encode_member(large)) == large
+        assert decode_member(encode_member(large)).member == large
         without = KeyedRecord(
             "a0", b'{"incarnation":"a0-1","address":"a0:1","data_centre":"sto-a"}'
         )
-        assert decode_member(without) == member("a0")
+        assert decode_member(without).member == member("a0")
         with pytest.raises(ValueError, match="'a0'"):
             decode_member(KeyedRecord("a0", b"{}"))
 
@@ -151,7 +151,9 @@
         async def settles_within(incarnation: str, wait_s: float) -> bool:
             clock = VirtualClock()
             me = Member(Peer("a0", incarnation, "a0:1"), DataCentre("a"))
-            feed = MemberFeed(StoreLink(store), me, clock, LogHealth(clock), lambda: None)
+            feed = MemberFeed(
+                StoreLink(store), me, clock, LogHealth(clock), lambda: None, RETRIES, started_s=0.0
+            )
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(feed.run)
                 await anyio.sleep(wait_s)
--- a/mothstand/tests/test_retry_histories.py
+++ b/mothstand/tests/test_retry_histories.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ..testing.retry_histories import ALL_TROUBLES, RetryHistory, Trouble
+from ..testing.retry_plants import Plant
 
 _SEEDS = range(12)
 
@@ -38,3 +39,15 @@
     @pytest.mark.parametrize("instances", [6, 18])
     def test_all_troubles_at_once(self, instances: int) -> None:
         assert broken_seeds(ALL_TROUBLES, instances=instances) == []
+
+    @pytest.mark.parametrize(
+        ("plant", "troubles"),
+        [
+            (Plant.OWN_WINDOW, Trouble.NONE),
+            (Plant.BELIEVES_FLEET, Trouble.STORE_AWAY),
+            (Plant.TAKES_AT_ONCE, Trouble.STORE_AWAY | Trouble.ADDED),
+        ],
+    )
+    def test_planted_faults_are_found(self, plant: Plant, troubles: Trouble) -> None:
+        histories = (RetryHistory(seed, troubles, plant) for seed in range(24))
+        assert any(history.run().is_broken for history in histories)
--- a/mothstand/tests/test_store_witness.py
+++ b/mothstand/tests/test_store_witness.py
@@ -23,7 +23,7 @@
 from ..log.health import LogHealth
 from ..peers.failures import PeerError
 from ..platform.records import UPSTREAMS_STREAM, decode_upstream
-from ..testing.fakes import NoWitness, SilentPeers
+from ..testing.fakes import RETRIES, NoWitness, SilentPeers
 from ..testing.fleet import free_port
 from ..testing.memory_store import MemoryStore, StoreLink
 from ..testing.registrations import registration
@@ -60,7 +60,13 @@
         self.peer_link = StoreLink(self.store)
         calls = _Peers()
         members = MemberFeed(
-            self.link, _member("me"), self.clock, LogHealth(self.clock), lambda: None
+            self.link,
+            _member("me"),
+            self.clock,
+            LogHealth(self.clock),
+            lambda: None,
+            RETRIES,
+            started_s=0.0,
         )
         for number in range(peers + dead):
             members.fleet.note(_member(f"peer-{number}"), 0.0)
