A restarted instance waits for a window before it uses its part of the burst

What callers' operators saw: more arrivals beyond the first of their request than the fleet's budget allows, with instances that were started again in that window.

Cause: the times of an instance's retries end with its process. Its successor had the whole part again, so each start within a window added one.

Change: where the store holds an announcement of an earlier start, the part is used only a window and a delivery after this start. The ratio on the own requests is used at once, so a restart does not leave callers without retries.

Why it works: what the earlier start sent has left the window by then. Ruled out: writing each retry to the store (a call a retry, and none goes through in an outage); a share of peers' memory (they do not see each other's retries).

--- a/mothstand/core/burst_shares.py
+++ b/mothstand/core/burst_shares.py
@@ -9,6 +9,7 @@
 
 - all that may use a part have read its own announcement, and the window is over in which they used
   the larger parts of before: `SharerNotice.read_to` says what was read;
+- a window has passed since its start, if an earlier start of it may have used its part;
 - its lease lasts, which its latest announcement began.
 
 A name leaves the fleet by a record of the same stream, once nobody can use its part any more.
@@ -75,6 +76,7 @@
     _read_to: int = 0
     _read_s: float = -math.inf
     _leased_until_s: float = -math.inf
+    _waits_until_s: float = -math.inf
     _is_known: bool = False
 
     def note(
@@ -143,7 +145,7 @@
     def sharers(self, now_s: float) -> int:
         """Return in how many parts the burst is divided, 0 while none may be used here."""
         self._look_who_knows(now_s)
-        if not self._is_known or now_s >= self._leased_until_s:
+        if not self._is_known or now_s < self._waits_until_s or now_s >= self._leased_until_s:
             return 0
         return 1 + len(self._others)
 
@@ -152,8 +154,9 @@
             if self._offset is None:
                 self._offset = offset
         elif self._offset is None:
-            # Whoever knew the earlier start counts this one.
+            # Whoever knew the earlier start counts this one; its retries may still be on their way.
             self._is_known = self._is_known or notice.may_have_used
+            self._waits_until_s = self.started_s + self.span_s
 
     def _note_acknowledgement(self, sharer: _Sharer, now_s: float) -> None:
         has_read = self._offset is not None and sharer.notice.read_to > self._offset
--- a/mothstand/testing/retry_plants.py
+++ b/mothstand/testing/retry_plants.py
@@ -9,6 +9,7 @@
 from ..core.retry_budget import RetryBudget, RetryDecision
 
 if TYPE_CHECKING:
+    from ..core.burst_shares import SharerNotice
     from ..core.retry_budget import RetryBudgetSettings
     from ..gateway.member_feed import MemberFeed
 
@@ -18,6 +19,7 @@
 
     NONE = "none"
     OWN_WINDOW = "requests pay in the window before each retry"
+    FORGETS_RETRIES = "a start has its part of the burst at once"
     BELIEVES_FLEET = "the burst is divided by the fleet's size as it is believed"
     TAKES_AT_ONCE = "a newcomer uses its part before the others know of it"
     NO_LEASE = "a part is used for as long as its instance lives"
@@ -34,6 +36,14 @@
         return RetryDecision(taken <= allowed, taken, allowed, requests, sharers)
 
 
+class _ForgetfulShares(BurstShares):
+    """Does not wait for the retries of an earlier start."""
+
+    def _note_own(self, incarnation: str, notice: SharerNotice, offset: int) -> None:
+        super()._note_own(incarnation, notice, offset)
+        self._waits_until_s = float("-inf")
+
+
 class _HastyShares(BurstShares):
     """Does not wait for the others."""
 
@@ -50,6 +60,7 @@
 
 
 _SHARES: dict[Plant, type[BurstShares]] = {
+    Plant.FORGETS_RETRIES: _ForgetfulShares,
     Plant.TAKES_AT_ONCE: _HastyShares,
     Plant.NO_LEASE: _UnboundShares,
 }
--- a/mothstand/tests/test_burst_shares.py
+++ b/mothstand/tests/test_burst_shares.py
@@ -63,6 +63,15 @@
         log.run(instances, 0.6, 8.0)
         assert [shares.sharers(8.0) for shares in instances] == [6] * 6
 
+    def test_restart_waits_for_the_window_of_its_earlier_start(self) -> None:
+        # Guards against a second part of the burst within one window.
+        log = Log()
+        others = fleet_of(log, 3)[1:]
+        again = log.start("i0", 13.0, start=2)
+        log.run([again, *others], 14.0, 20.0)
+        assert again.sharers(13.0 + _SPAN_S - 0.1) == 0
+        assert again.sharers(13.0 + _SPAN_S + 0.1) == 3
+
     def test_newcomer_waits_until_all_have_given_up_their_larger_parts(self) -> None:
         # Guards against parts that add up to more than the burst while a fleet grows.
         log = Log()
--- a/mothstand/tests/test_retry_histories.py
+++ b/mothstand/tests/test_retry_histories.py
@@ -44,6 +44,7 @@
         ("plant", "troubles"),
         [
             (Plant.OWN_WINDOW, Trouble.NONE),
+            (Plant.FORGETS_RETRIES, Trouble.KILLS),
             (Plant.BELIEVES_FLEET, Trouble.STORE_AWAY),
             (Plant.TAKES_AT_ONCE, Trouble.STORE_AWAY | Trouble.ADDED),
         ],
