Requests that a process reads after it hung count from when it began to hang

Cause: an instance counted requests when it read them. After a hang of seconds it reads at once what callers sent all the while, and took requests of the window before for requests of this one, to be paid for retries here.

Change: core/stall_watch.py sees a late tick, and dates what is read after it back to the last one in time. Why it works: a request pays in a window only if it was surely sent in it or in the one before.

Not covered: a process that hangs between the grant of a retry and the send, which is one step of the loop.

--- a/mothstand/core/retry_budget.py
+++ b/mothstand/core/retry_budget.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
+from bisect import bisect_left, insort
 from dataclasses import dataclass, field
 
 
@@ -73,8 +73,14 @@
     _granted_s: list[float] = field(default_factory=list)
 
     def request(self, sent_s: float) -> None:
-        """Count a caller's request."""
-        self._requests_s.append(sent_s)
+        """Count a caller's request.
+
+        Parameters
+        ----------
+        sent_s
+            The earliest time at which it may have been sent.
+        """
+        insort(self._requests_s, sent_s)
 
     def take(self, now_s: float, *, sharers: int) -> RetryDecision:
         """Decide whether one more retry fits into each window, and count it if so.
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -31,6 +31,7 @@
     from ..clock import Clock
     from ..core.placement import Placed, Placement
     from ..core.retry_budget import RetryBudgetSettings, RetryDecision
+    from ..core.stall_watch import StallWatch
     from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
     from .call import Call, CallerConnection
     from .headers import HeaderTranslator
@@ -79,6 +80,7 @@
         directory: UpstreamDirectory,
         retries: RetryBudgetSettings,
         sharers: Callable[[], int],
+        stalls: StallWatch,
         clock: Clock,
         metrics: GatewayMetrics,
     ) -> None:
@@ -88,6 +90,7 @@
         self._directory = directory
         self._retry_settings = retries
         self._sharers = sharers
+        self._stalls = stalls
         self._clock = clock
         self._metrics = metrics
         self._budgets: dict[str, RetryBudget] = {}
@@ -116,7 +119,7 @@
         RefusedError
             Only while nothing of an answer was sent.
         """
-        self._budget(call.service).request(call.arrived_s)
+        self._budget(call.service).request(self._stalls.sent_since_s(call.arrived_s))
         try:
             with anyio.fail_after(max(0.0, self._remaining_s(call))):
                 await self._try_upstreams(call, caller)
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -14,6 +14,7 @@
 from ..core.placement import Placement
 from ..core.retry_budget import RetryBudgetSettings
 from ..core.shutdown import Shutdown
+from ..core.stall_watch import TICK_S, StallWatch
 from ..events import Event, emit
 from ..log.health import LogHealth
 from ..process_start import BACKLOG
@@ -121,6 +122,7 @@
             clock,
         )
         self._client = UpstreamClient(settings, translator)
+        self._stalls = StallWatch()
         forwarder = Forwarder(
             self._client,
             translator,
@@ -128,6 +130,7 @@
             self._upstream_feed.directory,
             _retry_settings(settings),
             lambda: self._members.shares.sharers(clock.monotonic_s()),
+            self._stalls,
             clock,
             self._metrics,
         )
@@ -177,6 +180,7 @@
             tasks.start_soon(self._keep, "members", self._members.run)
             tasks.start_soon(self._keep, "claims", self._accounts.run)
             tasks.start_soon(self._keep, "bootstrap", self._bootstrap.run)
+            tasks.start_soon(self._keep, "stalls", self._watch_stalls)
             await self._wait_for_stop()
             # Requests first: what still runs counts at its most, and a claim that was lowered
             # before their end would keep the rest from everyone.
@@ -201,6 +205,11 @@
                 emit(Event.TASK_FAILED, task=name, error=repr(error))
                 await self._clock.sleep(_RESTART_TASK_S)
 
+    async def _watch_stalls(self) -> None:
+        while True:
+            self._stalls.tick(self._clock.monotonic_s())
+            await self._clock.sleep(TICK_S)
+
     async def _wait_for_stop(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
             async for number in signals:
--- a/mothstand/testing/retry_histories.py
+++ b/mothstand/testing/retry_histories.py
@@ -17,12 +17,13 @@
 
 from ..core.fleet import Member
 from ..core.loans import Peer
+from ..core.stall_watch import TICK_S, StallWatch
 from ..gateway.member_feed import MemberFeed
 from ..log.health import LogHealth
 from ..types import DataCentre
 from .fakes import RETRIES
 from .memory_store import Fate, MemoryStore, StoreLink, random_fate
-from .retry_plants import Plant, budget_of, plant_shares, sharers_of
+from .retry_plants import Plant, budget_of, plant_shares, sent_since_s, sharers_of
 from .virtual_time import VirtualClock, run_in_virtual_time
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
 
     from anyio.abc import TaskGroup
 
+    from ..clock import Clock
     from ..core.retry_budget import RetryBudget, RetryBudgetSettings
     from ..gateway.store import KeyedRecord, Stream, StreamPage
 
@@ -165,11 +167,22 @@
     members: MemberFeed
     budget: RetryBudget
     plant: Plant
+    clock: Clock
+    stalls: StallWatch = field(default_factory=StallWatch)
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
+    async def run(self) -> None:
+        """Live until killed."""
+        with self.scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.members.run)
+                while True:
+                    self.stalls.tick(self.clock.monotonic_s())
+                    await self.clock.sleep(TICK_S)
+
     def counts_request(self, now_s: float) -> None:
         """Count a caller's request."""
-        self.budget.request(now_s)
+        self.budget.request(sent_since_s(self.plant, self.stalls, now_s))
 
     def takes_retry(self, now_s: float) -> bool:
         """Return whether a retry may be sent."""
@@ -324,8 +337,7 @@
         instance = self._make(name)
         instance.link.is_cut = name in self._cut_names
         self._alive[name] = instance
-        with instance.scope:
-            await instance.members.run()
+        await instance.run()
 
     def _make(self, name: str) -> _Instance:
         clock = _ProcessClock(self, name)
@@ -340,7 +352,7 @@
         )
         plant_shares(self.plant, members)
         budget = budget_of(self.plant, self.settings)
-        return _Instance(name, link, members, budget, self.plant)
+        return _Instance(name, link, members, budget, self.plant, clock)
 
 
 def _delay_s(rng: random.Random) -> float:
--- a/mothstand/testing/retry_plants.py
+++ b/mothstand/testing/retry_plants.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from ..core.burst_shares import SharerNotice
     from ..core.retry_budget import RetryBudgetSettings
+    from ..core.stall_watch import StallWatch
     from ..gateway.member_feed import MemberFeed
 
 
@@ -22,6 +23,7 @@
     FORGETS_RETRIES = "a start has its part of the burst at once"
     BELIEVES_FLEET = "the burst is divided by the fleet's size as it is believed"
     TAKES_AT_ONCE = "a newcomer uses its part before the others know of it"
+    IGNORES_STALLS = "a request counts as sent when it is read"
     NO_LEASE = "a part is used for as long as its instance lives"
 
 
@@ -83,3 +85,8 @@
     if plant is Plant.BELIEVES_FLEET:
         return members.fleet.size
     return members.shares.sharers(now_s)
+
+
+def sent_since_s(plant: Plant, stalls: StallWatch, now_s: float) -> float:
+    """Return the earliest time at which a request that is read now may have been sent."""
+    return now_s if plant is Plant.IGNORES_STALLS else stalls.sent_since_s(now_s)
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -14,6 +14,7 @@
 from ..core.prompt import Prompt, PromptPart
 from ..core.retry_budget import RetryBudgetSettings
 from ..core.routes import Destination, RequestKind, Route
+from ..core.stall_watch import StallWatch
 from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
 from ..errors import ErrorKind, RefusedError
 from ..gateway.call import Call, CallerConnection
@@ -138,6 +139,7 @@
             self.directory,
             RetryBudgetSettings(0.2, burst, 10.0, 1.0),
             lambda: 6,
+            StallWatch(),
             self.clock,
             self.metrics,
         )
--- a/mothstand/tests/test_retry_histories.py
+++ b/mothstand/tests/test_retry_histories.py
@@ -46,6 +46,7 @@
             (Plant.OWN_WINDOW, Trouble.NONE),
             (Plant.FORGETS_RETRIES, Trouble.KILLS),
             (Plant.BELIEVES_FLEET, Trouble.STORE_AWAY),
+            (Plant.IGNORES_STALLS, Trouble.FREEZES),
             (Plant.TAKES_AT_ONCE, Trouble.STORE_AWAY | Trouble.ADDED),
         ],
     )
