A request pays for retries from its arrival on

What callers saw: nothing told apart; while tokens were out of reach, or requests turned away in a burst, an instance had fewer retries than the fleet's budget allows for its callers' requests.

Cause: a request was counted only once its tokens were set aside; the operators count it once a caller has sent it, whether it goes on or not.

Why it is safe: a request is counted once, under its own id, on the service of its route; an unknown path or key is still not counted.

Failed before: test_requests_that_are_refused_here_pay_for_retries (refused as overloaded after one try).

--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -98,13 +98,14 @@
         self._admissions: defaultdict[str, Admission] = defaultdict(Admission)
 
     def admit(self, call: Call) -> None:
-        """Turn a request away that would only make all others late.
+        """Count a request, and turn it away if it would only make all others late.
 
         Raises
         ------
         RefusedError
             It has not run, and should come back later.
         """
+        self._budget(call.service).request(self._stalls.sent_since_s(call.arrived_s))
         share = self._admissions[call.service].share(call.priority, self._clock.monotonic_s())
         if random.random() >= share:
             detail = f"{call.service}: slow, {share:.2f} of such requests are taken on"
@@ -119,7 +120,6 @@
         RefusedError
             Only while nothing of an answer was sent.
         """
-        self._budget(call.service).request(self._stalls.sent_since_s(call.arrived_s))
         try:
             with anyio.fail_after(max(0.0, self._remaining_s(call))):
                 await self._try_upstreams(call, caller)
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -305,6 +305,13 @@
         world = World(RefusedByUpstreamError("full"), FakeAnswer(200, [b"ok"]), burst=0)
         assert world.run(world.call(RequestKind.IDEMPOTENT)) is ErrorKind.OVERLOADED
 
+    def test_requests_that_are_refused_here_pay_for_retries(self) -> None:
+        # Guards against an instance out of reach of tokens that also has no retries.
+        world = World(RefusedByUpstreamError("full"), FakeAnswer(200, [b"ok"]), burst=0)
+        for _ in range(10):
+            world.forwarder.admit(world.call(RequestKind.IDEMPOTENT))
+        assert world.run(world.call(RequestKind.IDEMPOTENT)) is None
+
     def test_a_misdirected_request_ends_the_upstreams_id(self) -> None:
         """Symptom: each request first goes to an engine that has long been replaced.
 
