A stop in an outage waits for claims that unlock soon, and leaves all of them to a peer

What callers saw: after stops in an outage of the store and a later death of all, hardly any request is served though a budget is not used up (RECOVER).

Cause (seeds 5, 11, 14, 17, 18 of the recovery model, listed red; traced by holder): an instance that is stopped some 4 s into an outage may hand over what its window has opened, 163,000 of 303,000 tokens; half a second later all would be unlocked. Its successor starts too late to prove that the rest was not spent. So 140,000 (seed 18) and 166,000 (seed 5) of 3.75 million were nobody's.

Change: where claims unlock within the time that a restart takes, and before the process must end, the stop waits for it. Earlier in an outage the successor can still prove it, and nothing is waited for.

Tried and not taken: dividing what is left among three or five peers (less is lost, 80,000 of 3.75 million at seed 18, but more is served before the recovery and fewer seeds pass: 1, 11, 14, 17 and 18 fail).

KNOWN-RED.txt may name a test with its parameters.

--- a/conftest.py
+++ b/conftest.py
@@ -16,10 +16,10 @@
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Expect the listed tests to fail, each by its whole node id."""
+    """Expect the listed tests to fail, each by its node id with or without its parameters."""
     reasons = {entry.partition(";")[0].strip(): entry for entry in _entries()}
     for item in items:
-        if reason := reasons.get(item.nodeid.partition("[")[0]):
+        if reason := reasons.get(item.nodeid) or reasons.get(item.nodeid.partition("[")[0]):
             # Strict: a listed test that passes is to be taken off the list.
             item.add_marker(pytest.mark.xfail(reason=reason, strict=True))
 
--- a/mothstand/core/shutdown.py
+++ b/mothstand/core/shutdown.py
@@ -12,6 +12,9 @@
 #: Seconds before the process is killed at which it ends by itself.
 STOP_MARGIN_S = 1.2
 
+#: Of that margin, what no part of the stop may use.
+STOP_RESERVE_S = 0.2
+
 #: A caller that comes back from a stopping instance meets another one at once.
 STOPPING_COME_BACK_S = 0.05
 
@@ -40,6 +43,11 @@
         """Return whether new requests are refused."""
         return self.began_s is not None and now_s - self.began_s >= LAME_DUCK_S
 
+    @property
+    def ends_s(self) -> float:
+        """When the process must have ended by itself, on the clock of `began_s`."""
+        return (self.began_s or 0.0) + self.grace_s - STOP_RESERVE_S
+
     def is_over(self, now_s: float, *, running: int) -> bool:
         """Return whether the process should end."""
         if self.began_s is None:
--- a/mothstand/gateway/accounts.py
+++ b/mothstand/gateway/accounts.py
@@ -44,6 +44,10 @@
 _GIVE_BACK_S = 0.7
 _HAND_OVER_S = 0.3
 
+#: Until an instance that stops has a successor. So long before its claims unlock, that one can
+#: still prove what was not spent of them; later, nobody can.
+_RESTART_S = 1.5
+
 #: Until tokens that lie elsewhere have moved, or running requests have given back their rest.
 _COME_BACK_S = 0.6
 
@@ -234,6 +238,7 @@
         started_s: float | None = None,
     ) -> None:
         self._clock = clock
+        self._health = health
         self._prepaid = prepaid
         self._settings = settings
         self._tasks: TaskGroup | None = None
@@ -274,17 +279,31 @@
         for shard in self.shards:
             shard.keeper.begin_leaving()
 
-    async def leave(self) -> None:
-        """Give back what is not used, at a stop, and leave to a peer what cannot be given back."""
+    async def leave(self, *, until_s: float) -> None:
+        """Give back what is not used, at a stop, and leave to a peer what cannot be given back.
+
+        Parameters
+        ----------
+        until_s
+            When that must be over, on the monotonic clock.
+        """
         with anyio.move_on_after(_GIVE_BACK_S) as giving_back:
             for shard in self.shards:
                 await shard.keeper.give_back()
         if giving_back.cancelled_caught:
             emit(Event.CLAIMS_STRANDED, error=f"the store took more than {_GIVE_BACK_S} s")
+        await self._wait_for_unlock(until_s - _HAND_OVER_S)
         with anyio.move_on_after(_HAND_OVER_S):
             for shard in self.shards:
                 await shard.borrower.hand_over()
 
+    async def _wait_for_unlock(self, until_s: float) -> None:
+        """Wait for claims that unlock soon: past its window no peer gets what is left of them."""
+        unlocks_in_s = max(shard.keeper.unlocks_in_s() for shard in self.shards)
+        ends_s = self._clock.monotonic_s() + unlocks_in_s
+        if self._health.is_failing and unlocks_in_s <= _RESTART_S and ends_s <= until_s:
+            await self._clock.sleep(unlocks_in_s)
+
     def take_over(self, handover: Handover) -> None:
         """Take the tokens of a peer that stops."""
         self.shard_of(handover.budget).borrower.take_over(handover)
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -186,7 +186,7 @@
             # before their end would keep the rest from everyone.
             await runner.cleanup()
             tasks.cancel_scope.cancel()
-        await self._accounts.leave()
+        await self._accounts.leave(until_s=self._shutdown.ends_s)
         await checks.cleanup()
         peer_server.close()
         self._link.close()
--- a/mothstand/testing/budget_fleet.py
+++ b/mothstand/testing/budget_fleet.py
@@ -50,6 +50,10 @@
 
 _BUDGET = BudgetName("seniors")
 
+#: Seconds that a stop has for giving back and handing over, where its requests end at once: of a
+#: grace of eight, three are the lame duck's.
+_STOP_S = 4.8
+
 
 class _SlowStoreLink(StoreLink):
     """A way to the store that takes time and counts calls."""
@@ -219,7 +223,7 @@
             ended.accounts.begin_leaving()
             await anyio.sleep(drains_s)
         if gives_back:
-            await ended.accounts.leave()
+            await ended.accounts.leave(until_s=anyio.current_time() + _STOP_S)
         ended.kill()
         await anyio.sleep(down_s)
         me = ended.members.fleet.me
--- a/mothstand/tests/test_recovery.py
+++ b/mothstand/tests/test_recovery.py
@@ -114,5 +114,5 @@
 
     @pytest.mark.parametrize("seed", [5, 11, 14, 17, 18])
     def test_the_same_with_other_callers(self, seed: int) -> None:
-        """Symptom, sequence and cause: see above. Of seeds 1 to 20 these five serve too few."""
+        """Symptom, sequence and cause: see above. Of seeds 1 to 20 these five served too few."""
         assert _served_share(_ENOUGH_PAID_TOKENS, seed) >= _LEAST_SERVED_SHARE
--- a/mothstand/tests/test_shutdown.py
+++ b/mothstand/tests/test_shutdown.py
@@ -31,3 +31,6 @@
 
     def test_ends_before_it_is_killed(self) -> None:
         assert Shutdown(8.0, began_s=100.0).is_over(106.9, running=3)
+
+    def test_all_parts_end_before_it_is_killed(self) -> None:
+        assert Shutdown(8.0, began_s=100.0).ends_s < 108.0
