--- a/mothstand/core/fleet.py
+++ b/mothstand/core/fleet.py
@@ -23,8 +23,7 @@
 #: Least seconds between two announcements of an instance.
 ANNOUNCE_S = 4.0
 
-#: Announcements of the whole fleet a second; all instances read all of them. At 700 instances and
-#: 130 bytes that is 2.6 kB/s for each, of the 3 kB/s that control may take of a node.
+#: Announcements of the whole fleet a second; all instances read all of them.
 MOST_ANNOUNCEMENTS_PER_S = 20.0
 
 #: An instance that has missed so many announcements has gone. The store turns some instances away
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -272,9 +272,8 @@
     async def _patiently(self, call: Call, sending: Awaitable[UpstreamAnswer]) -> UpstreamAnswer:
         """Wait for an answer's head until it is better to go elsewhere, as long as that can be.
 
-        In a burst the upstreams are slow and the retries used up. A request that was taken from its
-        upstream's queue then had nowhere to go, and failed though it would have been answered: 110
-        of 3,139 requests on a day with a burst of 2.2 times the load and two in five engines down.
+        In a burst the upstreams are slow and the retries used up. A request that is taken from its
+        upstream's queue then has nowhere to go, and fails though it would have been answered.
         """
         patience_s = self._patience.of(call.service, call.route.objective_s)
         result: UpstreamAnswer | Exception | None = None
