Requests that paid for no retry are forgotten also where none is asked for

What operators would have seen: an instance whose upstreams never fail grows by some bytes with each request, for as long as it lives.

Cause: times of requests were dropped only when a retry was asked for.

Failed before: test_requests_of_a_service_that_needs_no_retries_are_forgotten (10,000 of 10,000 kept). One field of core/burst_shares.py gets a name that says what it holds.

--- a/mothstand/core/burst_shares.py
+++ b/mothstand/core/burst_shares.py
@@ -46,11 +46,18 @@
 
 @dataclass(slots=True)
 class _Sharer:
-    """Another instance, as it was seen last."""
+    """Another instance, as it was seen last.
+
+    Parameters
+    ----------
+    counts_me_from_s
+        From when on no window has a larger part that it used before it knew of this instance; None
+        before it has read this instance's announcement.
+    """
 
     seen_s: float
     notice: SharerNotice
-    knows_me_since_s: float | None = None
+    counts_me_from_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -89,7 +96,7 @@
         sharer = self._others.setdefault(name, _Sharer(now_s, notice))
         sharer.seen_s = now_s
         sharer.notice = notice
-        self._note_acknowledgement(sharer, now_s)
+        self._note_what_it_read(sharer, now_s)
 
     def retire(self, name: str) -> None:
         """Take the record by which a name leaves the fleet."""
@@ -99,7 +106,7 @@
             self._offset = None
             self._is_known = False
             for sharer in self._others.values():
-                sharer.knows_me_since_s = None
+                sharer.counts_me_from_s = None
 
     def keep_only(self, names: set[str]) -> None:
         """Take a listing of all names in place of what was read one by one."""
@@ -144,7 +151,7 @@
 
     def sharers(self, now_s: float) -> int:
         """Return in how many parts the burst is divided, 0 while none may be used here."""
-        self._look_who_knows(now_s)
+        self._look_who_counts_me(now_s)
         if not self._is_known or now_s < self._waits_until_s or now_s >= self._leased_until_s:
             return 0
         return 1 + len(self._others)
@@ -158,17 +165,17 @@
             self._is_known = self._is_known or notice.may_have_used
             self._waits_until_s = self.started_s + self.span_s
 
-    def _note_acknowledgement(self, sharer: _Sharer, now_s: float) -> None:
+    def _note_what_it_read(self, sharer: _Sharer, now_s: float) -> None:
         has_read = self._offset is not None and sharer.notice.read_to > self._offset
-        if has_read and sharer.knows_me_since_s is None:
+        if has_read and sharer.counts_me_from_s is None:
             # What has no part yet has used none that was larger.
             wait_s = self.span_s if sharer.notice.may_have_used else 0.0
-            sharer.knows_me_since_s = now_s + wait_s
+            sharer.counts_me_from_s = now_s + wait_s
 
-    def _look_who_knows(self, now_s: float) -> None:
+    def _look_who_counts_me(self, now_s: float) -> None:
         if self._is_known or self._offset is None:
             return
         self._is_known = all(
-            sharer.knows_me_since_s is not None and sharer.knows_me_since_s <= now_s
+            sharer.counts_me_from_s is not None and sharer.counts_me_from_s <= now_s
             for sharer in self._others.values()
         )
--- a/mothstand/core/retry_budget.py
+++ b/mothstand/core/retry_budget.py
@@ -80,6 +80,7 @@
         sent_s
             The earliest time at which it may have been sent.
         """
+        self._forget(sent_s)
         insort(self._requests_s, sent_s)
 
     def take(self, now_s: float, *, sharers: int) -> RetryDecision:
--- a/mothstand/testing/retry_plants.py
+++ b/mothstand/testing/retry_plants.py
@@ -48,7 +48,7 @@
 class _HastyShares(BurstShares):
     """Does not wait for the others."""
 
-    def _look_who_knows(self, now_s: float) -> None:
+    def _look_who_counts_me(self, now_s: float) -> None:
         self._is_known = self._offset is not None
 
 
--- a/mothstand/tests/test_upstreams.py
+++ b/mothstand/tests/test_upstreams.py
@@ -135,3 +135,11 @@
             retries_s += [tried_s for is_granted in granted if is_granted]
         in_window = sum(9.75 <= at_s <= 19.75 for at_s in retries_s)
         assert in_window <= 0.2 * 300
+
+    def test_requests_of_a_service_that_needs_no_retries_are_forgotten(self) -> None:
+        # Guards against memory that grows with every request while nothing fails.
+        settings = RetryBudgetSettings(ratio=0.2, burst=52, window_s=10, delivery_s=1)
+        budget = RetryBudget(settings)
+        for request in range(10_000):
+            budget.request(request / 10)
+        assert len(budget._requests_s) <= 101
