Histories kill instances in the same order in each process

Names came from a set, whose order differs from process to process; with it the draws of who stays away differed. What is left to differ is the order of tasks that wake at the same moment, which the event loop draws.

--- a/mothstand/testing/retry_histories.py
+++ b/mothstand/testing/retry_histories.py
@@ -309,7 +309,7 @@
 
     def _kill(self, names: set[str], rng: random.Random) -> None:
         assert self._tasks is not None
-        for name in names:
+        for name in sorted(names):
             self._alive.pop(name).scope.cancel()
             if rng.random() < 0.9:
                 down_s = rng.choice([0.3, 1.0, 3.0, 8.0])
