--- a/conftest.py
+++ b/conftest.py
@@ -8,6 +8,9 @@
 
 _KNOWN_RED = Path(__file__).parent / "KNOWN-RED.txt"
 
+#: Second field of an entry whose test fails now and then.
+_SOMETIMES = "sometimes"
+
 
 def _entries() -> list[str]:
     """Return the entries: one a line, fields between semicolons, the test or command first."""
@@ -15,10 +18,6 @@
     return [line for line in lines if line.strip()]
 
 
-#: Second field of an entry whose test fails now and then.
-_SOMETIMES = "sometimes"
-
-
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Expect the listed tests to fail, each by its node id with or without its parameters."""
     reasons = {entry.partition(";")[0].strip(): entry for entry in _entries()}
--- a/mothstand/core/retry_budget.py
+++ b/mothstand/core/retry_budget.py
@@ -31,6 +31,11 @@
     window_s: float
     delivery_s: float
 
+    @property
+    def span_s(self) -> float:
+        """For how long after its grant a retry may lie in a window with later ones."""
+        return self.window_s + self.delivery_s
+
 
 @dataclass(frozen=True, slots=True)
 class RetryDecision:
@@ -98,8 +103,7 @@
         return decision
 
     def _forget(self, now_s: float) -> None:
-        span_s = self.settings.window_s + self.settings.delivery_s
-        del self._granted_s[: bisect_left(self._granted_s, now_s - span_s)]
+        del self._granted_s[: bisect_left(self._granted_s, now_s - self.settings.span_s)]
         oldest_s = self._pays_from_s(self._granted_s[0] if self._granted_s else now_s)
         del self._requests_s[: bisect_left(self._requests_s, oldest_s)]
 
@@ -114,12 +118,10 @@
     def _decide(self, now_s: float, sharers: int) -> RetryDecision:
         """Look at the windows that begin with each retry, the one asked for first."""
         share = self.settings.burst / sharers if sharers else 0.0
-        decision = RetryDecision(False, 0, 0.0, 0, sharers)
         for taken, began_s in enumerate([now_s, *reversed(self._granted_s)], start=1):
             first = bisect_left(self._requests_s, self._pays_from_s(began_s))
             requests = len(self._requests_s) - first
             allowed = self.settings.ratio * requests / 2 + share
-            decision = RetryDecision(taken <= allowed, taken, allowed, requests, sharers)
-            if not decision.is_granted:
+            if taken > allowed:
                 break
-        return decision
+        return RetryDecision(taken <= allowed, taken, allowed, requests, sharers)
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -82,13 +82,14 @@
         )
         self._placement = Placement(settings.data_centre)
         self._link = GrpcPeerLink()
+        retries = _retry_settings(settings)
         self._members = MemberFeed(
             parts.store,
             Member(self._me, settings.data_centre, _capacity(settings)),
             clock,
             self._health,
             lambda: self._accounts.look(),
-            _retry_settings(settings),
+            retries,
             started_s=started.started_s,
         )
         self._upstream_feed = UpstreamFeed(
@@ -128,7 +129,7 @@
             translator,
             self._placement,
             self._upstream_feed.directory,
-            _retry_settings(settings),
+            retries,
             lambda: self._members.shares.sharers(clock.monotonic_s()),
             self._stalls,
             clock,
--- a/mothstand/gateway/member_feed.py
+++ b/mothstand/gateway/member_feed.py
@@ -118,7 +118,7 @@
         self.shares = BurstShares(
             me.peer.instance,
             me.peer.incarnation,
-            span_s=retries.window_s + retries.delivery_s,
+            span_s=retries.span_s,
             started_s=started_s,
         )
         self._told_sharers = 0
--- a/mothstand/tests/test_fleet.py
+++ b/mothstand/tests/test_fleet.py
@@ -33,7 +33,7 @@
 from ..types import BudgetName, DataCentre, Shard
 
 if TYPE_CHECKING:
-    from ..core.claims import HeldBudget
+    from ..core.claims import Claim, HeldBudget
     from ..gateway.lending import Handover, PeerLink
 
 _SHARD = Shard(0)
@@ -51,6 +51,27 @@
     return view
 
 
+def left_by_a_stop(seed: int, *, store_call_s: float, drains_s: float, duration_s: float) -> Claim:
+    """Return the claim of an instance that stopped while the store was slow."""
+    fleet = BudgetFleet(3, 2, 3_000_000)
+
+    async def stop() -> None:
+        await anyio.sleep(12.0)
+        fleet.store_call_s = store_call_s
+        await fleet.restart("i0-0:1", down_s=0.7, gives_back=True, drains_s=drains_s)
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(stop)
+            await fleet.run(duration_s, requests_per_s=20, seed=seed)
+
+    run_in_virtual_time(run)
+    table = fleet.instances["i1-0:1"].accounts.shards[0].keeper.book.table
+    claims = table.claims[BudgetName("seniors")]
+    (left,) = [c for holder, c in claims.items() if holder.incarnation == "i0-0-1"]
+    return left
+
+
 class TestFleetView:
     def test_all_instances_agree_on_the_claimants(self) -> None:
         names = [f"{data_centre}{n}" for data_centre in "abc" for n in range(8)]
@@ -337,43 +358,13 @@
         their claims; it has 0.7 s to read and to write, under the condition that nobody else did.
         Cause: claims were given back in the very last part of a stop's eight seconds only.
         """
-        fleet = BudgetFleet(3, 2, 3_000_000)
-
-        async def stop() -> None:
-            await anyio.sleep(12.0)
-            fleet.store_call_s = 0.32
-            await fleet.restart("i0-0:1", down_s=0.7, gives_back=True, drains_s=3.8)
-
-        async def run() -> None:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(stop)
-                await fleet.run(14.0, requests_per_s=20, seed=seed)
-
-        run_in_virtual_time(run)
-        table = fleet.instances["i1-0:1"].accounts.shards[0].keeper.book.table
-        claims = table.claims[BudgetName("seniors")]
-        (left,) = [c for holder, c in claims.items() if holder.incarnation == "i0-0-1"]
+        left = left_by_a_stop(seed, store_call_s=0.32, drains_s=3.8, duration_s=14.0)
         assert left.claimed_tokens <= left.spent_tokens
 
     @pytest.mark.parametrize("seed", [1, 2, 3])
     def test_a_stop_uses_all_of_its_time_to_give_claims_back(self, seed: int) -> None:
         # Guards against claims that stay with the dead because a store was slow for a moment.
-        fleet = BudgetFleet(3, 2, 3_000_000)
-
-        async def stop() -> None:
-            await anyio.sleep(12.0)
-            fleet.store_call_s = 0.6
-            await fleet.restart("i0-0:1", down_s=0.7, gives_back=True)
-
-        async def run() -> None:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(stop)
-                await fleet.run(16.0, requests_per_s=20, seed=seed)
-
-        run_in_virtual_time(run)
-        table = fleet.instances["i1-0:1"].accounts.shards[0].keeper.book.table
-        claims = table.claims[BudgetName("seniors")]
-        (left,) = [c for holder, c in claims.items() if holder.incarnation == "i0-0-1"]
+        left = left_by_a_stop(seed, store_call_s=0.6, drains_s=0.0, duration_s=16.0)
         assert left.claimed_tokens <= left.spent_tokens
 
     @pytest.mark.parametrize("claimants", [CLAIMANTS_PER_DATA_CENTRE, 1])
