Add a limit on requests to cold upstreams by designated senders

Cause: a cold upstream bears cold_per_s requests a second, counted over all instances, and nothing keeps to it.

Change: a few instances, chosen by rendezvous hash over the members, may send to a cold upstream, each at a part of the rate with one saved-up request. All parts together are half of the limit, since two views of the fleet may be in use at once. An instance whose view is out of date sends nothing.

--- a/mothstand/core/fleet.py
+++ b/mothstand/core/fleet.py
@@ -79,6 +79,7 @@
     _last_seen_s: dict[str, float] = field(default_factory=dict)
     _last_read_s: float | None = None
     _claimants: dict[Shard, list[Member]] = field(default_factory=dict)
+    _designation_ranks: dict[str, int] = field(default_factory=dict)
 
     def apply_announcement(self, member: Member, now_s: float) -> None:
         """Add the instance that announced itself, or update it."""
@@ -86,7 +87,7 @@
         self._last_seen_s[name] = now_s
         if self._members.get(name) != member:
             self._members[name] = member
-            self._claimants.clear()
+            self._forget_choices()
 
     def expire_members(self, now_s: float) -> list[str]:
         """Note that announcements were read up to now; drop and return expired members.
@@ -94,7 +95,7 @@
         After a gap in reading, all members count as seen now. Otherwise the whole fleet would
         expire, and no instance would claim or lend.
         """
-        if self._last_read_s is None or now_s - self._last_read_s > 2 * self.announce_interval_s:
+        if not self.is_current(now_s):
             self._last_seen_s = dict.fromkeys(self._last_seen_s, now_s)
         self._last_read_s = now_s
         expire_after_s = EXPIRE_AFTER_MISSED * self.announce_interval_s
@@ -103,9 +104,30 @@
         ]
         for name in expired:
             del self._members[name], self._last_seen_s[name]
-            self._claimants.clear()
+            self._forget_choices()
         return expired
 
+    def is_current(self, now_s: float) -> bool:
+        """Return whether announcements were read recently enough to know the fleet as it is."""
+        last_read_s = self._last_read_s
+        return last_read_s is not None and now_s - last_read_s <= 2 * self.announce_interval_s
+
+    def is_designated(self, subject: str, count: int) -> bool:
+        """Return whether this instance is one of the `count` that are designated for a subject.
+
+        All instances with the same view of the fleet designate the same ones.
+        """
+        if subject not in self._designation_ranks:
+            own_weight = rendezvous_weight(subject, self.local_member.peer.instance)
+            self._designation_ranks[subject] = sum(
+                rendezvous_weight(subject, name) > own_weight for name in self._members
+            )
+        return self._designation_ranks[subject] < count
+
+    def _forget_choices(self) -> None:
+        self._claimants.clear()
+        self._designation_ranks.clear()
+
     @property
     def announce_interval_s(self) -> float:
         """Seconds between two announcements in a fleet of this size."""
