--- a/mothstand/core/placement.py
+++ b/mothstand/core/placement.py
@@ -37,6 +37,9 @@
         continue, stays local, where a network cut between data centres cannot break it. Of a day's
         requests 3.7 to 5.7 % failed when distance only broke ties, 3.2 to 4.9 % with this cost
         (five days with cuts).
+    cold_tokens
+        Cost of using a cold upstream in the same unit: more than any prompt, so that a cold
+        upstream is used only if no other one is left.
     full_pause_s
         Pause of an upstream that had no room; a few of its requests end in that time.
     suspend_first_s, suspend_max_s
@@ -46,6 +49,7 @@
     cache_lifetime_s: float = 8.0
     running_request_tokens: float = 300.0
     remote_tokens: float = 1000.0
+    cold_tokens: float = 1e9
     full_pause_s: float = 0.1
     suspend_first_s: float = 0.5
     suspend_max_s: float = 4.0
@@ -90,6 +94,7 @@
         subject: str,
         *,
         tried_upstreams: frozenset[str],
+        cold_upstreams: frozenset[str] = frozenset(),
         now_s: float,
     ) -> RegisteredUpstream | None:
         """Return the upstream for a request, or None if there is none.
@@ -99,8 +104,10 @@
         subject
             Hash subject, equal for requests that should go to the same upstream; any value for a
             request without a prompt.
-        tried
+        tried_upstreams
             Upstreams at which this request has failed.
+        cold_upstreams
+            Upstreams that are cold and may get this request.
         """
         candidates = [u for u in upstreams if u.upstream_id not in tried_upstreams]
         healthy = [u for u in candidates if self._state(u).suspended_until_s <= now_s]
@@ -110,7 +117,13 @@
         if not candidates:
             return None
         home = max(candidates, key=lambda u: _weight(u, subject)) if prompt.parts else None
-        return min(candidates, key=lambda u: self._cost(u, prompt, u is home, subject, now_s))
+
+        def cost(upstream: RegisteredUpstream) -> tuple[float, int]:
+            tokens, order = self._cost(upstream, prompt, upstream is home, subject, now_s)
+            is_cold = upstream.upstream_id in cold_upstreams
+            return tokens + (self.policy.cold_tokens if is_cold else 0.0), order
+
+        return min(candidates, key=cost)
 
     def note_started(
         self, upstream: RegisteredUpstream, prompt: Prompt, now_s: float
--- a/mothstand/core/routes.py
+++ b/mothstand/core/routes.py
@@ -4,9 +4,13 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import xxhash
 
+if TYPE_CHECKING:
+    from ..types import Region
+
 
 class RequestKind(Enum):
     """Kind of a request, which decides whether it may be sent again."""
@@ -40,6 +44,8 @@
         Whether requests need no key.
     is_resumable
         Whether another upstream may continue a broken stream.
+    homes
+        Regions in which its requests may run; empty for any.
     """
 
     name: str
@@ -53,6 +59,7 @@
     attempts: int
     is_public: bool
     is_resumable: bool
+    homes: frozenset[Region] = frozenset()
 
     @property
     def may_run_twice(self) -> bool:
@@ -80,12 +87,18 @@
     ----------
     tokens_per_event
         Tokens that one event of a stream costs; 0 for a plain service.
+    cold_start_s
+        Time for which an upstream is cold after its start.
+    cold_per_s
+        Requests a second that a cold upstream bears; 0 if its upstreams are never cold.
     """
 
     name: str
-    connection_limit: int
+    connection_limit: int = 100
     slots: int = 0
     tokens_per_event: int = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,12 +111,15 @@
         Overrides the priority of the route, if given.
     prepaid_tokens
         Total tokens that it may ever consume; None for no limit.
+    homes
+        Regions in which its requests may run; empty for any.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None
     prepaid_tokens: int | None
+    homes: frozenset[Region] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,6 +161,10 @@
                 return route
         return None
 
+    def service(self, name: str) -> GatewayService:
+        """Return a service by its name; one that is not described has the defaults."""
+        return self.services.get(name) or GatewayService(name)
+
     def workspace_for(self, key: str) -> GatewayWorkspace | None:
         """Return the workspace of a caller's key, or None."""
         return self._by_key.get(key)
--- a/mothstand/core/upstreams.py
+++ b/mothstand/core/upstreams.py
@@ -34,6 +34,9 @@
         Whether it only finishes its current requests and accepts no new ones.
     born_ms
         Unix time of its start; 0 if the upstream does not report it.
+    cold_s
+        Time for which it stays cold after the registration was written. It changes with each
+        heartbeat, so registrations that differ in it alone are equal.
     """
 
     upstream_id: str
@@ -43,6 +46,7 @@
     slots: int
     is_draining: bool
     born_ms: int = 0
+    cold_s: float = field(default=0.0, compare=False)
 
     @property
     def key(self) -> UpstreamKey:
--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -115,6 +115,13 @@
         logging.WARNING,
         "A quarantined request may be sent once, as a probe.",
     )
+    EVACUATION_BEGAN = (
+        6022,
+        logging.WARNING,
+        "Operators evacuate a data centre: its upstreams get no new requests.",
+    )
+    EVACUATION_ENDED = (6023, logging.INFO, "An evacuated data centre is used again.")
+    UPSTREAM_COLD = (6024, logging.INFO, "An upstream is cold and bears few requests a second.")
     END_DROPPED = (6021, logging.ERROR, "A crash record was dropped: too many wait for the store.")
     REQUEST_REFUSED = (7001, logging.INFO, "A request was refused.")
     HEAD_TOO_SLOW = (7005, logging.INFO, "A connection was closed before its head was complete.")
--- a/mothstand/gateway/bootstrap.py
+++ b/mothstand/gateway/bootstrap.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from ..clock import Clock
+    from .evacuations import EvacuationTracker
     from .feeds import ConfigFeed
     from .lending import PeerLink
     from .member_feed import MemberFeed
@@ -42,6 +43,7 @@
         upstreams: UpstreamFeed,
         members: MemberFeed,
         quarantine: QuarantineFeed,
+        evacuations: EvacuationTracker,
         clock: Clock,
     ) -> None:
         self._addresses = [address for address in seeds if address != own_address]
@@ -51,6 +53,7 @@
         self._upstreams = upstreams
         self._members = members
         self._quarantine = quarantine
+        self._evacuations = evacuations
         self._clock = clock
 
     async def run(self) -> None:
@@ -78,4 +81,5 @@
         self._members.apply_second_hand(state.members)
         self._upstreams.apply_second_hand(state.upstreams)
         self._quarantine.apply_second_hand(state.quarantine_records)
+        self._evacuations.apply_from_peer(state.evacuations)
         self._config.apply_record(KeyedRecord("", state.config))
--- a/mothstand/gateway/call.py
+++ b/mothstand/gateway/call.py
@@ -12,7 +12,8 @@
 
 if TYPE_CHECKING:
     from ..core.quarantine import Probe
-    from ..core.routes import Route
+    from ..core.routes import GatewayService, Route
+    from ..types import Region
     from .headers import CallerFields, RawHeaders
     from .upstream_client import OutgoingRequest
 
@@ -80,12 +81,16 @@
         Whether the upstream of the latest attempt had no capacity.
     probe
         The probe as which a quarantined request is sent; None for other requests.
+    permitted_regions
+        Regions in which the request may run; None for any.
+    exclusions
+        Upstreams that could not be chosen for the latest attempt, by reason; for the log.
     """
 
     fields: CallerFields
     headers: RawHeaders
     route: Route
-    service: str
+    service: GatewayService
     workspace: str
     priority: int
     request: OutgoingRequest
@@ -106,6 +111,8 @@
     is_connection_broken: bool = False
     is_upstream_full: bool = False
     probe: Probe | None = None
+    permitted_regions: frozenset[Region] | None = None
+    exclusions: str = ""
     _digest: RequestDigest | None = None
 
     @property
@@ -127,7 +134,8 @@
         tried = (
             f"{len(self.tried_upstreams)} tried, {self.sent_attempts} sent, {self.refusals} refused"
         )
-        return f"{self.service}: {tried}"
+        excluded = f"; excluded: {self.exclusions}" if self.exclusions else ""
+        return f"{self.service.name}: {tried}{excluded}"
 
     def usage(self, event_tokens: int, *, is_answered: bool) -> Usage:
         """Return the tokens used: the prompt once, and the output passed on.
--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -15,6 +15,7 @@
     from ..clock import Clock
     from ..core.routes import GatewayConfig
     from ..log.health import PlatformHealth
+    from .evacuations import EvacuationTracker
 
 #: Maximum wait of a read for a new configuration. The store answers at once when there is one; a
 #: shorter wait would only detect an unresponsive connection sooner.
@@ -71,6 +72,12 @@
                     self._next_offset = None
                 await self._clock.sleep(backoff.next_jittered_s())
 
+    def failing_s(self) -> float:
+        """Return for how many seconds reads have failed; 0 after a successful one."""
+        if self._failing_since_s is None:
+            return 0.0
+        return self._clock.monotonic_s() - self._failing_since_s
+
     def _note_failure(self, error: StoreError) -> None:
         """Log once that this stream is behind, also while other streams can be read."""
         now_s = self._clock.monotonic_s()
@@ -93,7 +100,7 @@
             page = await self._store.newest(self._stream)
             self._health.note_success()
             await self.note_read()
-            self.apply_listing(page.records)
+            self.apply_listing(page)
             self.is_listed = True
         else:
             page = await self._read(self._next_offset)
@@ -121,7 +128,7 @@
         """Seconds for which the store holds a read until there is a record."""
 
     @abstractmethod
-    def apply_listing(self, records: tuple[KeyedRecord, ...]) -> None:
+    def apply_listing(self, listing: StreamPage) -> None:
         """Apply the newest record of each key."""
 
     @abstractmethod
@@ -138,6 +145,8 @@
         Turns a record's value into a configuration, or raises `ValueError`.
     on_config
         Called with each version that takes effect.
+    evacuations
+        Receives the evacuations that the same stream contains.
 
     Notes
     -----
@@ -156,8 +165,10 @@
         health: PlatformHealth,
         decode: Callable[[bytes], GatewayConfig],
         on_config: Callable[[GatewayConfig], None],
+        evacuations: EvacuationTracker,
     ) -> None:
         super().__init__(store, stream, clock, health)
+        self._evacuations = evacuations
         self.config: GatewayConfig | None = None
         self.raw = b""
         self._key = key
@@ -174,12 +185,17 @@
         """Seconds for which the store holds a read until there is a record."""
         return CONFIG_WAIT_S
 
-    def apply_listing(self, records: tuple[KeyedRecord, ...]) -> None:
+    def apply_listing(self, listing: StreamPage) -> None:
         """Apply the newest record of each key."""
-        self.apply(records)
+        self._evacuations.apply_listing(listing)
+        self._apply_configs(listing.records)
 
     def apply(self, records: tuple[KeyedRecord, ...]) -> None:
         """Apply later records, in order."""
+        self._evacuations.apply(records)
+        self._apply_configs(records)
+
+    def _apply_configs(self, records: tuple[KeyedRecord, ...]) -> None:
         for record in records:
             if record.key == self._key and record.value is not None:
                 self.apply_record(record)
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -30,6 +30,7 @@
     from collections.abc import Awaitable, Callable
 
     from ..clock import Clock
+    from ..core.eligibility import Eligibility, EligibleUpstreams
     from ..core.placement import PlacedRequest, Placement
     from ..core.retry_budget import RetryBudgetSettings, RetryDecision
     from ..core.stall_detector import StallDetector
@@ -79,7 +80,7 @@
         client: UpstreamClient,
         translator: HeaderTranslator,
         placement: Placement,
-        directory: UpstreamDirectory,
+        eligibility: Eligibility,
         retries: RetryBudgetSettings,
         sharers: Callable[[], int],
         stall_detector: StallDetector,
@@ -91,7 +92,8 @@
         self._client = client
         self._translator = translator
         self._placement = placement
-        self._directory = directory
+        self._eligibility = eligibility
+        self._directory: UpstreamDirectory = eligibility.directory
         self._retry_settings = retries
         self._sharers = sharers
         self._stall_detector = stall_detector
@@ -109,14 +111,14 @@
         RefusedError
             If the request would only delay all others. It has not run and may be retried later.
         """
-        self._retry_budget(call.service).add_request(
+        self._retry_budget(call.service.name).add_request(
             self._stall_detector.earliest_send_s(call.arrived_s)
         )
-        share = self._admissions[call.service].admitted_share(
+        share = self._admissions[call.service.name].admitted_share(
             call.priority, self._clock.monotonic_s()
         )
         if random.random() >= share:
-            detail = f"{call.service}: slow, {share:.2f} of such requests are taken on"
+            detail = f"{call.service.name}: slow, {share:.2f} of such requests are taken on"
             refusal = Refusal(ErrorKind.OVERLOADED, detail, retry_after_s=random_retry_after_s())
             raise RefusedError(refusal)
 
@@ -153,14 +155,22 @@
                     return
 
     def _choose(self, call: Call) -> RegisteredUpstream | None:
+        eligible = self._eligible(call)
+        call.exclusions = eligible.exclusions_summary
         return self._placement.choose(
-            self._directory.accepting_upstreams(call.service),
+            eligible.upstreams,
             call.fields.prompt,
             session_key(call.fields.prompt, call.fields.request_id),
             tried_upstreams=frozenset(call.tried_upstreams),
+            cold_upstreams=frozenset(eligible.cold_ids),
             now_s=self._clock.monotonic_s(),
         )
 
+    def _eligible(self, call: Call) -> EligibleUpstreams:
+        return self._eligibility.eligible(
+            call.service, call.permitted_regions, self._clock.monotonic_s()
+        )
+
     def _may_retry(self, call: Call) -> bool:
         if call.sent_attempts >= call.route.attempts or call.refusals >= _MAX_REFUSALS:
             return False
@@ -209,7 +219,7 @@
             )
         else:
             refusal = Refusal(
-                ErrorKind.NO_UPSTREAM, call.service, retry_after_s=_FULL_RETRY_AFTER_S
+                ErrorKind.NO_UPSTREAM, call.attempts_summary, retry_after_s=_FULL_RETRY_AFTER_S
             )
             raise RefusedError(refusal)
 
@@ -243,6 +253,7 @@
         answer: UpstreamAnswer | None = None
         self._guard.note_attempt_began(call)
         call.attempt_began_s = self._clock.monotonic_s()
+        self._eligibility.note_sent(upstream, call.service, call.attempt_began_s)
         # Counted before sending, since an attempt that is cancelled later may have run.
         call.sent_attempts += 1
         try:
@@ -301,7 +312,7 @@
         upstream's queue then could not be sent to another one, and would fail though it would have
         been answered.
         """
-        timeout_s = self._adaptive_timeout.timeout_s(call.service, call.route.objective_s)
+        timeout_s = self._adaptive_timeout.timeout_s(call.service.name, call.route.objective_s)
         result: UpstreamAnswer | Exception | None = None
         finished = anyio.Event()
 
@@ -342,7 +353,7 @@
         for the same few retries, and one that left its upstream but got no retry would fail.
         """
         # Called ten times a second per waiting request, so no upstream is chosen here.
-        upstreams = self._directory.accepting_upstreams(call.service)
+        upstreams = self._eligible(call).upstreams
         if all(upstream.upstream_id in call.tried_upstreams for upstream in upstreams):
             return False
         # Denials are not logged here: each waiting request would log ten of them a second.
@@ -351,7 +362,7 @@
 
     def _acquire_retry(self, call: Call) -> RetryDecision:
         now_s = self._clock.monotonic_s()
-        decision = self._retry_budget(call.service).try_acquire(now_s, sharers=self._sharers())
+        decision = self._retry_budget(call.service.name).try_acquire(now_s, sharers=self._sharers())
         if decision.is_granted:
             self._log_retry(Event.RETRY_GRANTED, call, decision)
         return decision
@@ -361,7 +372,7 @@
         emit(
             event,
             request=call.fields.request_id,
-            service=call.service,
+            service=call.service.name,
             taken=decision.used,
             allowed=round(decision.allowed, 2),
             requests=decision.requests,
@@ -375,7 +386,7 @@
         began_s = self._clock.monotonic_s()
         answer = await sending
         took_s = self._clock.monotonic_s() - began_s
-        self._adaptive_timeout.record_response_time(call.service, took_s)
+        self._adaptive_timeout.record_response_time(call.service.name, took_s)
         return answer
 
     async def _pass_on(
@@ -428,7 +439,9 @@
         """Record the response time of the answering upstream for admission."""
         now_s = self._clock.monotonic_s()
         took_s = now_s - call.attempt_began_s
-        self._admissions[call.service].record_response_time(took_s, call.route.objective_s, now_s)
+        self._admissions[call.service.name].record_response_time(
+            took_s, call.route.objective_s, now_s
+        )
 
     def _log_failure(
         self, call: Call, upstream: RegisteredUpstream, error: Exception, pause_s: float
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -9,12 +9,15 @@
 import anyio
 from aiohttp import web
 
+from ..core.eligibility import Eligibility
+from ..core.evacuation import Evacuations
 from ..core.fleet import Capacity, Member
 from ..core.loans import Peer
 from ..core.placement import Placement
 from ..core.retry_budget import RetryBudgetSettings
 from ..core.shutdown import Shutdown
 from ..core.stall_detector import TICK_S, StallDetector
+from ..core.warmup import Warmup, WarmupSettings
 from ..events import Event, emit
 from ..log.health import PlatformHealth
 from ..process_start import BACKLOG
@@ -24,6 +27,7 @@
 from .bootstrap import Bootstrap
 from .crash_detector import CrashDetector, TcpLivenessCheck
 from .crash_guard import CrashGuard
+from .evacuations import EvacuationPolling, EvacuationTracker
 from .feeds import ConfigFeed
 from .forward import Forwarder
 from .lending import BootstrapState, GrpcPeerLink, LendingService, serve_peers
@@ -81,6 +85,7 @@
         self._store = parts.store
         self._prepaid_tokens: dict[BudgetName, int] = {}
         translator: HeaderTranslator = parts.headers
+        self._evacuations = EvacuationTracker(Evacuations(), parts.evacuated_data_centre, clock)
         self._config_feed = ConfigFeed(
             parts.store,
             parts.config_stream,
@@ -89,6 +94,7 @@
             self._health,
             parts.decode_config,
             self._on_config,
+            self._evacuations,
         )
         self._placement = Placement(settings.data_centre)
         self._link = GrpcPeerLink()
@@ -102,6 +108,9 @@
             retries,
             started_s=process_start.started_s,
         )
+        self._warmup = Warmup(
+            WarmupSettings(settings.warmup.overshoot, settings.warmup.slack), self._members.fleet
+        )
         self._upstream_feed = UpstreamFeed(
             parts.store,
             parts.upstreams_stream,
@@ -111,6 +120,7 @@
             self._forget_upstream,
             settings.timing.registrations_s,
             PeerWitness(self._link, self._members),
+            self._note_cold,
         )
         self._accounts = Accounts(
             settings,
@@ -131,9 +141,12 @@
             self._health,
             self._local_peer.instance,
             self._link,
-            lambda: [member.peer.address for member in self._members.fleet.other_members()],
+            self._peer_addresses,
             lambda: self._members.fleet.size,
         )
+        self._evacuation_polling = EvacuationPolling(
+            self._evacuations, self._link, self._config_feed.failing_s, self._peer_addresses, clock
+        )
         self._bootstrap = Bootstrap(
             settings.seeds.peers,
             settings.listen.peers,
@@ -142,6 +155,7 @@
             self._upstream_feed,
             self._members,
             self._quarantine_feed,
+            self._evacuations,
             clock,
         )
         self._crash_detector = CrashDetector(
@@ -154,7 +168,12 @@
             self._client,
             translator,
             self._placement,
-            self._upstream_feed.directory,
+            Eligibility(
+                self._upstream_feed.directory,
+                self._evacuations.evacuations,
+                self._warmup,
+                settings.region_map,
+            ),
             retries,
             lambda: self._members.burst_shares.sharers(clock.monotonic_s()),
             self._stall_detector,
@@ -176,9 +195,20 @@
 
     def _forget_upstream(self, upstream: RegisteredUpstream) -> None:
         self._placement.forget(upstream)
+        self._warmup.forget(upstream)
         self._client.close_idle_connections(upstream)
         self._crash_detector.note_process_ended(upstream)
 
+    def _note_cold(self, upstream: RegisteredUpstream) -> None:
+        now_s = self._clock.monotonic_s()
+        was_cold = self._warmup.is_cold(upstream, now_s)
+        self._warmup.note_cold(upstream, upstream.cold_s, now_s)
+        if upstream.cold_s > 0 and not was_cold:
+            emit(Event.UPSTREAM_COLD, upstream=upstream.upstream_id, cold_s=upstream.cold_s)
+
+    def _peer_addresses(self) -> list[str]:
+        return [member.peer.address for member in self._members.fleet.other_members()]
+
     async def run(self) -> None:
         """Serve until SIGTERM."""
         runner = web.ServerRunner(self._server.make_server(), shutdown_timeout=_SHUTDOWN_TIMEOUT_S)
@@ -207,6 +237,7 @@
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._run_with_restarts, "config", self._config_feed.run)
+            tasks.start_soon(self._run_with_restarts, "evacuations", self._evacuation_polling.run)
             tasks.start_soon(self._run_with_restarts, "upstreams", self._upstream_feed.run)
             tasks.start_soon(self._run_with_restarts, "members", self._members.run)
             tasks.start_soon(self._run_with_restarts, "claims", self._accounts.run)
@@ -267,6 +298,9 @@
     async def _serve_checks(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer paths that contain `metrics` with the metrics, and others with readiness."""
         if "metrics" in request.path:
+            self._metrics.counts["evacuated_data_centres"] = len(
+                self._evacuations.evacuations.evacuated
+            )
             return web.Response(text=self._metrics.text())
         ready = self._can_serve() and not self._shutdown.is_stopping
         return web.Response(status=200 if ready else 503)
@@ -289,6 +323,7 @@
             self._upstream_feed.raw_records(),
             self._members.known_records(),
             self._quarantine_feed.known_records(),
+            self._evacuations.evacuations.states,
         )
 
     def _config(self) -> GatewayConfig | None:
--- a/mothstand/gateway/lending.py
+++ b/mothstand/gateway/lending.py
@@ -12,12 +12,13 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server
 
+from ..core.evacuation import EvacuationState
 from ..core.loans import Holding
 from ..peers import lending_pb2 as pb
 from ..peers.failures import PeerError, PeerUnreachableError
 from ..peers.lending_grpc import LendingBase, LendingStub
 from ..settings.instance import Address
-from ..types import BudgetName
+from ..types import BudgetName, DataCentre
 from .store import KeyedRecord
 
 if TYPE_CHECKING:
@@ -34,6 +35,8 @@
 #: milliseconds.
 WITNESS_TIMEOUT_S = 0.25
 
+EVACUATIONS_TIMEOUT_S = 0.25
+
 #: Maximum duration of a connection attempt: longer than packets wait on a full link, and shorter
 #: than the 1 s after which the first lost packet of a new connection is sent again.
 MAX_CONNECT_S = 0.8
@@ -116,6 +119,7 @@
     upstreams: tuple[KeyedRecord, ...]
     members: tuple[KeyedRecord, ...]
     quarantine_records: tuple[KeyedRecord, ...] = ()
+    evacuations: tuple[EvacuationState, ...] = ()
 
 
 class PeerLink(ABC):
@@ -171,6 +175,16 @@
             If it did not answer; it may have applied them.
         """
 
+    @abstractmethod
+    async def evacuations(self, address: str) -> tuple[EvacuationState, ...]:
+        """Return the evacuations that a peer knows.
+
+        Raises
+        ------
+        PeerError
+            If it did not answer.
+        """
+
     @abstractmethod
     def close(self) -> None:
         """Close all connections."""
@@ -266,6 +280,7 @@
             upstreams=tuple(KeyedRecord(r.key, r.value) for r in reply.upstreams),
             members=tuple(KeyedRecord(r.key, r.value) for r in reply.members),
             quarantine_records=tuple(KeyedRecord(r.key, r.value) for r in reply.ends),
+            evacuations=_from_messages(reply.evacuations),
         )
 
     async def registrations_gapless_read_s(self, address: str) -> float:
@@ -281,6 +296,12 @@
         with self._call(address) as stub, anyio.fail_after(LOAN_TIMEOUT_S):
             await stub.TellEnds(pb.EndsRequest(ends=messages))
 
+    async def evacuations(self, address: str) -> tuple[EvacuationState, ...]:
+        """Return the evacuations that a peer knows."""
+        with self._call(address) as stub, anyio.fail_after(EVACUATIONS_TIMEOUT_S):
+            reply = await stub.Evacuations(pb.EvacuationsRequest())
+        return _from_messages(reply.evacuations)
+
     def close(self) -> None:
         """Close all connections."""
         for address in list(self._channels):
@@ -332,6 +353,19 @@
             raise failure(f"{self._address}: {error!r}") from error
 
 
+def _from_messages(messages: Iterable[pb.EvacuationState]) -> tuple[EvacuationState, ...]:
+    return tuple(
+        EvacuationState(DataCentre(m.data_centre), m.is_evacuated, m.offset) for m in messages
+    )
+
+
+def _to_messages(states: Iterable[EvacuationState]) -> list[pb.EvacuationState]:
+    return [
+        pb.EvacuationState(data_centre=s.data_centre, is_evacuated=s.is_evacuated, offset=s.offset)
+        for s in states
+    ]
+
+
 class LendingService(LendingBase):
     """Serves the calls of other instances."""
 
@@ -396,6 +430,7 @@
             upstreams=[pb.StoredRecord(key=r.key, value=r.value) for r in state.upstreams],
             members=[pb.StoredRecord(key=r.key, value=r.value) for r in state.members],
             ends=[pb.StoredRecord(key=r.key, value=r.value) for r in state.quarantine_records],
+            evacuations=_to_messages(state.evacuations),
         )
         await stream.send_message(reply)
 
@@ -418,6 +453,14 @@
         self._apply_quarantine_records(KeyedRecord(r.key, r.value or None) for r in message.ends)
         await stream.send_message(pb.EndsReply())
 
+    async def Evacuations(  # noqa: N802
+        self, stream: Stream[pb.EvacuationsRequest, pb.EvacuationsReply]
+    ) -> None:
+        """Send the evacuations that this instance knows."""
+        await stream.recv_message()
+        states = self._bootstrap_state().evacuations
+        await stream.send_message(pb.EvacuationsReply(evacuations=_to_messages(states)))
+
 
 async def serve_peers(service: LendingService, address: str) -> Server:
     """Start a server for the calls of other instances."""
--- a/mothstand/gateway/member_feed.py
+++ b/mothstand/gateway/member_feed.py
@@ -13,7 +13,7 @@
 from ..events import Event, emit
 from ..types import DataCentre
 from .feeds import KeyedFeed
-from .store import KeyedRecord, Store, StoreConflictError, Stream
+from .store import KeyedRecord, Store, StoreConflictError, Stream, StreamPage
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -184,8 +184,9 @@
             self._logged_sharers = sharers
             emit(Event.BURST_SHARED, sharers=sharers, fleet=self.fleet.size)
 
-    def apply_listing(self, records: tuple[KeyedRecord, ...]) -> None:
+    def apply_listing(self, listing: StreamPage) -> None:
         """Apply the newest announcement of each instance."""
+        records = listing.records
         local_peer = self.fleet.local_member.peer
         self.burst_shares.keep_only({record.key for record in records if record.value is not None})
         self.apply(records)
--- a/mothstand/gateway/quarantine_feed.py
+++ b/mothstand/gateway/quarantine_feed.py
@@ -23,7 +23,7 @@
     probe_of_key,
     record_age,
 )
-from .store import KeyedRecord, Store, StoreConflictError, StoreError, Stream
+from .store import KeyedRecord, Store, StoreConflictError, StoreError, Stream, StreamPage
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
@@ -171,9 +171,9 @@
         self.quarantine.drop_probe(probe)
         self._outbox.enqueue(KeyedRecord(probe_key(probe), None))
 
-    def apply_listing(self, records: tuple[KeyedRecord, ...]) -> None:
+    def apply_listing(self, listing: StreamPage) -> None:
         """Replace known crashes and probes by a listing; crashes not yet appended stay."""
-        listed = {record.key for record in records}
+        listed = {record.key for record in listing.records}
         for key in list(self._known_crashes):
             if key not in listed and key not in self._outbox:
                 self._drop_crash(key)
@@ -181,7 +181,7 @@
             if probe_key(probe) not in listed:
                 self.quarantine.drop_probe(probe)
         # Crashes before probes: a probe is only added to a request with known crashes.
-        for record in sorted(records, key=lambda record: is_probe_key(record.key)):
+        for record in sorted(listing.records, key=lambda record: is_probe_key(record.key)):
             self._apply_record(record, source=_SOURCE_LISTING)
 
     def apply(self, records: tuple[KeyedRecord, ...]) -> None:
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from ..core.homes import permitted_regions
 from ..core.shutdown import STOPPING_RETRY_AFTER_S
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..events import Event, emit
@@ -230,18 +231,20 @@
             fields=fields,
             headers=headers,
             route=route,
-            service=route.service_for(fields.request_id),
+            service=config.service(route.service_for(fields.request_id)),
             workspace="" if workspace is None else workspace.name,
             priority=_priority(route, workspace),
             request=OutgoingRequest(request.method, request.raw_path, fields.request_id, body),
             arrived_s=arrived_s,
             deadline_s=arrived_s + limit_s,
+            permitted_regions=permitted_regions(
+                route.homes, frozenset() if workspace is None else workspace.homes
+            ),
         )
-        await self._admit_and_run(config, call, workspace, caller)
+        await self._admit_and_run(call, workspace, caller)
 
     async def _admit_and_run(
         self,
-        config: GatewayConfig,
         call: Call,
         workspace: GatewayWorkspace | None,
         caller: HttpCaller,
@@ -250,17 +253,14 @@
         async with self._guard.admit(call):
             self._forwarder.admit(call)
             reservation = await self._reserve(call, workspace)
-            await self._run_reserved(config, call, reservation, caller)
+            await self._run_reserved(call, reservation, caller)
 
     async def _run_reserved(
         self,
-        config: GatewayConfig,
         call: Call,
         reservation: Reservation | None,
         caller: HttpCaller,
     ) -> None:
-        service = config.services.get(call.service)
-        event_tokens = 0 if service is None else service.tokens_per_event
         outcome = "left"
         try:
             await self._forwarder.run(call, caller)
@@ -269,7 +269,7 @@
             outcome = "refused"
             raise
         finally:
-            usage = call.usage(event_tokens, is_answered=caller.is_started)
+            usage = call.usage(call.service.tokens_per_event, is_answered=caller.is_started)
             if reservation is not None:
                 self._accounts.settle(reservation, usage)
             self._log_end(call, caller, outcome, usage)
--- a/mothstand/gateway/upstream_feed.py
+++ b/mothstand/gateway/upstream_feed.py
@@ -9,7 +9,7 @@
 from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
 from ..events import Event, emit
 from .feeds import KeyedFeed
-from .store import KeyedRecord, Store, Stream
+from .store import KeyedRecord, Store, Stream, StreamPage
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -42,6 +42,8 @@
         Called with each upstream that was deregistered or has restarted.
     witness
         Determines whether the store was up while this instance could not reach it.
+    on_cold
+        Called with each upstream whose registration says that it is cold, or no longer is.
     """
 
     backoff_max_s = _BACKOFF_MAX_S
@@ -56,6 +58,7 @@
         on_removed: Callable[[RegisteredUpstream], None],
         wait_s: float,
         witness: StoreWitness,
+        on_cold: Callable[[RegisteredUpstream], None] = lambda _: None,
     ) -> None:
         super().__init__(store, stream, clock, health)
         self.directory = UpstreamDirectory()
@@ -65,6 +68,7 @@
         self._on_removed = on_removed
         self._wait_s = wait_s
         self._witness = witness
+        self._on_cold = on_cold
         self._grace_event = anyio.Event()
 
     async def run(self) -> None:
@@ -100,11 +104,11 @@
         """Seconds for which the store holds a read until there is a record."""
         return self._wait_s
 
-    def apply_listing(self, records: tuple[KeyedRecord, ...]) -> None:
+    def apply_listing(self, listing: StreamPage) -> None:
         """Apply the newest record of each key."""
         now_s = self._clock.monotonic_s()
         before = dict(self.directory.upstreams)
-        decoded = [u for u in map(self._decode_record, records) if u is not None]
+        decoded = [u for u in map(self._decode_record, listing.records) if u is not None]
         for upstream_id, retained_s in self.directory.replace_all(decoded, now_s).items():
             self._log_end(upstream_id, retained_s, None)
         self._notify_removed(before)
@@ -196,4 +200,5 @@
             self._raw.pop(record.key, None)
             return None
         self._raw[record.key] = record.value
+        self._on_cold(upstream)
         return upstream
--- a/mothstand/operators/explain.py
+++ b/mothstand/operators/explain.py
@@ -73,6 +73,15 @@
         return self.prepaid_tokens - sum(h.claimed_tokens for h in self.holders.values())
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationChange:
+    """Begin or end of an evacuation, at an offset of the operators' stream."""
+
+    data_centre: str
+    is_evacuated: bool
+    offset: int
+
+
 @dataclass(slots=True)
 class Explanation:
     """Findings from the logs of a fleet.
@@ -83,6 +92,8 @@
         The latest start of each instance.
     refusals_by_second
         Refusals by kind, for each second of the day.
+    evacuations
+        Times at which the instances learnt of each begin and end of an evacuation.
     parse_errors
         Messages on lines that look like events and cannot be read.
     """
@@ -92,6 +103,9 @@
     refusals_by_second: dict[int, Counter[str]] = field(
         default_factory=lambda: defaultdict(Counter)
     )
+    evacuations: dict[EvacuationChange, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     parse_errors: list[str] = field(default_factory=list)
 
     def apply(self, event: LoggedEvent) -> None:
@@ -114,6 +128,10 @@
             self.budgets[fields["workspace"]].uncertain_tokens += uncertain_tokens
         elif event.number == Event.REQUEST_REFUSED.number:
             self._apply_refusal(event)
+        elif event.number in (Event.EVACUATION_BEGAN.number, Event.EVACUATION_ENDED.number):
+            is_evacuated = event.number == Event.EVACUATION_BEGAN.number
+            change = EvacuationChange(fields["data_centre"], is_evacuated, fields["offset"])
+            self.evacuations[change].append(event.at_s)
 
     def is_dead(self, holder: Holder) -> bool:
         """Return whether a later start of the holder's instance is known."""
@@ -226,13 +244,28 @@
         reasons = ", ".join(f"{count} {kind}" for kind, count in budget.refusals.most_common())
         yield f"{name:16}" + "".join(f"{figure:>11}" for figure in figures) + f"  {reasons}"
     yield from _stranded_lines(explanation)
+    yield from _evacuation_lines(explanation)
     yield "refused, by second:"
     for second, kinds in sorted(explanation.refusals_by_second.items()):
         counts = ", ".join(f"{count} {kind}" for kind, count in kinds.most_common())
-        yield f"  {second // 3600:02}:{second // 60 % 60:02}:{second % 60:02}  {counts}"
+        yield f"  {_clock_time(second)}  {counts}"
     yield from explanation.parse_errors
 
 
+def _clock_time(second: int) -> str:
+    return f"{second // 3600:02}:{second // 60 % 60:02}:{second % 60:02}"
+
+
+def _evacuation_lines(explanation: Explanation) -> Iterator[str]:
+    for change, learnt_s in explanation.evacuations.items():
+        kind = "began" if change.is_evacuated else "ended"
+        yield (
+            f"evacuation of {change.data_centre} {kind} at offset {change.offset}: known to "
+            f"{len(learnt_s)} instances, {_clock_time(int(min(learnt_s)))} to "
+            f"{_clock_time(int(max(learnt_s)))}"
+        )
+
+
 #: Maximum of stranded claims to list: the 12 largest show where a day's tokens are.
 _MAX_STRANDED_LINES = 12
 
--- a/mothstand/peers/lending_grpc.py
+++ b/mothstand/peers/lending_grpc.py
@@ -34,6 +34,10 @@
     async def TellEnds(self, stream: 'grpclib.server.Stream[mothstand.peers.lending_pb2.EndsRequest, mothstand.peers.lending_pb2.EndsReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Evacuations(self, stream: 'grpclib.server.Stream[mothstand.peers.lending_pb2.EvacuationsRequest, mothstand.peers.lending_pb2.EvacuationsReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/mothstand.peers.Lending/Lend': grpclib.const.Handler(
@@ -66,6 +70,12 @@
                 mothstand.peers.lending_pb2.EndsRequest,
                 mothstand.peers.lending_pb2.EndsReply,
             ),
+            '/mothstand.peers.Lending/Evacuations': grpclib.const.Handler(
+                self.Evacuations,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                mothstand.peers.lending_pb2.EvacuationsRequest,
+                mothstand.peers.lending_pb2.EvacuationsReply,
+            ),
         }
 
 
@@ -102,3 +112,9 @@
             mothstand.peers.lending_pb2.EndsRequest,
             mothstand.peers.lending_pb2.EndsReply,
         )
+        self.Evacuations = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mothstand.peers.Lending/Evacuations',
+            mothstand.peers.lending_pb2.EvacuationsRequest,
+            mothstand.peers.lending_pb2.EvacuationsReply,
+        )
--- a/mothstand/platform/parts.py
+++ b/mothstand/platform/parts.py
@@ -6,7 +6,14 @@
 
 from ..gateway.platform_parts import PlatformParts
 from .headers import PlatformHeaders
-from .records import CONFIG_KEY, CONFIG_STREAM, UPSTREAMS_STREAM, decode_config, decode_upstream
+from .records import (
+    CONFIG_KEY,
+    CONFIG_STREAM,
+    UPSTREAMS_STREAM,
+    decode_config,
+    decode_upstream,
+    evacuated_data_centre,
+)
 from .store import HttpStore
 
 if TYPE_CHECKING:
@@ -21,6 +28,7 @@
         config_stream=CONFIG_STREAM,
         config_key=CONFIG_KEY,
         decode_config=decode_config,
+        evacuated_data_centre=evacuated_data_centre,
         upstreams_stream=UPSTREAMS_STREAM,
         decode_upstream=decode_upstream,
     )
--- a/mothstand/platform/records.py
+++ b/mothstand/platform/records.py
@@ -18,12 +18,15 @@
 )
 from ..core.upstreams import RegisteredUpstream
 from ..gateway.store import Stream
-from ..types import DataCentre
+from ..types import DataCentre, Region
 
 #: Stream and key of the operators' configuration.
 CONFIG_STREAM = Stream("keyed.op")
 CONFIG_KEY = "config"
 
+#: Prefix of the operators' keys that evacuate a data centre; its name follows.
+_EVACUATION_PREFIX = "evacuate/"
+
 #: Stream in which upstreams register themselves, each under its own id.
 UPSTREAMS_STREAM = Stream("keyed.servers")
 
@@ -54,6 +57,7 @@
     attempts: int = 1
     public: bool = False
     resumable: bool = False
+    home_regions: list[str] = Field(default_factory=list)
 
 
 class _Engine(BaseModel):
@@ -66,6 +70,8 @@
     name: str
     connection_limit: int = 100
     engine: _Engine | None = None
+    cold_start_s: float = 0
+    cold_per_s: float = 0
 
 
 class _Tenant(BaseModel):
@@ -74,6 +80,7 @@
     priority: int | None = None
     # Running total of the tokens paid for, not the remainder.
     prepaid: int | None = None
+    home_regions: list[str] = Field(default_factory=list)
 
 
 class _Limits(BaseModel):
@@ -126,7 +133,9 @@
         routes=tuple(_route(route) for route in wire.routes),
         services={service.name: _service(service) for service in wire.services},
         workspaces={
-            t.name: GatewayWorkspace(t.name, tuple(t.keys), t.priority, t.prepaid)
+            t.name: GatewayWorkspace(
+                t.name, tuple(t.keys), t.priority, t.prepaid, _regions(t.home_regions)
+            )
             for t in wire.tenants
         },
         limits=RequestLimits(
@@ -152,14 +161,30 @@
         attempts=max(1, wire.attempts),
         is_public=wire.public,
         is_resumable=wire.resumable,
+        homes=_regions(wire.home_regions),
     )
 
 
+def _regions(names: list[str]) -> frozenset[Region]:
+    return frozenset(Region(name) for name in names)
+
+
 def _service(wire: _Service) -> GatewayService:
     engine = wire.engine
-    if engine is None:
-        return GatewayService(wire.name, wire.connection_limit)
-    return GatewayService(wire.name, wire.connection_limit, engine.slots, engine.stride)
+    return GatewayService(
+        wire.name,
+        wire.connection_limit,
+        slots=0 if engine is None else engine.slots,
+        tokens_per_event=0 if engine is None else engine.stride,
+        cold_start_s=wire.cold_start_s,
+        cold_per_s=wire.cold_per_s,
+    )
+
+
+def evacuated_data_centre(key: str) -> DataCentre | None:
+    """Return the data centre that an operators' key evacuates, or None for other keys."""
+    name = key.removeprefix(_EVACUATION_PREFIX)
+    return DataCentre(name) if name and name != key else None
 
 
 def decode_upstream(upstream_id: str, data: bytes) -> RegisteredUpstream:
@@ -184,6 +209,7 @@
         slots=wire.slots,
         is_draining=wire.state == _DRAINING,
         born_ms=wire.born,
+        cold_s=wire.cold_remaining_ms / 1000,
     )
 
 
--- a/mothstand/settings/gateway.py
+++ b/mothstand/settings/gateway.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
-from pydantic import Field
+from pydantic import BeforeValidator, Field
 
-from ..types import DataCentre
-from .ini import SectionModel, Words, read_sections
+from ..core.homes import RegionMap
+from ..types import DataCentre, Region
+from .ini import SectionModel, Words, read_sections, split_words
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -72,6 +73,23 @@
     window_s: float = Field(10.0, gt=0, description="length of the window in seconds, above 0")
 
 
+class WarmupSection(SectionModel):
+    """``[warmup]``: limit on the requests that the whole fleet sends to a cold upstream."""
+
+    overshoot: float = Field(
+        1.0, ge=0, description="factor on the rate that a service states, 0 or more"
+    )
+    slack: float = Field(0.0, ge=0, description="additional requests in any second, 0 or more")
+
+
+class RegionsSection(SectionModel):
+    """``[regions]``: the regions of the data centres, for routes and workspaces with homes."""
+
+    data_centres: Annotated[
+        tuple[Annotated[str, Field(pattern=r"^[^=]+=[^=]+$")], ...], BeforeValidator(split_words)
+    ] = Field((), description="DATA_CENTRE=REGION for each data centre, or empty")
+
+
 class GatewayTimingSection(SectionModel):
     """``[timing]``: intervals and timeouts."""
 
@@ -103,12 +121,20 @@
     seeds: SeedsSection
     retries: RetriesSection
     timing: GatewayTimingSection
+    warmup: WarmupSection
+    regions: RegionsSection
 
     @property
     def data_centre(self) -> DataCentre:
         """The instance's data centre."""
         return DataCentre(self.instance.data_centre)
 
+    @property
+    def region_map(self) -> RegionMap:
+        """The region of each data centre."""
+        pairs = (pair.split("=") for pair in self.regions.data_centres)
+        return RegionMap({DataCentre(name): Region(region) for name, region in pairs})
+
 
 GATEWAY_SECTIONS: dict[str, type[SectionModel]] = {
     "instance": GatewayInstanceSection,
@@ -117,6 +143,8 @@
     "seeds": SeedsSection,
     "retries": RetriesSection,
     "timing": GatewayTimingSection,
+    "warmup": WarmupSection,
+    "regions": RegionsSection,
 }
 
 
--- a/mothstand/settings/ini.py
+++ b/mothstand/settings/ini.py
@@ -13,12 +13,13 @@
     from pathlib import Path
 
 
-def _split_words(value: object) -> object:
+def split_words(value: object) -> object:
+    """Return the words of a string, which spaces or commas separate; other values unchanged."""
     return tuple(value.replace(",", " ").split()) if isinstance(value, str) else value
 
 
 #: Tuple of words, written with spaces or commas between them.
-Words = Annotated[tuple[str, ...], BeforeValidator(_split_words)]
+Words = Annotated[tuple[str, ...], BeforeValidator(split_words)]
 
 
 class SectionModel(BaseModel):
--- a/mothstand/testing/budget_fleet.py
+++ b/mothstand/testing/budget_fleet.py
@@ -27,9 +27,11 @@
     GatewayListenSection,
     GatewaySettings,
     GatewayTimingSection,
+    RegionsSection,
     RetriesSection,
     SeedsSection,
     StoreSection,
+    WarmupSection,
 )
 from ..types import BudgetName, DataCentre
 from .fakes import RETRIES, UnreachablePeers
@@ -315,4 +317,6 @@
         seeds=SeedsSection.model_validate({}),
         retries=RetriesSection.model_validate({}),
         timing=GatewayTimingSection.model_validate({}),
+        warmup=WarmupSection.model_validate({}),
+        regions=RegionsSection.model_validate({}),
     )
--- a/mothstand/testing/crash_histories.py
+++ b/mothstand/testing/crash_histories.py
@@ -18,7 +18,7 @@
 import anyio
 
 from ..core.placement import Placement
-from ..core.routes import Destination, RequestKind, Route
+from ..core.routes import Destination, GatewayService, RequestKind, Route
 from ..core.stall_detector import StallDetector
 from ..errors import RefusedError
 from ..gateway.call import Call, CallerConnection
@@ -44,6 +44,7 @@
 from ..types import DataCentre
 from .crash_faults import InjectedFault, choose_check, choose_feed_type
 from .crash_fleet import CRASH_THRESHOLD, STABLE_WINDOW_S
+from .eligibility import unrestricted_eligibility
 from .fakes import RETRIES, NoWitness, UnreachablePeers
 from .frozen_processes import FreezableClock, FreezableStoreLink, FrozenProcesses
 from .memory_store import MemoryStore, StoreLink, random_outcomes
@@ -257,7 +258,7 @@
             _SimulatedClient(history, self),
             PlatformHeaders(),
             self._placement,
-            self.upstream_feed.directory,
+            unrestricted_eligibility(self.upstream_feed.directory),
             RETRIES,
             lambda: history.instances,
             StallDetector(),
@@ -551,7 +552,7 @@
         fields=CallerFields(request_id, "h", "", 5.0, ""),
         headers=(("X-Request-Id", request_id),),
         route=route,
-        service=_SERVICE,
+        service=GatewayService(_SERVICE),
         workspace="w",
         priority=1,
         request=OutgoingRequest("POST", "/", request_id, body),
--- /dev/null
+++ b/mothstand/testing/eligibility.py
@@ -0,0 +1,43 @@
+"""Parts of the eligibility decision without restrictions, and with ones that tests choose."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..core.eligibility import Eligibility
+from ..core.evacuation import Evacuations
+from ..core.fleet import FleetView, Member
+from ..core.homes import RegionMap
+from ..core.loans import Peer
+from ..core.warmup import Warmup, WarmupSettings
+from ..types import DataCentre
+
+if TYPE_CHECKING:
+    from ..core.upstreams import UpstreamDirectory
+
+
+def fleet_view(name: str, others: int = 0, *, read_s: float = 0.0) -> FleetView:
+    """Return the view of an instance on a fleet with other instances, as read at a time."""
+    data_centre = DataCentre("sto-a")
+    view = FleetView(Member(Peer(name, "1", f"{name}:1"), data_centre))
+    for number in range(others):
+        other = f"other-{number}"
+        view.apply_announcement(Member(Peer(other, "1", f"{other}:1"), data_centre), read_s)
+    view.expire_members(read_s)
+    return view
+
+
+def unrestricted_eligibility(
+    directory: UpstreamDirectory,
+    *,
+    evacuations: Evacuations | None = None,
+    warmup: Warmup | None = None,
+    region_map: RegionMap | None = None,
+) -> Eligibility:
+    """Return an eligibility decision that excludes nothing but by the given parts."""
+    return Eligibility(
+        directory,
+        Evacuations() if evacuations is None else evacuations,
+        Warmup(WarmupSettings(), fleet_view("me")) if warmup is None else warmup,
+        RegionMap() if region_map is None else region_map,
+    )
--- a/mothstand/testing/fakes.py
+++ b/mothstand/testing/fakes.py
@@ -21,6 +21,7 @@
     from collections.abc import Callable
 
     from ..core.accounts import MirrorAnswer, MirrorBatch
+    from ..core.evacuation import EvacuationState
     from ..gateway.store import KeyedRecord
     from ..types import DataCentre, Member, Shard
 
@@ -63,6 +64,10 @@
         """Fail."""
         raise PeerError(address)
 
+    async def evacuations(self, address: str) -> tuple[EvacuationState, ...]:
+        """Fail."""
+        raise PeerError(address)
+
     def close(self) -> None:
         """Close nothing."""
 
--- a/mothstand/testing/gateway_fleet.py
+++ b/mothstand/testing/gateway_fleet.py
@@ -53,7 +53,13 @@
         return self.folder / "arrivals.jsonl"
 
     def start_engine(
-        self, name: str, *, event_s: float = 0.01, crash_body: str = "", address: str = ""
+        self,
+        name: str,
+        *,
+        event_s: float = 0.01,
+        crash_body: str = "",
+        address: str = "",
+        data_centre: str = "sto-a",
     ) -> FleetProcess:
         """Start and register an engine that sends an event every `event_s` seconds.
 
@@ -71,11 +77,11 @@
             f"--arrivals={self.arrivals_path}",
         )
         engine = self._start_standin(name, "users_engine", *options, address=address)
-        entry = registration(SERVICE, engine.address)
+        entry = registration(SERVICE, engine.address, data_centre=data_centre)
         self.put("keyed.servers", name, entry)
         return engine
 
-    def start_instance(self, name: str, *, grace_s: float = 8.0) -> FleetProcess:
+    def start_instance(self, name: str, *, grace_s: float = 8.0, regions: str = "") -> FleetProcess:
         """Start a gateway instance and wait until it is ready."""
         ports = [free_port() for _ in range(4)]
         callers, ready, peers, metrics = (f"127.0.0.1:{port}" for port in ports)
@@ -84,7 +90,7 @@
             f"[instance]\nname = {name}\ndata_centre = sto-a\n"
             f"[listen]\ncallers = {callers}\nready = {ready}\npeers = {peers}\n"
             f"metrics = {metrics}\n[store]\naddress = {self.store.address}\n"
-            f"[timing]\ngrace_s = {grace_s}\n",
+            f"[timing]\ngrace_s = {grace_s}\n[regions]\ndata_centres = {regions}\n",
             encoding="utf-8",
         )
         self._metrics_addresses[name] = metrics
@@ -101,7 +107,13 @@
         command = (sys.executable, "-m", "mothstand.gateway_main", str(self.folder / f"{name}.ini"))
         return self._spawn(name, command, ended_process.address, ended_process.peers_address)
 
-    def publish(self, *, prepaid_tokens: int) -> None:
+    def publish(
+        self,
+        *,
+        prepaid_tokens: int,
+        route_homes: tuple[str, ...] = (),
+        workspace_homes: tuple[str, ...] = (),
+    ) -> None:
         """Publish a configuration with one route and one workspace."""
         self._version += 1
         config = {
@@ -118,10 +130,18 @@
                     "service": SERVICE,
                     "attempts": 2,
                     "resumable": True,
+                    "home_regions": list(route_homes),
                 }
             ],
             "services": [{"name": SERVICE, "connection_limit": 99, "engine": {"stride": 4}}],
-            "tenants": [{"name": "seniors", "keys": [KEY], "prepaid": prepaid_tokens}],
+            "tenants": [
+                {
+                    "name": "seniors",
+                    "keys": [KEY],
+                    "prepaid": prepaid_tokens,
+                    "home_regions": list(workspace_homes),
+                }
+            ],
         }
         self.put("keyed.op", "config", config)
 
--- a/mothstand/testing/memory_store.py
+++ b/mothstand/testing/memory_store.py
@@ -100,7 +100,11 @@
 
     def newest(self, stream: Stream) -> StreamPage:
         """Return the newest record of each key."""
-        stored = self._records[stream]
+        return self.newest_at(stream, len(self._records[stream]))
+
+    def newest_at(self, stream: Stream, end_offset: int) -> StreamPage:
+        """Return the listing as it was when the stream ended at an offset."""
+        stored = self._records[stream][:end_offset]
         by_key = {record.key: record for record in stored}
         live_records = (record for record in by_key.values() if record.value is not None)
         return StreamPage(tuple(live_records), len(stored))
--- a/mothstand/testing/registrations.py
+++ b/mothstand/testing/registrations.py
@@ -4,13 +4,17 @@
 
 
 def registration(
-    service: str, address: str, *, born_ms: int = 1_796_000_000_000
+    service: str,
+    address: str,
+    *,
+    data_centre: str = "sto-a",
+    born_ms: int = 1_796_000_000_000,
 ) -> dict[str, object]:
     """Return the registration of an upstream that is ready for requests."""
     return {
         "service": service,
         "address": address,
-        "zone": "sto-a",
+        "zone": data_centre,
         "version": "v1",
         "slots": 8,
         "state": "ready",
--- a/mothstand/tests/test_bootstrap.py
+++ b/mothstand/tests/test_bootstrap.py
@@ -7,9 +7,11 @@
 
 import anyio
 
+from ..core.evacuation import Evacuations
 from ..core.fleet import Member
 from ..core.loans import Peer
 from ..gateway.bootstrap import Bootstrap
+from ..gateway.evacuations import EvacuationTracker
 from ..gateway.feeds import ConfigFeed
 from ..gateway.lending import BootstrapState
 from ..gateway.member_feed import MemberFeed, encode_member
@@ -24,6 +26,7 @@
     UPSTREAMS_STREAM,
     decode_config,
     decode_upstream,
+    evacuated_data_centre,
 )
 from ..testing.fakes import RETRIES, NoWitness, UnreachablePeers
 from ..testing.memory_store import MemoryStore, StoreLink
@@ -73,8 +76,16 @@
         self.link = StoreLink(MemoryStore())
         self.link.is_cut_off = True
         self.peers = _FakePeers(peers)
+        self.evacuations = EvacuationTracker(Evacuations(), evacuated_data_centre, clock)
         self.config = ConfigFeed(
-            self.link, CONFIG_STREAM, CONFIG_KEY, clock, health, decode_config, lambda _: None
+            self.link,
+            CONFIG_STREAM,
+            CONFIG_KEY,
+            clock,
+            health,
+            decode_config,
+            lambda _: None,
+            self.evacuations,
         )
         self.upstreams = UpstreamFeed(
             self.link,
@@ -100,6 +111,7 @@
             self.upstreams,
             self.members,
             self.quarantine,
+            self.evacuations,
             clock,
         )
 
--- a/mothstand/tests/test_explain.py
+++ b/mothstand/tests/test_explain.py
@@ -105,3 +105,14 @@
             "a.log:",
         ]
         assert explanation.budgets["lund"].consumed_tokens == 100
+
+    def test_lines_show_when_instances_learnt_of_an_evacuation(self) -> None:
+        def learnt(at: str) -> str:
+            fields = {"data_centre": "sto-c", "offset": 9, "source": "store", "unread_s": 0.4}
+            return log_line(at, 6022, "evacuation_began", **fields)
+
+        found = explain({"one": [learnt("10:00:01.0")], "two": [learnt("10:00:03.5")]})
+        expected = (
+            "evacuation of sto-c began at offset 9: known to 2 instances, 10:00:01 to 10:00:03"
+        )
+        assert expected in list(explanation_lines(found))
--- a/mothstand/tests/test_feeds.py
+++ b/mothstand/tests/test_feeds.py
@@ -7,6 +7,8 @@
 
 import anyio
 
+from ..core.evacuation import Evacuations
+from ..gateway.evacuations import EvacuationTracker
 from ..gateway.feeds import ConfigFeed
 from ..gateway.upstream_feed import UpstreamFeed
 from ..log.health import PlatformHealth
@@ -16,6 +18,7 @@
     UPSTREAMS_STREAM,
     decode_config,
     decode_upstream,
+    evacuated_data_centre,
 )
 from ..testing.fakes import NoWitness
 from ..testing.memory_store import MemoryStore, StoreLink
@@ -56,6 +59,7 @@
             PlatformHealth(clock),
             decode_config,
             lambda _: None,
+            EvacuationTracker(Evacuations(), evacuated_data_centre, clock),
         )
 
         def publish(version: int) -> None:
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -10,11 +10,13 @@
 
 from ..clock import SystemClock
 from ..core.claims import NO_USAGE, Usage
+from ..core.evacuation import Evacuations, EvacuationState
+from ..core.homes import RegionMap
 from ..core.placement import Placement
 from ..core.prompt import Prompt, PromptPart
 from ..core.quarantine import CRASH_THRESHOLD, UpstreamCrash
 from ..core.retry_budget import RetryBudgetSettings
-from ..core.routes import Destination, RequestKind, Route
+from ..core.routes import Destination, GatewayService, RequestKind, Route
 from ..core.stall_detector import StallDetector
 from ..core.upstreams import RegisteredUpstream, UpstreamDirectory, UpstreamKey
 from ..errors import ErrorKind, RefusedError
@@ -38,12 +40,13 @@
 )
 from ..log.health import PlatformHealth
 from ..platform.headers import PlatformHeaders
+from ..testing.eligibility import unrestricted_eligibility
 from ..testing.fakes import UnreachablePeers
 from ..testing.memory_store import MemoryStore, StoreLink
-from ..types import DataCentre
+from ..types import DataCentre, Region
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
 _LOCAL_DATA_CENTRE = DataCentre("sto-a")
 
@@ -53,12 +56,12 @@
 
 
 class FakeAnswer(UpstreamAnswer):
-    """Answer from scripted pieces; an exception among them is raised when it is read."""
+    """Answer from scripted pieces: an exception is raised when read, and a function called."""
 
     def __init__(
         self,
         status: int,
-        pieces: Sequence[bytes | Exception],
+        pieces: Sequence[bytes | Exception | Callable[[], bytes]],
         *,
         after_s: float = 0.0,
         ends_with_connection: bool = False,
@@ -78,7 +81,7 @@
         piece = self._pieces.pop(0)
         if isinstance(piece, Exception):
             raise piece
-        return piece
+        return piece if isinstance(piece, bytes) else piece()
 
     def close(self) -> None:
         self.is_closed = True
@@ -147,6 +150,8 @@
                     f"i-{number}", "llm", f"e{number}:1", _LOCAL_DATA_CENTRE, 8, False
                 )
             )
+        self.evacuations = Evacuations()
+        self.region_map = RegionMap({_LOCAL_DATA_CENTRE: Region("se-east")})
         self.clock = SystemClock()
         self.caller = FakeCaller()
         feed = QuarantineFeed(
@@ -166,7 +171,9 @@
             self.client,
             PlatformHeaders(),
             Placement(_LOCAL_DATA_CENTRE),
-            self.directory,
+            unrestricted_eligibility(
+                self.directory, evacuations=self.evacuations, region_map=self.region_map
+            ),
             RetryBudgetSettings(0.2, burst, 10.0, 1.0),
             lambda: 6,
             StallDetector(),
@@ -185,7 +192,7 @@
             fields=CallerFields("r", "h", "", timeout_s, "", prompt),
             headers=(("X-Request-Id", "r"),),
             route=route,
-            service="llm",
+            service=GatewayService("llm"),
             workspace="w",
             priority=1,
             request=OutgoingRequest("POST", "/", "r", b"body"),
@@ -468,3 +475,41 @@
         self.add_known_crash(world, 0, known_crashes=0)
         world.run(world.call(RequestKind.NON_IDEMPOTENT))
         assert world.quarantine.is_empty is is_cleared
+
+
+class TestEvacuatedDataCentres:
+    def test_request_is_refused_at_once_if_all_upstreams_are_evacuated(self) -> None:
+        # Guards against a request that waits until its deadline for an upstream that may not run.
+        world = ForwarderHarness(FakeAnswer(200, [b"ok"]))
+        world.evacuations.apply(EvacuationState(_LOCAL_DATA_CENTRE, True, 1), 0.0)
+        call = world.call(RequestKind.IDEMPOTENT)
+        began_s = world.clock.monotonic_s()
+        assert world.run(call) is ErrorKind.NO_UPSTREAM
+        assert world.clock.monotonic_s() - began_s < 1.0
+        assert call.attempts_summary.endswith("excluded: 3 evacuated")
+        assert world.client.sent_headers == []
+
+    def test_retry_and_resumption_leave_out_an_evacuated_data_centre(self) -> None:
+        # Guards against a request between two attempts that still knows the upstreams of before.
+        def evacuate_and_pass() -> bytes:
+            state = EvacuationState(_LOCAL_DATA_CENTRE, True, 1)
+            world.evacuations.apply(state, world.clock.monotonic_s())
+            return event(1)
+
+        world = ForwarderHarness(
+            FakeAnswer(200, [evacuate_and_pass, MayHaveRunError("broke off")]),
+            FakeAnswer(200, [event(2)]),
+        )
+        remote = DataCentre("sto-b")
+        world.directory.apply(RegisteredUpstream("r-1", "llm", "r1:1", remote, 8, False))
+        assert world.run(world.call(RequestKind.STREAMING, resumable=True)) is None
+        sent = [headers["X-Expected-Instance"] for headers in world.client.sent_headers]
+        assert sent[0] != "r-1"
+        assert sent[1] == "r-1"
+
+    def test_request_leaves_out_upstreams_outside_of_its_regions(self) -> None:
+        world = ForwarderHarness(FakeAnswer(200, [b"ok"]))
+        call = world.call(RequestKind.IDEMPOTENT)
+        call.permitted_regions = frozenset({Region("fi-south")})
+        assert world.run(call) is ErrorKind.NO_UPSTREAM
+        assert world.client.sent_headers == []
--- a/mothstand/types.py
+++ b/mothstand/types.py
@@ -7,6 +7,7 @@
 
 BudgetName = NewType("BudgetName", str)
 DataCentre = NewType("DataCentre", str)
+Region = NewType("Region", str)
 Shard = NewType("Shard", int)
 
 #: Offset of the log record that opened an epoch; 0 if there is none yet.
