--- a/mothstand/testing/routing_histories.py
+++ b/mothstand/testing/routing_histories.py
@@ -258,6 +258,9 @@
 
     def choose(self, prompt: Prompt, request_id: str) -> RegisteredUpstream | None:
         """Return the upstream that a request is sent to now, or None if it is refused."""
+        if self.config_feed.config is None:
+            # The server refuses all requests before the first configuration.
+            return None
         now_s = anyio.current_time()
         eligible = self.eligibility.eligible(_SERVICE, None, now_s)
         upstream = self.placement.choose(
