Choose no slow machine as a claimant beside two fast ones

Of a budget at 80 % one claimant held 34,206 tokens, of which its base let it give 5,306; it is a machine of half a core beside two of 2.15, and raised its base 0.54 s later, after the borrower's 0.3 s. Nine claimants append some 52 times a second under a condition to one stream; a slow one mostly loses.

Change: of three claimants in a data centre the third has at least half the cores of the most capable one.

Deployments of equal machines choose as before.

--- a/mothstand/core/fleet.py
+++ b/mothstand/core/fleet.py
@@ -35,6 +35,13 @@
 #: more instances than this, so all of them claim and no request needs another instance.
 CLAIMANTS_PER_DATA_CENTRE = 3
 
+#: Claimants of a data centre that are chosen whatever their capacity: one may be down.
+_MIN_CLAIMANTS = 2
+
+#: Further claimants have at least this part of the cores of the most capable one. A slow claimant
+#: cannot write its claims as fast as its borrowers need the tokens that it holds.
+_MIN_RELATIVE_CORES = 0.5
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class Capacity:
@@ -193,5 +200,10 @@
     for candidates in by_data_centre.values():
         candidates.sort(key=lambda m: rendezvous_weight(f"shard {shard}", m.peer.instance))
         candidates.sort(key=lambda m: m.capacity, reverse=True)
-        chosen += candidates[:per_data_centre]
+        min_cores = candidates[0].capacity.cores * _MIN_RELATIVE_CORES
+        chosen += [
+            member
+            for place, member in enumerate(candidates[:per_data_centre])
+            if place < _MIN_CLAIMANTS or member.capacity.cores >= min_cores
+        ]
     return chosen
