Keep long prompts from slow upstreams, by the paces that instances announce

Cause: of field-suggest on the shifted deployment 11 to 15 % are late with upstreams at ease; 5 % by their first event. One upstream in three takes 1.3 times as long for a pass; while it reads a long prompt in chunks, seven tokens of an event take over the 300 ms that callers accept.

Ruled out: cached parts (6.8 of 9.8 M tokens kept are what the sessions allow), uneven homes.

Change: an instance measures an upstream's pace by the median gap of a stream, announces those that are 1.15 times slower than the fast ones (at most 16 ids), and believes two others where it has not measured. Sessions of longer prompts than the mean have their home at one that is not slow; queues still outweigh it.

Cost: an announcement grows by up to 16 ids.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -4,16 +4,23 @@
 instance and simulated engines. There are two kinds of requests: documents, long prompts that share
 large parts within a session, and questions, short prompts with long answers. Load on instances is
 uneven, as on a platform that assigns callers to instances by a hash.
+
+``--paces none`` measures no engine's pace, ``own`` lets each instance measure its own answers, and
+``announced`` lets each also announce the slow ones to all others at intervals.
 """
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 from dataclasses import dataclass, field
+from enum import Enum
 
 import fire
 
+from mothstand.core.fleet import ANNOUNCE_INTERVAL_S, MAX_ANNOUNCEMENTS_PER_S
+from mothstand.core.pace import StreamGaps
 from mothstand.core.placement import PlacedRequest, Placement, PlacementPolicy, session_key
 from mothstand.core.prompt import Prompt, PromptPart
 from mothstand.core.upstreams import RegisteredUpstream
@@ -24,7 +31,7 @@
 #: Numbers and tokens of the leading parts that documents share, and of their sessions' parts; then
 #: the new prompt tokens and the answer tokens of each document and each question.
 _STYLES, _STYLE_TOKENS = 4, 2_520
-_SESSIONS, _SESSION_TOKENS = 1_209, 3_780
+_SESSION_TOKENS = 3_780
 _DOCUMENT_TOKENS, _DOCUMENT_ANSWER_TOKENS = 2_890, 52
 _QUESTION_TOKENS, _QUESTION_ANSWER_TOKENS = 750, 290
 
@@ -40,12 +47,24 @@
 DOCUMENT_OBJECTIVE_S, QUESTION_OBJECTIVE_S = 0.6, 0.3
 
 
+#: An answer with a longer time between two events counts as late too.
+MAX_GAP_S = 0.3
+
+
+class PaceSharing(Enum):
+    """Whose measurements of the engines' paces an instance knows."""
+
+    NONE = "none"
+    OWN = "own"
+    ANNOUNCED = "announced"
+
+
 #: Fixed time of a pass over the batch, and the maximum number of prompt tokens read in it.
 _PASS_S = 0.00463
 _CHUNK_TOKENS = 1_024
 
 #: Tokens in an event; an engine sends its first event only when it has generated this number.
-_EVENT_TOKENS = 5
+_EVENT_TOKENS = 7
 
 
 @dataclass(slots=True)
@@ -53,9 +72,16 @@
     """Engine whose passes each read a chunk of one prompt and decode a token of each answer.
 
     A long prompt delays the prompts behind it and the tokens of all running requests.
+
+    Parameters
+    ----------
+    slowness
+        Duration of a pass relative to that of a usual engine.
     """
 
+    slowness: float = 1.0
     read_tokens: float = 0.0
+    gaps: dict[int, StreamGaps] = field(default_factory=dict)
     _ahead_s: float = 0.0
 
     def step(self, now_s: float) -> list[Work]:
@@ -78,6 +104,7 @@
         for work in self.batch:
             if work.prefill_tokens_left <= 0:
                 work.generated_tokens += 1
+                self._note_event(work, now_s + self._ahead_s)
             if work.first_token_s is None and work.generated_tokens >= min(
                 _EVENT_TOKENS, work.answer_tokens
             ):
@@ -87,7 +114,11 @@
             self.read_tokens += chunk
         ended += [work for work in self.batch if work.generated_tokens >= work.answer_tokens]
         self.batch = [work for work in self.batch if work.generated_tokens < work.answer_tokens]
-        return _PASS_S + chunk / self.size.prefill_tokens_per_s
+        return (_PASS_S + chunk / self.size.prefill_tokens_per_s) * self.slowness
+
+    def _note_event(self, work: Work, at_s: float) -> None:
+        if work.generated_tokens % _EVENT_TOKENS == 0:
+            self.gaps.setdefault(id(work), StreamGaps()).note_events(1, at_s)
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +129,10 @@
     ----------
     skew
         Exponent of the instances' shares of the load; 0 for equal shares.
+    sessions
+        Number of sessions of documents.
+    slowness
+        Slowness of the engines, which take these values in turn.
     """
 
     data_centres: int
@@ -107,6 +142,8 @@
     questions_per_s: float
     skew: float = 0.8
     duration_s: float = 20.0
+    sessions: int = 1_209
+    slowness: tuple[float, ...] = (1.0,)
 
 
 SITES = {
@@ -115,6 +152,11 @@
     "dozens": Site(4, 18, 14, 137.0, 98.0),
     "hundreds": Site(5, 39, 12, 107.0, 118.0),
     "hundreds busy": Site(5, 39, 12, 220.0, 240.0),
+    "few uneven": Site(3, 2, 3, 17.0, 37.0, skew=0.0, slowness=(1.0, 1.0, 1.3)),
+    "few uneven busy": Site(3, 2, 3, 40.0, 80.0, skew=0.0, slowness=(1.0, 1.0, 1.3)),
+    "ninety uneven": Site(3, 30, 15, 52.0, 155.0, sessions=552, slowness=(1.0, 1.0, 1.3)),
+    "ninety uneven busy": Site(3, 30, 15, 52.0, 390.0, sessions=552, slowness=(1.0, 1.0, 1.3)),
+    "300 uneven": Site(3, 100, 15, 52.0, 155.0, sessions=552, slowness=(1.0, 1.0, 1.3)),
 }
 
 
@@ -124,6 +166,7 @@
 
     requests: Counter[str] = field(default_factory=Counter)
     late_requests: Counter[str] = field(default_factory=Counter)
+    paused_requests: Counter[str] = field(default_factory=Counter)
     read_tokens: float = 0.0
 
     def late_share(self, kind: str) -> float:
@@ -137,12 +180,20 @@
     work: Work
     placement: Placement
     placed: PlacedRequest
+    is_late: bool = False
 
 
 class Fleet:
     """All instances and engines of a site."""
 
-    def __init__(self, site: Site, policy: PlacementPolicy, seed: int) -> None:
+    def __init__(
+        self,
+        site: Site,
+        policy: PlacementPolicy,
+        seed: int,
+        sharing: PaceSharing = PaceSharing.ANNOUNCED,
+    ) -> None:
+        self._sharing = sharing
         self._site = site
         self._rng = random.Random(seed)
         data_centres = [DataCentre(f"dc-{n}") for n in range(site.data_centres)]
@@ -156,7 +207,8 @@
         for data_centre in data_centres:
             for number in range(site.engines_each):
                 name = f"{data_centre}-{number}"
-                self._engines[name] = ChunkedEngine(_ENGINE)
+                slowness = site.slowness[number % len(site.slowness)]
+                self._engines[name] = ChunkedEngine(_ENGINE, slowness=slowness)
                 self._upstreams.append(
                     RegisteredUpstream(name, "llm", name, data_centre, 16, False)
                 )
@@ -174,11 +226,25 @@
                 while next_s[kind] <= now_s:
                     next_s[kind] += self._rng.expovariate(rate)
                     self._send(kind, now_s)
+            if self._sharing is PaceSharing.ANNOUNCED:
+                self._announce(now_s, now_s + STEP_S)
             now_s += STEP_S
             self._step(now_s)
         self.outcome.read_tokens = sum(e.read_tokens for e in self._engines.values())
         return self.outcome
 
+    def _announce(self, from_s: float, to_s: float) -> None:
+        """Deliver the announcements of the instances whose turn is in a span of time."""
+        count = len(self._instances)
+        interval_s = max(ANNOUNCE_INTERVAL_S, count / MAX_ANNOUNCEMENTS_PER_S)
+        turns = range(math.ceil(from_s * count / interval_s), math.ceil(to_s * count / interval_s))
+        for turn in turns:
+            announcing = self._instances[turn % count]
+            for placement in self._instances:
+                if placement is not announcing:
+                    name, slow_ids = f"i{turn % count}", announcing.paces.own_slow_ids
+                    placement.paces.apply_report(name, slow_ids, to_s)
+
     def _send(self, kind: str, now_s: float) -> None:
         self._request_count += 1
         prompt, work = self._document(now_s) if kind == "document" else self._question(now_s)
@@ -193,7 +259,7 @@
         self._running.append(_RunningRequest(kind, work, placement, placed))
 
     def _document(self, now_s: float) -> tuple[Prompt, Work]:
-        session = self._rng.randrange(_SESSIONS)
+        session = self._rng.randrange(self._site.sessions)
         own = min(18_300, int(_DOCUMENT_TOKENS * self._rng.lognormvariate(-0.35, 0.83)))
         parts = (
             PromptPart(f"style-{session % _STYLES}", _STYLE_TOKENS),
@@ -219,7 +285,7 @@
             if running.work.first_token_s is not None and running.placed.is_reading_prompt:
                 self._note_first_token(running)
             if running.work.generated_tokens >= running.work.answer_tokens:
-                running.placement.note_ended(running.placed)
+                self._note_end(running)
             else:
                 still_running.append(running)
         self._running = still_running
@@ -230,21 +296,38 @@
         elapsed_s = running.work.first_token_s - running.work.arrived_s
         is_document = running.kind == "document"
         objective_s = DOCUMENT_OBJECTIVE_S if is_document else QUESTION_OBJECTIVE_S
+        running.is_late = elapsed_s > objective_s
+
+    def _note_end(self, running: _RunningRequest) -> None:
+        running.placement.note_ended(running.placed)
+        engine = self._engines[running.placed.upstream.upstream_id]
+        gaps = engine.gaps.pop(id(running.work), StreamGaps())
+        if gaps.typical_s is not None and self._sharing is not PaceSharing.NONE:
+            running.placement.paces.record(running.placed.upstream, gaps.typical_s)
+        has_paused = gaps.longest_s > MAX_GAP_S
         self.outcome.requests[running.kind] += 1
-        self.outcome.late_requests[running.kind] += elapsed_s > objective_s
+        self.outcome.late_requests[running.kind] += running.is_late or has_paused
+        self.outcome.paused_requests[running.kind] += has_paused
 
 
-def main(*, seeds: int = 3, site: str = "") -> None:
+def main(*, seeds: int = 3, site: str = "", paces: str = "announced") -> None:
     """Print the share of late requests at each site."""
-    print(f"{'site':14} {'documents late':>15} {'questions late':>15} {'read, Mtokens':>14}")
+    titles = f"{'documents late':>15} {'questions late':>15} {'questions paused':>17}"
+    print(f"{'site':18} {titles} {'read, Mtokens':>14}")
     for name, deployment in SITES.items():
         if site and name != site:
             continue
-        outcomes = [Fleet(deployment, PlacementPolicy(), seed).run() for seed in range(seeds)]
+        outcomes = [
+            Fleet(deployment, PlacementPolicy(), seed, PaceSharing(paces)).run()
+            for seed in range(seeds)
+        ]
         documents = sum(o.late_share("document") for o in outcomes) / seeds
         questions = sum(o.late_share("question") for o in outcomes) / seeds
         read = sum(o.read_tokens for o in outcomes) / seeds / 1e6
-        print(f"{name:14} {documents:15.3f} {questions:15.3f} {read:14.2f}")
+        paused = sum(o.paused_requests["question"] for o in outcomes)
+        paused_share = paused / sum(o.requests["question"] for o in outcomes)
+        figures = f"{documents:15.3f} {questions:15.3f} {paused_share:17.3f} {read:14.2f}"
+        print(f"{name:18} {figures}")
 
 
 if __name__ == "__main__":
--- a/mothstand/core/placement.py
+++ b/mothstand/core/placement.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from .hashing import rendezvous_weight
+from .pace import UpstreamPaces
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -75,6 +76,9 @@
     is_reading_prompt: bool = True
 
 
+#: Weight of the latest request in the mean length of prompts.
+_LATEST_PROMPT_WEIGHT = 0.05
+
 #: Maximum number of prompt parts remembered per upstream; the oldest are dropped.
 _MAX_PARTS = 2000
 
@@ -85,7 +89,9 @@
 
     data_centre: DataCentre
     policy: PlacementPolicy = field(default_factory=PlacementPolicy)
+    paces: UpstreamPaces = field(default_factory=UpstreamPaces)
     _states: dict[UpstreamKey, _UpstreamState] = field(default_factory=dict)
+    _mean_prompt_tokens: dict[str, float] = field(default_factory=dict)
 
     def choose(
         self,
@@ -116,7 +122,7 @@
         candidates = healthy or candidates
         if not candidates:
             return None
-        home = max(candidates, key=lambda u: _weight(u, subject)) if prompt.parts else None
+        home = self._home(candidates, prompt, subject, now_s)
 
         def cost(upstream: RegisteredUpstream) -> tuple[float, int]:
             tokens, order = self._cost(upstream, prompt, upstream is home, subject, now_s)
@@ -129,6 +135,9 @@
         self, upstream: RegisteredUpstream, prompt: Prompt, now_s: float
     ) -> PlacedRequest:
         """Count a request that is about to be sent."""
+        mean = self._mean_prompt_tokens.get(upstream.service, prompt.input_tokens)
+        mean += _LATEST_PROMPT_WEIGHT * (prompt.input_tokens - mean)
+        self._mean_prompt_tokens[upstream.service] = mean
         state = self._state(upstream)
         unread = self._unread_tokens(state, prompt, now_s)
         state.running += 1
@@ -173,6 +182,22 @@
     def forget(self, upstream: RegisteredUpstream) -> None:
         """Drop the state of an upstream that is deregistered."""
         self._states.pop(upstream.key, None)
+        self.paces.forget(upstream)
+
+    def _home(
+        self, candidates: Sequence[RegisteredUpstream], prompt: Prompt, subject: str, now_s: float
+    ) -> RegisteredUpstream | None:
+        """Return the upstream that keeps the cached parts of a session, or None without parts.
+
+        A session of longer prompts than usual has its home at an upstream that is not slow.
+        """
+        if not prompt.parts:
+            return None
+        service = candidates[0].service
+        if prompt.input_tokens > self._mean_prompt_tokens.get(service, prompt.input_tokens):
+            slow_ids = self.paces.slow_upstreams(candidates, now_s)
+            candidates = [u for u in candidates if u.upstream_id not in slow_ids] or candidates
+        return max(candidates, key=lambda u: _weight(u, subject))
 
     def _state(self, upstream: RegisteredUpstream) -> _UpstreamState:
         return self._states.setdefault(upstream.key, _UpstreamState())
--- a/mothstand/gateway/call.py
+++ b/mothstand/gateway/call.py
@@ -67,6 +67,8 @@
         Whether the retry budget has already been charged for the next attempt.
     reserved_after_s, started_after_s
         Time from arrival until the tokens were reserved, and until the answer began.
+    longest_gap_s
+        Longest time between two events of the answer.
     attempt_began_s
         Start of the latest attempt on the monotonic clock.
     upstream_id, registrations_age_s
@@ -104,6 +106,7 @@
     failed_answer: CompleteAnswer | None = None
     reserved_after_s: float = 0.0
     started_after_s: float = 0.0
+    longest_gap_s: float = 0.0
     attempt_began_s: float = 0.0
     upstream_id: str = ""
     registrations_age_s: float | None = None
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -10,6 +10,7 @@
 
 from ..core.adaptive_timeout import AdaptiveTimeout
 from ..core.admission import Admission, random_retry_after_s
+from ..core.pace import StreamGaps
 from ..core.placement import session_key
 from ..core.retry_budget import RetryBudget
 from ..core.routes import RequestKind
@@ -412,11 +413,14 @@
         self, call: Call, answer: UpstreamAnswer, placed: PlacedRequest, caller: CallerConnection
     ) -> None:
         call.progress.restart()
+        gaps = StreamGaps()
         while piece := await answer.read_piece():
             self._placement.note_prompt_read(placed)
+            sent_before = call.progress.sent_events
             passed = call.progress.feed(piece)
             if not passed:
                 continue
+            gaps.note_events(call.progress.sent_events - sent_before, self._clock.monotonic_s())
             if not caller.is_started:
                 await self._start_stream(call, answer, caller)
             await caller.write(passed)
@@ -424,6 +428,9 @@
             raise ConnectionBrokenError("ended in the middle of an event")
         if not caller.is_started:
             await self._start_stream(call, answer, caller)
+        call.longest_gap_s = max(call.longest_gap_s, gaps.longest_s)
+        if gaps.typical_s is not None:
+            self._placement.paces.record(placed.upstream, gaps.typical_s)
         await caller.finish()
 
     async def _start_stream(
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -107,6 +107,7 @@
             lambda: self._accounts.poll(),
             retries,
             started_s=process_start.started_s,
+            paces=self._placement.paces,
         )
         self._warmup = Warmup(
             WarmupSettings(settings.warmup.overshoot, settings.warmup.slack), self._members.fleet
--- a/mothstand/gateway/member_feed.py
+++ b/mothstand/gateway/member_feed.py
@@ -10,6 +10,7 @@
 from ..core.burst_shares import BurstShares, SharerNotice
 from ..core.fleet import Capacity, FleetView, Member
 from ..core.loans import Peer
+from ..core.pace import UpstreamPaces
 from ..events import Event, emit
 from ..types import DataCentre
 from .feeds import KeyedFeed
@@ -48,9 +49,14 @@
     read_to: int = _UNKNOWN_NOTICE.read_to
     lease_s: float = _UNKNOWN_NOTICE.lease_s
     may_have_used: bool = _UNKNOWN_NOTICE.may_have_used
+    slow_upstreams: tuple[str, ...] = ()
 
 
-def encode_member(member: Member, notice: SharerNotice = _UNKNOWN_NOTICE) -> KeyedRecord:
+def encode_member(
+    member: Member,
+    notice: SharerNotice = _UNKNOWN_NOTICE,
+    slow_upstreams: tuple[str, ...] = (),
+) -> KeyedRecord:
     """Return an announcement as a record."""
     value = _MemberValue(
         incarnation=member.peer.incarnation,
@@ -61,16 +67,24 @@
         read_to=notice.read_to,
         lease_s=round(notice.lease_s, 1),
         may_have_used=notice.may_have_used,
+        slow_upstreams=slow_upstreams,
     )
     return KeyedRecord(member.peer.instance, value.model_dump_json().encode())
 
 
 @dataclass(frozen=True, slots=True)
 class Announcement:
-    """Announcement of an instance: its member data and its notice as a sharer."""
+    """Announcement of an instance: its member data, its notice as a sharer, and what it measured.
+
+    Parameters
+    ----------
+    slow_upstreams
+        Ids of upstreams that it has measured as slower than the others of their service.
+    """
 
     member: Member
     notice: SharerNotice
+    slow_upstreams: tuple[str, ...] = ()
 
 
 def decode_member(record: KeyedRecord) -> Announcement:
@@ -88,7 +102,8 @@
     peer = Peer(record.key, value.incarnation, value.address)
     capacity = Capacity(value.cores, value.link_mbit_per_s)
     member = Member(peer, DataCentre(value.data_centre), capacity)
-    return Announcement(member, SharerNotice(value.read_to, value.lease_s, value.may_have_used))
+    notice = SharerNotice(value.read_to, value.lease_s, value.may_have_used)
+    return Announcement(member, notice, value.slow_upstreams)
 
 
 class MemberFeed(KeyedFeed):
@@ -100,6 +115,8 @@
         Called when the number of instances changes, and when the fleet is first known.
     started_s
         Start of this process on the monotonic clock.
+    paces
+        Receives the slow upstreams that other instances announce, and names those to announce.
     """
 
     def __init__(
@@ -112,8 +129,10 @@
         retries: RetryBudgetSettings,
         *,
         started_s: float,
+        paces: UpstreamPaces | None = None,
     ) -> None:
         super().__init__(store, MEMBERS_STREAM, clock, health)
+        self._paces = UpstreamPaces() if paces is None else paces
         self.fleet = FleetView(local_member)
         self.burst_shares = BurstShares(
             local_member.peer.instance,
@@ -160,7 +179,7 @@
         read_to = self._next_offset or 0
         self.burst_shares.note_read(read_to, now_s, self.fleet.announce_interval_s)
         notice = self.burst_shares.next_notice(self.fleet.announce_interval_s)
-        own_record = encode_member(self.fleet.local_member, notice)
+        own_record = encode_member(self.fleet.local_member, notice, self._paces.own_slow_ids)
         expired_records = tuple(
             KeyedRecord(name, None) for name in self.burst_shares.expired_names(now_s)
         )
@@ -208,6 +227,8 @@
                 self.burst_shares.apply_announcement(
                     record.key, incarnation, notice, record.offset, now_s
                 )
+                if record.key != self.fleet.local_member.peer.instance:
+                    self._paces.apply_report(record.key, announcement.slow_upstreams, now_s)
         for instance in self.fleet.expire_members(now_s):
             emit(Event.MEMBER_GONE, instance=instance)
         if self.fleet.size != size_before:
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -344,6 +344,7 @@
             tokens_in_doubt=usage.max_tokens - usage.confirmed_tokens,
             reserved_after_s=round(call.reserved_after_s, 3),
             started_after_s=round(call.started_after_s, 3),
+            longest_gap_s=round(call.longest_gap_s, 3),
             elapsed_s=round(self._clock.monotonic_s() - call.arrived_s, 3),
         )
 
