--- a/mothstand/core/claim_policy.py
+++ b/mothstand/core/claim_policy.py
@@ -32,8 +32,7 @@
         where it is needed.
     window_share
         Maximum part of the remaining tokens by which the fleet's windows exceed its usage. Requests
-        are served from the windows until an outage has lasted `renewals.UNLOCK_S`. The value is
-        four seconds of the usual demand while two thirds of a budget remain.
+        are served from the windows until an outage has lasted `renewals.UNLOCK_S`.
     base_share, base_s
         Part of the remaining tokens by which the fleet's bases exceed its usage, or the seconds of
         own demand that a base covers if that is more: what is spent between two polls of the store.
--- a/mothstand/core/demand.py
+++ b/mothstand/core/demand.py
@@ -29,8 +29,7 @@
     -----
     The rate is an exponential moving average, divided by the weight of the time since the first
     request. Without that division, demand is underestimated in the first seconds and too little is
-    held for an outage that begins then: of 1,435 requests around an outage of 8 s that began 4 s
-    after the first request, 133 were refused, and with it none (64 instances in virtual time).
+    held for an outage that begins then.
     """
 
     largest_tokens: int = 0
--- a/mothstand/core/placement.py
+++ b/mothstand/core/placement.py
@@ -35,9 +35,7 @@
     remote_tokens
         Cost of using another data centre in the same unit: three running requests. A cached prompt
         of thousands of tokens outweighs it, but a short question, which no other upstream may
-        continue, stays local, where a network cut between data centres cannot break it. Of a day's
-        requests 3.7 to 5.7 % failed when distance only broke ties, 3.2 to 4.9 % with this cost
-        (five days with cuts).
+        continue, stays local, where a network cut between data centres cannot break it.
     cold_tokens
         Cost of using a cold upstream in the same unit: more than any prompt, so that a cold
         upstream is used only if no other one is left.
--- a/mothstand/core/priority_reserve.py
+++ b/mothstand/core/priority_reserve.py
@@ -35,9 +35,7 @@
     -----
     Nothing is withheld while the store answers, even near a budget's end: it is not known when the
     budget is topped up or its callers stop, and on most days the withheld tokens were not requested
-    in time. When nine seconds of demand were withheld near the end, 3.3 % of a day's requests were
-    refused instead of 1.8 %, and 13 % instead of 4 % on a day on which one workspace uses all its
-    prepaid tokens.
+    in time.
     """
 
     store_silent_s: float
--- a/mothstand/gateway/borrowing.py
+++ b/mothstand/gateway/borrowing.py
@@ -107,9 +107,7 @@
         """Hand over all available tokens to a responsive peer, at a stop without the store.
 
         Otherwise they are lost to all callers: the instance cannot lower its claims, and once they
-        have unlocked nobody can prove that it did not spend them. After a rolling stop of six
-        instances in an outage of 8 s, 13 to 17 % of a budget stayed unspent while every request
-        was refused.
+        have unlocked nobody can prove that it did not spend them.
         """
         self._claim_manager.update_opening()
         spare = [
--- a/mothstand/gateway/evacuations.py
+++ b/mothstand/gateway/evacuations.py
@@ -26,8 +26,7 @@
 #: Seconds between two rounds of asking peers.
 _ROUND_INTERVAL_S = 1.0
 
-#: Peers that are asked in a round, at any size of the fleet. If the store rejects a third of the
-#: fleet, one instance in 81 finds no other kind in a round, and none in two rounds of 6,561.
+#: Peers that are asked in a round, at any size of the fleet; one that reads the store is enough.
 _PEERS_ASKED = 4
 
 
--- a/mothstand/gateway/store_witness.py
+++ b/mothstand/gateway/store_witness.py
@@ -17,7 +17,6 @@
     from .member_feed import MemberFeed
 
 #: Peers that are asked at once, at any size of the fleet. One that could read the store is enough.
-#: With half of the fleet cut off, one in sixteen instances finds none and assumes an outage.
 _PEERS_ASKED = 4
 
 
--- a/mothstand/gateway/upstream_client.py
+++ b/mothstand/gateway/upstream_client.py
@@ -153,8 +153,7 @@
         -----
         An upstream's machine accepts connections within some milliseconds. One that has not within
         the connect timeout is down, behind a network partition, or drops connections because it is
-        full. With the 0.8 s timeout of an open connection, the objective of most requests had
-        passed before another upstream was tried.
+        full.
         """
         try:
             response = await self._http.request(
