--- a/mothstand/testing/routing_histories.py
+++ b/mothstand/testing/routing_histories.py
@@ -9,58 +9,32 @@
 import json
 import math
 import random
-from collections import defaultdict
 from dataclasses import dataclass, field
-from enum import Enum, Flag, auto
+from enum import Flag, auto
 from typing import TYPE_CHECKING
 
 import anyio
 
-from ..core.eligibility import Eligibility
-from ..core.evacuation import Evacuations
-from ..core.fleet import Member
-from ..core.homes import RegionMap
-from ..core.loans import Peer
-from ..core.placement import Placement, session_key
 from ..core.prompt import Prompt, PromptPart
-from ..core.routes import GatewayService
-from ..core.warmup import Warmup, WarmupSettings
-from ..gateway.evacuations import EvacuationPolling, EvacuationTracker
-from ..gateway.feeds import ConfigFeed
-from ..gateway.member_feed import MEMBERS_STREAM, MemberFeed
-from ..gateway.upstream_feed import UpstreamFeed
-from ..log.health import PlatformHealth
-from ..peers.failures import PeerUnreachableError
-from ..platform.records import (
-    CONFIG_KEY,
-    CONFIG_STREAM,
-    UPSTREAMS_STREAM,
-    decode_config,
-    decode_upstream,
-    evacuated_data_centre,
-)
-from ..types import DataCentre, Region
-from .fakes import RETRIES, NoWitness, UnreachablePeers
-from .memory_store import MemoryStore, StoreLink
+from ..gateway.member_feed import MEMBERS_STREAM
+from ..platform.records import CONFIG_KEY, CONFIG_STREAM, UPSTREAMS_STREAM
 from .registrations import registration
-from .virtual_time import VirtualClock, run_in_virtual_time
+from .routing_instances import (
+    COLD_START_S,
+    DATA_CENTRES,
+    STALE_S,
+    RoutingFault,
+    RoutingInstance,
+    RoutingNetwork,
+)
+from .virtual_time import run_in_virtual_time
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from anyio.abc import TaskGroup
 
-    from ..core.evacuation import EvacuationState
-    from ..core.upstreams import RegisteredUpstream
-    from ..gateway.store import Stream, StreamPage
-
-_DATA_CENTRES = tuple(DataCentre(name) for name in ("sto-a", "sto-b", "sto-c"))
-_REGION = Region("se-east")
-
-COLD_PER_S = 8.9
-COLD_START_S = 3.0
-WARMUP = WarmupSettings(overshoot=1.5, slack=5.0)
-_SERVICE = GatewayService("llm", cold_start_s=COLD_START_S, cold_per_s=COLD_PER_S)
+    from ..types import DataCentre
 
 #: Bounds of an evacuation after its acknowledgement: for instances that the store serves, and for
 #: those that it has rejected meanwhile.
@@ -72,8 +46,6 @@
 
 _HEARTBEAT_S = 1.2
 _WARM_UP_S = 6.0
-_READ_POLL_S = 0.2
-_STALE_S = 3.0
 
 
 class RoutingDisruption(Flag):
@@ -92,190 +64,6 @@
 ALL_ROUTING_DISRUPTIONS = ~RoutingDisruption.NONE
 
 
-class RoutingFault(Enum):
-    """Fault that is planted in the instances, to show that the checks find it."""
-
-    NONE = "none"
-    IGNORES_EVACUATIONS = "ignores evacuations"
-    IGNORES_COLD = "ignores that upstreams are cold"
-    EQUAL_PARTS = "each instance sends its own part to each cold upstream"
-    ASKS_NO_PEERS = "asks no peers while the store rejects it"
-
-
-class _Fleet:
-    """Peers of the histories' instances."""
-
-    def __init__(self) -> None:
-        self.instances: dict[str, _Instance] = {}
-
-
-class _Peers(UnreachablePeers):
-    def __init__(self, fleet: _Fleet) -> None:
-        self._fleet = fleet
-
-    async def evacuations(self, address: str) -> tuple[EvacuationState, ...]:
-        await anyio.sleep(0.001)
-        peer = self._fleet.instances.get(address.removesuffix(":1"))
-        if peer is None:
-            raise PeerUnreachableError(address)
-        return peer.tracker.evacuations.states
-
-
-class _HistoryLink(StoreLink):
-    """Store link that waits for records and may list the state of some seconds ago."""
-
-    def __init__(self, store: MemoryStore, ends: dict[Stream, list[tuple[float, int]]]) -> None:
-        super().__init__(store)
-        self._memory = store
-        self._ends = ends
-        self.is_stale = False
-
-    async def read(self, stream: Stream, from_offset: int, *, wait_s: float = 0.0) -> StreamPage:
-        until_s = anyio.current_time() + wait_s
-        page = await super().read(stream, from_offset)
-        while not page.records and anyio.current_time() < until_s:
-            await anyio.sleep(_READ_POLL_S)
-            page = await super().read(stream, from_offset)
-        return page
-
-    async def newest(self, stream: Stream) -> StreamPage:
-        await anyio.sleep(0.005)
-        page = await super().newest(stream)
-        if not self.is_stale:
-            return page
-        past_s = anyio.current_time() - _STALE_S
-        end = max((end for at_s, end in self._ends[stream] if at_s <= past_s), default=0)
-        return self._memory.newest_at(stream, end)
-
-
-class _IgnoredEvacuations(Evacuations):
-    def is_evacuated(self, data_centre: DataCentre) -> bool:
-        return False
-
-
-class _IgnoredWarmup(Warmup):
-    def is_cold(self, upstream: RegisteredUpstream, now_s: float) -> bool:
-        return False
-
-
-class _EqualParts(Warmup):
-    """Each instance may send its part of the rate, of which it saves up one request."""
-
-    def may_send(self, upstream: RegisteredUpstream, cold_per_s: float, now_s: float) -> bool:
-        rate_per_s = self.settings.max_arrivals(cold_per_s) / self.fleet.size
-        sent_s = self._sent_s.get(upstream.upstream_id, -math.inf)
-        return now_s - sent_s >= 1 / rate_per_s
-
-    def note_sent(self, upstream: RegisteredUpstream, cold_per_s: float, now_s: float) -> None:
-        self._sent_s[upstream.upstream_id] = now_s
-
-    @property
-    def _sent_s(self) -> dict[str, float]:
-        return _SENT_S[id(self)]
-
-
-_SENT_S: defaultdict[int, dict[str, float]] = defaultdict(dict)
-
-_WARMUP_TYPES: dict[RoutingFault, type[Warmup]] = {
-    RoutingFault.IGNORES_COLD: _IgnoredWarmup,
-    RoutingFault.EQUAL_PARTS: _EqualParts,
-}
-
-
-class _Instance:
-    """One start of an instance."""
-
-    def __init__(self, history: RoutingHistory, name: str, starts: int) -> None:
-        clock = VirtualClock()
-        health = PlatformHealth(clock)
-        fault = history.fault
-        self.name = name
-        self.started_s = anyio.current_time()
-        self.scope = anyio.CancelScope()
-        self.link = _HistoryLink(history.store, history.ends)
-        is_unaware = fault is RoutingFault.IGNORES_EVACUATIONS
-        self.tracker = EvacuationTracker(
-            _IgnoredEvacuations() if is_unaware else Evacuations(), evacuated_data_centre, clock
-        )
-        self.config_feed = ConfigFeed(
-            self.link,
-            CONFIG_STREAM,
-            CONFIG_KEY,
-            clock,
-            health,
-            decode_config,
-            lambda _: None,
-            self.tracker,
-        )
-        peer = Peer(name, str(starts), f"{name}:1")
-        self.members = MemberFeed(
-            self.link,
-            Member(peer, _DATA_CENTRES[0]),
-            clock,
-            health,
-            lambda: None,
-            RETRIES,
-            started_s=self.started_s,
-        )
-        warmup_type = _WARMUP_TYPES.get(fault, Warmup)
-        self.warmup = warmup_type(WARMUP, self.members.fleet)
-        self.upstream_feed = UpstreamFeed(
-            self.link,
-            UPSTREAMS_STREAM,
-            clock,
-            health,
-            decode_upstream,
-            self.warmup.forget,
-            1.0,
-            NoWitness(),
-            lambda u: self.warmup.note_cold(u, u.cold_s, clock.monotonic_s()),
-        )
-        self.polling = EvacuationPolling(
-            self.tracker,
-            _Peers(history.fleet),
-            self.config_feed.failing_s,
-            lambda: [m.peer.address for m in self.members.fleet.other_members()],
-            clock,
-        )
-        self.eligibility = Eligibility(
-            self.upstream_feed.directory,
-            self.tracker.evacuations,
-            self.warmup,
-            RegionMap(dict.fromkeys(_DATA_CENTRES, _REGION)),
-        )
-        self.placement = Placement(_DATA_CENTRES[0])
-        self._asks_peers = fault is not RoutingFault.ASKS_NO_PEERS
-
-    async def run(self) -> None:
-        """Run until killed."""
-        with self.scope:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self.config_feed.run)
-                tasks.start_soon(self.upstream_feed.run)
-                tasks.start_soon(self.members.run)
-                if self._asks_peers:
-                    tasks.start_soon(self.polling.run)
-
-    def choose(self, prompt: Prompt, request_id: str) -> RegisteredUpstream | None:
-        """Return the upstream that a request is sent to now, or None if it is refused."""
-        if self.config_feed.config is None:
-            # The server refuses all requests before the first configuration.
-            return None
-        now_s = anyio.current_time()
-        eligible = self.eligibility.eligible(_SERVICE, None, now_s)
-        upstream = self.placement.choose(
-            eligible.upstreams,
-            prompt,
-            session_key(prompt, request_id),
-            tried_upstreams=frozenset(),
-            cold_upstreams=frozenset(eligible.cold_ids),
-            now_s=now_s,
-        )
-        if upstream is not None:
-            self.eligibility.note_sent(upstream, _SERVICE, now_s)
-        return upstream
-
-
 @dataclass(slots=True)
 class _Upstream:
     """A simulated upstream process."""
@@ -333,9 +121,7 @@
     hot_share: float = 0.2
     is_all_cold: bool = False
     duration_s: float = 40.0
-    store: MemoryStore = field(default_factory=MemoryStore)
-    ends: dict[Stream, list[tuple[float, int]]] = field(default_factory=lambda: defaultdict(list))
-    fleet: _Fleet = field(default_factory=_Fleet)
+    network: RoutingNetwork = field(init=False)
     _upstreams: dict[str, _Upstream] = field(default_factory=dict)
     _evacuated_s: dict[DataCentre, float] = field(default_factory=dict)
     _rejected: set[str] = field(default_factory=set)
@@ -345,6 +131,9 @@
     _tasks: TaskGroup | None = None
     _starts: int = 0
 
+    def __post_init__(self) -> None:
+        self.network = RoutingNetwork(self.fault)
+
     def run(self) -> RoutingResult:
         """Simulate the history in virtual time."""
         run_in_virtual_time(self._simulate, order=self.seed)
@@ -356,9 +145,9 @@
     async def _simulate(self) -> None:
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
-            self.store.put(CONFIG_STREAM, CONFIG_KEY, json.dumps({"version": 1}).encode())
+            self.network.store.put(CONFIG_STREAM, CONFIG_KEY, json.dumps({"version": 1}).encode())
             for number in range(self.upstream_count):
-                data_centre = _DATA_CENTRES[number % len(_DATA_CENTRES)]
+                data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
                 self._start_upstream(f"10.0.0.{number}:80", data_centre, cold_s=0.0)
             tasks.start_soon(self._record_ends)
             for number in range(self.instances):
@@ -374,8 +163,8 @@
     async def _record_ends(self) -> None:
         while True:
             for stream in (CONFIG_STREAM, UPSTREAMS_STREAM, MEMBERS_STREAM):
-                end = self.store.newest(stream).next_offset
-                self.ends[stream].append((anyio.current_time(), end))
+                end = self.network.store.newest(stream).next_offset
+                self.network.ends[stream].append((anyio.current_time(), end))
             await anyio.sleep(0.25)
 
     def _make_rng(self, *what: object) -> random.Random:
@@ -390,12 +179,12 @@
             is_hot = rng.random() < self.hot_share
             session = "hot" if is_hot else f"s{rng.randrange(200)}"
             parts = (PromptPart("all", 50), PromptPart(session, 400), PromptPart(f"r{number}", 50))
-            names = sorted(self.fleet.instances)
+            names = sorted(self.network.instances)
             if names:
-                instance = self.fleet.instances[rng.choice(names)]
+                instance = self.network.instances[rng.choice(names)]
                 self._send(instance, Prompt("m", 500, 50, parts), f"r{number}")
 
-    def _send(self, instance: _Instance, prompt: Prompt, request_id: str) -> None:
+    def _send(self, instance: RoutingInstance, prompt: Prompt, request_id: str) -> None:
         self._result.requests += 1
         chosen = instance.choose(prompt, request_id)
         if chosen is None:
@@ -409,13 +198,13 @@
         if evacuated_s is not None and now_s > evacuated_s + self._bound_s(instance, evacuated_s):
             self._result.late_arrivals += 1
 
-    def _bound_s(self, instance: _Instance, since_s: float) -> float:
+    def _bound_s(self, instance: RoutingInstance, since_s: float) -> float:
         """Return the bound of an evacuation at an instance; infinite if it was just started."""
         now_s = anyio.current_time()
         if now_s - instance.started_s < _STABLE_WINDOW_S:
             return math.inf
         until_s = self._rejected_until_s.get(instance.name, -math.inf)
-        latest_s = max(until_s, self._history_dropped_s + _STALE_S + 1)
+        latest_s = max(until_s, self._history_dropped_s + STALE_S + 1)
         is_store_unstable = instance.name in self._rejected or latest_s > since_s - _STABLE_WINDOW_S
         return EVACUATION_S + OUTER_S if is_store_unstable else EVACUATION_S
 
@@ -434,16 +223,16 @@
         while self._upstreams.get(upstream.upstream_id) is upstream:
             entry = upstream.registration(anyio.current_time())
             if entry != written:
-                self.store.put(UPSTREAMS_STREAM, upstream.upstream_id, entry)
+                self.network.store.put(UPSTREAMS_STREAM, upstream.upstream_id, entry)
                 written = entry
             await anyio.sleep(_HEARTBEAT_S)
 
     async def _start_instance(self, name: str, delay_s: float) -> None:
         await anyio.sleep(delay_s)
         self._starts += 1
-        instance = _Instance(self, name, self._starts)
+        instance = RoutingInstance(self.network, name, self._starts)
         instance.link.is_cut_off = name in self._rejected
-        self.fleet.instances[name] = instance
+        self.network.instances[name] = instance
         await instance.run()
 
     async def _repeat(self, disruption: RoutingDisruption) -> None:
@@ -468,35 +257,35 @@
                     await self._drop_history()
 
     async def _evacuate(self, rng: random.Random) -> None:
-        data_centre = rng.choice(_DATA_CENTRES)
+        data_centre = rng.choice(DATA_CENTRES)
         key = f"evacuate/{data_centre}"
-        self.store.put(CONFIG_STREAM, key, b"{}")
+        self.network.store.put(CONFIG_STREAM, key, b"{}")
         self._evacuated_s[data_centre] = anyio.current_time()
         await anyio.sleep(rng.choice([6.0, 14.0, 18.0]))
         for upstream in self._upstreams.values():
             if upstream.data_centre == data_centre:
                 upstream.cold_until_s = anyio.current_time() + COLD_START_S
         del self._evacuated_s[data_centre]
-        self.store.put(CONFIG_STREAM, key, None)
+        self.network.store.put(CONFIG_STREAM, key, None)
 
     async def _return_cold(self, rng: random.Random) -> None:
         """Replace the upstreams of a data centre, or of all, by ones that have just started."""
-        chosen = set(_DATA_CENTRES) if self.is_all_cold else {rng.choice(_DATA_CENTRES)}
+        chosen = set(DATA_CENTRES) if self.is_all_cold else {rng.choice(DATA_CENTRES)}
         gone = [u for u in self._upstreams.values() if u.data_centre in chosen]
         for upstream in gone:
-            self.store.put(UPSTREAMS_STREAM, upstream.upstream_id, None)
+            self.network.store.put(UPSTREAMS_STREAM, upstream.upstream_id, None)
         await anyio.sleep(rng.choice([2.5, 4.0]))
         for upstream in gone:
             self._start_upstream(upstream.address, upstream.data_centre, cold_s=COLD_START_S)
 
     def _turn_cold(self, rng: random.Random) -> None:
-        data_centre = rng.choice(_DATA_CENTRES)
+        data_centre = rng.choice(DATA_CENTRES)
         now_s = anyio.current_time()
         for upstream in self._upstreams.values():
             if upstream.data_centre == data_centre:
                 upstream.cold_until_s = now_s + COLD_START_S
                 entry = upstream.registration(now_s)
-                self.store.put(UPSTREAMS_STREAM, upstream.upstream_id, entry)
+                self.network.store.put(UPSTREAMS_STREAM, upstream.upstream_id, entry)
 
     async def _reject(self, rng: random.Random) -> None:
         self._rejected = self._some_instances(rng, 0.35)
@@ -507,13 +296,13 @@
         self._update_links()
 
     def _update_links(self) -> None:
-        for name, instance in self.fleet.instances.items():
+        for name, instance in self.network.instances.items():
             instance.link.is_cut_off = name in self._rejected
 
     def _kill(self, rng: random.Random) -> None:
         assert self._tasks is not None
         for name in sorted(self._some_instances(rng, 0.3)):
-            self.fleet.instances.pop(name).scope.cancel()
+            self.network.instances.pop(name).scope.cancel()
             self._tasks.start_soon(self._start_instance, name, rng.choice([0.3, 1.0, 3.0]))
 
     def _add_instances(self, rng: random.Random) -> None:
@@ -525,16 +314,16 @@
     async def _drop_history(self) -> None:
         """Drop the records of operators and upstreams; listings are out of date for a while."""
         self._history_dropped_s = anyio.current_time()
-        self.store.compact(CONFIG_STREAM)
-        self.store.compact(UPSTREAMS_STREAM)
-        for instance in self.fleet.instances.values():
+        self.network.store.compact(CONFIG_STREAM)
+        self.network.store.compact(UPSTREAMS_STREAM)
+        for instance in self.network.instances.values():
             instance.link.is_stale = True
-        await anyio.sleep(_STALE_S)
-        for instance in self.fleet.instances.values():
+        await anyio.sleep(STALE_S)
+        for instance in self.network.instances.values():
             instance.link.is_stale = False
 
     def _some_instances(self, rng: random.Random, share: float) -> set[str]:
-        return {name for name in sorted(self.fleet.instances) if rng.random() < share}
+        return {name for name in sorted(self.network.instances) if rng.random() < share}
 
 
 def max_in_a_second(arrivals_s: Iterable[float]) -> int:
--- a/mothstand/tests/test_routing_histories.py
+++ b/mothstand/tests/test_routing_histories.py
@@ -6,13 +6,11 @@
 
 from ..testing.routing_histories import (
     ALL_ROUTING_DISRUPTIONS,
-    COLD_PER_S,
-    WARMUP,
     RoutingDisruption,
-    RoutingFault,
     RoutingHistory,
     RoutingResult,
 )
+from ..testing.routing_instances import COLD_PER_S, WARMUP, RoutingFault
 
 _SEEDS = range(2)
 _MAX_COLD_ARRIVALS = WARMUP.max_arrivals(COLD_PER_S)
