--- a/mothstand/core/pace.py
+++ b/mothstand/core/pace.py
@@ -83,6 +83,7 @@
 
     _gaps_s: dict[str, dict[UpstreamKey, float]] = field(default_factory=dict)
     _reports: dict[str, _Report] = field(default_factory=dict)
+    _report_counts: Counter[str] = field(default_factory=Counter)
 
     def record(self, upstream: RegisteredUpstream, gap_s: float) -> None:
         """Record the typical gap of a stream of an upstream."""
@@ -96,7 +97,22 @@
 
     def apply_report(self, instance: str, upstream_ids: Iterable[str], now_s: float) -> None:
         """Replace what another instance has reported as slow."""
+        self._drop_report(instance)
         self._reports[instance] = _Report(frozenset(upstream_ids), now_s)
+        self._report_counts.update(self._reports[instance].upstream_ids)
+
+    def _drop_report(self, instance: str) -> None:
+        report = self._reports.pop(instance, None)
+        if report is not None:
+            self._report_counts -= Counter(report.upstream_ids)
+
+    def _drop_expired_reports(self, now_s: float) -> None:
+        # Reports are in the order of their times, since a new one goes to the end.
+        while self._reports:
+            instance, report = next(iter(self._reports.items()))
+            if now_s - report.reported_s < _REPORT_LIFETIME_S:
+                return
+            self._drop_report(instance)
 
     @property
     def own_slow_ids(self) -> tuple[str, ...]:
@@ -116,12 +132,8 @@
         service = upstreams[0].service
         measured = self._gaps_s.get(service, {})
         slow = self._measured_slow(service)
-        reports = Counter(
-            upstream_id
-            for report in self._reports.values()
-            if now_s - report.reported_s < _REPORT_LIFETIME_S
-            for upstream_id in report.upstream_ids
-        )
+        self._drop_expired_reports(now_s)
+        reports = self._report_counts
         return frozenset(
             u.upstream_id
             for u in upstreams
