Log and measure which upstreams an instance cannot connect to; probe them

Cause: callers of an instance that had lost its path to the upstreams got no_upstream, and no line told that from upstreams that were down: the failed attempts stand for themselves, and nothing keeps what they say together. Ruled out: nothing yet; this is what tells the hypotheses apart. No choice of an upstream depends on it yet. Conclusion: a lost path has a begin, an end and a number in the log.

--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -122,6 +122,22 @@
     )
     EVACUATION_ENDED = (6023, logging.INFO, "An evacuated data centre is used again.")
     UPSTREAM_COLD = (6024, logging.INFO, "An upstream is cold and bears few requests a second.")
+    UPSTREAM_UNREACHABLE = (
+        6025,
+        logging.WARNING,
+        "This instance cannot connect to an upstream; other instances may.",
+    )
+    UPSTREAM_REACHABLE = (6026, logging.INFO, "This instance can connect to an upstream again.")
+    SERVICE_UNREACHABLE = (
+        6027,
+        logging.ERROR,
+        "This instance cannot connect to any upstream of a service.",
+    )
+    SERVICE_REACHABLE = (
+        6028,
+        logging.INFO,
+        "This instance can connect to an upstream of a service again.",
+    )
     END_DROPPED = (6021, logging.ERROR, "A crash record was dropped: too many wait for the store.")
     REQUEST_REFUSED = (7001, logging.INFO, "A request was refused.")
     HEAD_TOO_SLOW = (7005, logging.INFO, "A connection was closed before its head was complete.")
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -22,6 +22,7 @@
     ConnectionBrokenError,
     MayHaveRunError,
     MisdirectedError,
+    NotConnectedError,
     NotRunError,
     RefusedByUpstreamError,
     UpstreamAnswer,
@@ -40,6 +41,7 @@
     from .crash_guard import CrashGuard
     from .headers import HeaderTranslator
     from .metrics import GatewayMetrics
+    from .reachability_probes import ReachabilityProbes
     from .upstream_client import UpstreamClient
 
 #: Maximum refusals by upstreams per request; more attempts only add load to full upstreams.
@@ -86,10 +88,13 @@
         sharers: Callable[[], int],
         stall_detector: StallDetector,
         guard: CrashGuard,
+        probes: ReachabilityProbes,
         clock: Clock,
         metrics: GatewayMetrics,
     ) -> None:
         self._guard = guard
+        self._probes = probes
+        self._reachability = probes.reachability
         self._client = client
         self._translator = translator
         self._placement = placement
@@ -266,6 +271,7 @@
         call.sent_attempts += 1
         try:
             answer = await self._send(call, upstream)
+            self._reachability.note_reached(upstream, call.attempt_began_s)
             await self._pass_on(call, answer, placed, caller)
             self._placement.note_success(upstream)
             self._guard.note_answered(call, answer)
@@ -292,6 +298,10 @@
             call.refusals += 1
             self._placement.note_full(upstream, now_s)
             return 0.0
+        if isinstance(error, NotConnectedError):
+            self._probes.note_attempt_failed(upstream, str(error))
+        elif isinstance(error, ConnectionBrokenError):
+            self._reachability.note_broken(upstream)
         return self._placement.note_failure(upstream, now_s)
 
     async def _send(self, call: Call, upstream: RegisteredUpstream) -> UpstreamAnswer:
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -14,6 +14,7 @@
 from ..core.fleet import Capacity, Member
 from ..core.loans import Peer
 from ..core.placement import Placement
+from ..core.reachability import Reachability
 from ..core.retry_budget import RetryBudgetSettings
 from ..core.shutdown import Shutdown
 from ..core.stall_detector import TICK_S, StallDetector
@@ -34,6 +35,7 @@
 from .member_feed import MemberFeed
 from .metrics import GatewayMetrics
 from .quarantine_feed import QuarantineFeed
+from .reachability_probes import ReachabilityProbes
 from .server import GatewayServer
 from .startup_wait import StartupWait
 from .store_witness import PeerWitness
@@ -164,6 +166,13 @@
             clock,
             self._quarantine_feed.report,
         )
+        self._probes = ReachabilityProbes(
+            Reachability(),
+            self._upstream_feed.directory,
+            TcpLivenessCheck(settings.timing.connect_timeout_s),
+            clock,
+            self._metrics,
+        )
         guard = CrashGuard(self._quarantine_feed, self._crash_detector, clock)
         forwarder = Forwarder(
             self._client,
@@ -179,6 +188,7 @@
             lambda: self._members.burst_shares.sharers(clock.monotonic_s()),
             self._stall_detector,
             guard,
+            self._probes,
             clock,
             self._metrics,
         )
@@ -197,6 +207,7 @@
     def _forget_upstream(self, upstream: RegisteredUpstream) -> None:
         self._placement.forget(upstream)
         self._warmup.forget(upstream)
+        self._probes.forget(upstream)
         self._client.close_idle_connections(upstream)
         self._crash_detector.note_process_ended(upstream)
 
@@ -245,6 +256,7 @@
             tasks.start_soon(self._run_with_restarts, "bootstrap", self._bootstrap.run)
             tasks.start_soon(self._run_with_restarts, "stalls", self._detect_stalls)
             tasks.start_soon(self._run_with_restarts, "upstream ends", self._crash_detector.run)
+            tasks.start_soon(self._run_with_restarts, "probes", self._probes.run)
             tasks.start_soon(self._run_with_restarts, "quarantine", self._quarantine_feed.run)
             await self._wait_for_stop()
             # Requests have to end before claims are lowered: running requests count with their
--- a/mothstand/testing/crash_histories.py
+++ b/mothstand/testing/crash_histories.py
@@ -18,6 +18,7 @@
 import anyio
 
 from ..core.placement import Placement
+from ..core.reachability import Reachability
 from ..core.routes import Destination, GatewayService, RequestKind, Route
 from ..core.stall_detector import StallDetector
 from ..errors import RefusedError
@@ -27,6 +28,7 @@
 from ..gateway.forward import Forwarder
 from ..gateway.headers import CallerFields, RawHeaders, UpstreamFields
 from ..gateway.metrics import GatewayMetrics
+from ..gateway.reachability_probes import ReachabilityProbes
 from ..gateway.upstream_client import (
     ConnectionBrokenError,
     MisdirectedError,
@@ -254,6 +256,10 @@
         )
         self._placement = Placement(_DATA_CENTRE)
         self.crash_guard = CrashGuard(self.quarantine_feed, self.crash_detector, clock)
+        metrics = GatewayMetrics()
+        self.probes = ReachabilityProbes(
+            Reachability(), self.upstream_feed.directory, check, clock, metrics
+        )
         self.forwarder = Forwarder(
             _SimulatedClient(history, self),
             PlatformHeaders(),
@@ -263,12 +269,14 @@
             lambda: history.instances,
             StallDetector(),
             self.crash_guard,
+            self.probes,
             clock,
-            GatewayMetrics(),
+            metrics,
         )
 
     def _forget(self, upstream: RegisteredUpstream) -> None:
         self._placement.forget(upstream)
+        self.probes.forget(upstream)
         self.crash_detector.note_process_ended(upstream)
 
     async def run(self) -> None:
@@ -277,6 +285,7 @@
             async with anyio.create_task_group() as tasks:
                 for work in (
                     self.crash_detector.run,
+                    self.probes.run,
                     self.quarantine_feed.run,
                     self.upstream_feed.run,
                 ):
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -15,6 +15,7 @@
 from ..core.placement import Placement
 from ..core.prompt import Prompt, PromptPart
 from ..core.quarantine import CRASH_THRESHOLD, UpstreamCrash
+from ..core.reachability import Reachability
 from ..core.retry_budget import RetryBudgetSettings
 from ..core.routes import Destination, GatewayService, RequestKind, Route
 from ..core.stall_detector import StallDetector
@@ -27,6 +28,7 @@
 from ..gateway.headers import CallerFields, RawHeaders, UpstreamFields
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.quarantine_feed import QuarantineFeed
+from ..gateway.reachability_probes import ReachabilityProbes
 from ..gateway.upstream_client import (
     ConnectionBrokenError,
     MayHaveRunError,
@@ -167,6 +169,9 @@
         self.crash_detector = CrashDetector(TcpLivenessCheck(0.2), self.clock, feed.report)
         self.guard = CrashGuard(feed, self.crash_detector, self.clock)
         self.metrics = GatewayMetrics(counts=defaultdict(int))  # type: ignore[arg-type]
+        self.probes = ReachabilityProbes(
+            Reachability(), self.directory, TcpLivenessCheck(0.2), self.clock, self.metrics
+        )
         self.forwarder = Forwarder(
             self.client,
             PlatformHeaders(),
@@ -178,6 +183,7 @@
             lambda: 6,
             StallDetector(),
             self.guard,
+            self.probes,
             self.clock,
             self.metrics,
         )
