Test that first tries are served by instances partitioned from all upstreams (red)

Cause: the instance knows no way to an upstream but its own (first hypothesis); not mended here. Ruled out: readiness as the cause in this test, since its callers have fixed instances.

--- a/mothstand/testing/gateway_fleet.py
+++ b/mothstand/testing/gateway_fleet.py
@@ -11,14 +11,20 @@
 import httpx
 
 from .fleet import FleetProcess, free_port, wait_until
+from .partitioned_gateway import Partition
 from .registrations import registration
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from .partitioned_gateway import PartitionMode
+
 KEY = "key-of-seniors"
 HOST = "api.example"
 PREFIX = "/ask/"
+
+#: Path of the route whose requests may run only once.
+ONCE_PREFIX = "/once/"
 SERVICE = "llm"
 
 
@@ -28,6 +34,7 @@
 
     folder: Path
     processes: dict[str, FleetProcess] = field(default_factory=dict)
+    engines: list[FleetProcess] = field(default_factory=list)
     _version: int = 0
     _metrics_addresses: dict[str, str] = field(default_factory=dict)
 
@@ -79,28 +86,54 @@
         engine = self._start_standin(name, "users_engine", *options, address=address)
         entry = registration(SERVICE, engine.address, data_centre=data_centre)
         self.put("keyed.servers", name, entry)
+        self.engines.append(engine)
         return engine
 
-    def start_instance(self, name: str, *, grace_s: float = 8.0, regions: str = "") -> FleetProcess:
-        """Start a gateway instance and wait until it is ready."""
+    def start_instance(
+        self,
+        name: str,
+        *,
+        grace_s: float = 8.0,
+        regions: str = "",
+        data_centre: str = "sto-a",
+        can_be_partitioned: bool = False,
+    ) -> FleetProcess:
+        """Start a gateway instance and wait until it is ready.
+
+        Parameters
+        ----------
+        can_be_partitioned
+            Whether `partition` can cut its path to engines.
+        """
         ports = [free_port() for _ in range(4)]
         callers, ready, peers, metrics = (f"127.0.0.1:{port}" for port in ports)
         path = self.folder / f"{name}.ini"
         path.write_text(
-            f"[instance]\nname = {name}\ndata_centre = sto-a\n"
+            f"[instance]\nname = {name}\ndata_centre = {data_centre}\n"
             f"[listen]\ncallers = {callers}\nready = {ready}\npeers = {peers}\n"
             f"metrics = {metrics}\n[store]\naddress = {self.store.address}\n"
             f"[timing]\ngrace_s = {grace_s}\n[regions]\ndata_centres = {regions}\n",
             encoding="utf-8",
         )
         self._metrics_addresses[name] = metrics
-        command = (sys.executable, "-m", "mothstand.gateway_main", str(path))
+        command: tuple[str, ...] = (sys.executable, "-m", "mothstand.gateway_main", str(path))
+        if can_be_partitioned:
+            module = "mothstand.testing.partitioned_gateway"
+            command = (sys.executable, "-m", module, str(path), str(self._partition_path(name)))
         process = self._spawn(name, command, callers, peers)
         wait_until(
             lambda: _get_status(f"http://{ready}/readiness") == httpx.codes.OK, f"{name} ready"
         )
         return process
 
+    def partition(self, instance: FleetProcess, mode: PartitionMode) -> None:
+        """Cut the path of an instance to all engines that run now, or open it again."""
+        ports = frozenset(int(engine.address.rpartition(":")[2]) for engine in self.engines)
+        Partition(mode, ports).write(self._partition_path(instance.name))
+
+    def _partition_path(self, name: str) -> Path:
+        return self.folder / f"{name}.partition"
+
     def restart_instance(self, name: str) -> FleetProcess:
         """Start an ended instance again, with its former settings."""
         ended_process = self.processes[name]
@@ -114,7 +147,7 @@
         route_homes: tuple[str, ...] = (),
         workspace_homes: tuple[str, ...] = (),
     ) -> None:
-        """Publish a configuration with one route and one workspace."""
+        """Publish a configuration with two routes and one workspace."""
         self._version += 1
         config = {
             "version": self._version,
@@ -131,7 +164,19 @@
                     "attempts": 2,
                     "resumable": True,
                     "home_regions": list(route_homes),
-                }
+                },
+                {
+                    "name": "once",
+                    "host": HOST,
+                    "path_prefix": ONCE_PREFIX,
+                    "kind": "non_idempotent",
+                    "timeout_ms": 2000,
+                    "goal_ms": 300,
+                    "priority": 0,
+                    "service": SERVICE,
+                    "attempts": 1,
+                    "home_regions": list(route_homes),
+                },
             ],
             "services": [{"name": SERVICE, "connection_limit": 99, "engine": {"stride": 4}}],
             "tenants": [
