Relay requests through a peer while an instance cannot reach their upstreams

Cause: an instance had no way to an upstream but its own connections, so that a fault of one network path was a refusal for all its callers though its neighbours reach the same upstreams. The class: an instance that cannot do a part of its work keeps its callers, while a peer could do that part.

Change: an upstream to which no connection can be made is not chosen until a probe reaches it; while none is left for a request, one attempt goes through a peer that reaches the service. The peer sends only directly (no second hop) and only to an upstream that it would use itself; caller, reservation, retries, attempts, resumption and settlement stay with the instance that has the caller. Peers are found by four calls a round and used by offers 1.6 s old at most; each relays a limited number of requests and rejects the rest, not run. Without any such peer the request is refused at arrival, before tokens. A broken connection is judged for a crash by the peer that had it.

Why it works: the path is chosen by what is reachable now, not by who got the request; what the peer knows of an attempt (not run, may have run, upstream's answer) comes back as such, so that "not run" stays true. Ruled out as a mend: readiness alone (open connections stay, and with all of a data centre cut its instances are used all the same); more retries (the same path). The crash histories' probes use the sound liveness check: with the injected false one every upstream counted as unreachable, so that the fault that the history looks for could not show.

--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -138,6 +138,17 @@
         logging.INFO,
         "This instance can connect to an upstream of a service again.",
     )
+    RELAYS_CHANGED = (
+        6029,
+        logging.INFO,
+        "The peers changed that relay for this instance.",
+    )
+    ATTEMPT_RELAYED = (6030, logging.INFO, "An attempt was made for another instance.")
+    RELAY_LEFT = (
+        6031,
+        logging.INFO,
+        "An instance disconnected before the answer that it was relayed was complete.",
+    )
     END_DROPPED = (6021, logging.ERROR, "A crash record was dropped: too many wait for the store.")
     REQUEST_REFUSED = (7001, logging.INFO, "A request was refused.")
     HEAD_TOO_SLOW = (7005, logging.INFO, "A connection was closed before its head was complete.")
--- a/mothstand/gateway/call.py
+++ b/mothstand/gateway/call.py
@@ -63,6 +63,12 @@
         Time on the monotonic clock at which the caller or the route times out.
     sent_attempts
         Attempts that reached or may have reached an upstream.
+    tried_upstreams, unconnected_upstreams
+        Upstreams of the attempts up to now, and those of them that a peer may still reach.
+    unconnected_attempts
+        Attempts that reached no upstream, not even one that refused.
+    relay
+        Peer through which the latest attempt was made; empty for a direct one.
     has_retry
         Whether the retry budget has already been charged for the next attempt.
     reserved_after_s, started_after_s
@@ -102,6 +108,9 @@
     refusals: int = 0
     has_retry: bool = False
     tried_upstreams: set[str] = field(default_factory=set)
+    unconnected_upstreams: set[str] = field(default_factory=set)
+    unconnected_attempts: int = 0
+    relay: str = ""
     progress: StreamProgress = field(default_factory=StreamProgress)
     failed_answer: CompleteAnswer | None = None
     reserved_after_s: float = 0.0
--- a/mothstand/gateway/crash_guard.py
+++ b/mothstand/gateway/crash_guard.py
@@ -7,6 +7,7 @@
 
 from ..errors import ErrorKind, Refusal, RefusedError
 from .crash_detector import BrokenAttempt
+from .relay_client import RelayConnectionBrokenError
 from .upstream_client import ConnectionBrokenError, MisdirectedError, RefusedByUpstreamError
 
 if TYPE_CHECKING:
@@ -82,6 +83,9 @@
         """Record how an attempt failed, and report a possible crash of its upstream."""
         if isinstance(error, ConnectionBrokenError):
             call.is_connection_broken = True
+            if isinstance(error, RelayConnectionBrokenError):
+                # The peer that relayed the attempt checks the upstream.
+                return
             attempt = BrokenAttempt(call.fields.request_id, call.digest, call.known_crashes)
             self._crash_detector.note_broken_attempt(upstream, attempt)
         elif isinstance(error, MisdirectedError):
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -4,6 +4,8 @@
 
 import random
 from collections import defaultdict
+from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -18,6 +20,7 @@
 from ..events import Event, emit
 from .call import CompleteAnswer
 from .headers import ForwardFields
+from .relay_client import RelayUnavailableError
 from .upstream_client import (
     ConnectionBrokenError,
     MayHaveRunError,
@@ -34,23 +37,29 @@
     from ..clock import Clock
     from ..core.eligibility import Eligibility, EligibleUpstreams
     from ..core.placement import PlacedRequest, Placement
+    from ..core.relaying import RelayPeer
     from ..core.retry_budget import RetryBudgetSettings, RetryDecision
     from ..core.stall_detector import StallDetector
     from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
+    from ..types import DataCentre
     from .call import Call, CallerConnection
     from .crash_guard import CrashGuard
-    from .headers import HeaderTranslator
+    from .headers import HeaderTranslator, RawHeaders
     from .metrics import GatewayMetrics
     from .reachability_probes import ReachabilityProbes
+    from .relays import Relays
     from .upstream_client import UpstreamClient
 
 #: Maximum refusals by upstreams per request; more attempts only add load to full upstreams.
 _MAX_REFUSALS = 3
 
-#: Maximum unreachable upstreams per request before it is refused. Each costs a timeout of 0.2 s,
-#: and after a second the caller has better chances at another instance.
+#: Maximum attempts per request that reach no upstream before it is refused. Each costs a timeout of
+#: 0.2 s, and after a second the caller has better chances at another instance.
 _MAX_UNCONNECTED = 4
 
+#: Attempts per request that reach no upstream before a peer is asked to relay it.
+_MAX_UNCONNECTED_BEFORE_RELAY = 2
+
 #: Seconds between two checks whether a waiting request may be sent to another upstream.
 _RETRY_POLL_INTERVAL_S = 0.1
 
@@ -75,6 +84,14 @@
     """The attempt failed, and another upstream may be tried."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Hop:
+    """Upstream of an attempt, and the peer that relays to it; None for a direct attempt."""
+
+    upstream: RegisteredUpstream
+    relay: RelayPeer | None = None
+
+
 class Forwarder:
     """Forwards requests to the upstreams of their service."""
 
@@ -89,12 +106,14 @@
         stall_detector: StallDetector,
         guard: CrashGuard,
         probes: ReachabilityProbes,
+        relays: Relays,
         clock: Clock,
         metrics: GatewayMetrics,
     ) -> None:
         self._guard = guard
         self._probes = probes
         self._reachability = probes.reachability
+        self._relays = relays
         self._client = client
         self._translator = translator
         self._placement = placement
@@ -125,6 +144,8 @@
         if not eligible.upstreams:
             call.exclusions = eligible.exclusions_summary
             raise RefusedError(self._no_upstream(call))
+        if self._is_out_of_reach(call, eligible.upstreams):
+            raise RefusedError(self._no_upstream(call))
         share = self._admissions[call.service.name].admitted_share(
             call.priority, self._clock.monotonic_s()
         )
@@ -153,29 +174,71 @@
 
     async def _try_upstreams(self, call: Call, caller: CallerConnection) -> None:
         while True:
-            upstream = self._choose(call)
-            if upstream is None or self._guard.is_quarantined(call):
+            hop = await self._choose(call)
+            if hop is None or self._guard.is_quarantined(call):
                 await self._give_up(call, caller)
                 return
             try:
-                await self._attempt(call, upstream, caller)
+                await self._attempt(call, hop, caller)
                 return
             except _Retry:
                 if not self._may_retry(call):
                     await self._give_up(call, caller)
                     return
 
-    def _choose(self, call: Call) -> RegisteredUpstream | None:
+    async def _choose(self, call: Call) -> _Hop | None:
+        """Return the next hop: direct, or through a peer if no upstream can be connected to."""
         eligible = self._eligible(call)
         call.exclusions = eligible.exclusions_summary
-        return self._placement.choose(
-            eligible.upstreams,
+        untried = [u for u in eligible.upstreams if u.upstream_id not in call.tried_upstreams]
+        direct = self._reachability.reachable(untried)
+        if direct and call.unconnected_attempts < _MAX_UNCONNECTED_BEFORE_RELAY:
+            return self._place(call, direct, eligible.cold_ids)
+        relayable = [*untried, *self._unconnected(call, eligible.upstreams)]
+        if relayable:
+            relay = await self._relays.find(call.service.name, self._permits(call))
+            if relay is not None:
+                return self._place(call, relayable, eligible.cold_ids, relay)
+        if direct:
+            return self._place(call, direct, eligible.cold_ids)
+        if not untried or self._reachability.is_confirmed(self._clock.monotonic_s()):
+            return None
+        return self._place(call, untried, eligible.cold_ids)
+
+    def _place(
+        self,
+        call: Call,
+        candidates: list[RegisteredUpstream],
+        cold_ids: set[str],
+        relay: RelayPeer | None = None,
+    ) -> _Hop | None:
+        upstream = self._placement.choose(
+            candidates,
             call.fields.prompt,
             session_key(call.fields.prompt, call.fields.request_id),
-            tried_upstreams=frozenset(call.tried_upstreams),
-            cold_upstreams=frozenset(eligible.cold_ids),
+            tried_upstreams=frozenset(),
+            cold_upstreams=frozenset(cold_ids),
             now_s=self._clock.monotonic_s(),
         )
+        return None if upstream is None else _Hop(upstream, relay)
+
+    def _unconnected(
+        self, call: Call, upstreams: list[RegisteredUpstream]
+    ) -> list[RegisteredUpstream]:
+        """Return the upstreams to which only this instance has failed to connect."""
+        return [u for u in upstreams if u.upstream_id in call.unconnected_upstreams]
+
+    def _permits(self, call: Call) -> Callable[[DataCentre], bool]:
+        """Return whether a request's body may be sent to an instance in a data centre."""
+        return partial(self._eligibility.region_map.permits, call.permitted_regions)
+
+    def _is_out_of_reach(self, call: Call, upstreams: list[RegisteredUpstream]) -> bool:
+        """Return whether neither this instance nor a peer can reach any of the upstreams."""
+        return (
+            not self._reachability.reachable(upstreams)
+            and self._reachability.is_confirmed(self._clock.monotonic_s())
+            and self._relays.is_unavailable(call.service.name, self._permits(call))
+        )
 
     def _eligible(self, call: Call) -> EligibleUpstreams:
         return self._eligibility.eligible(
@@ -195,7 +258,7 @@
             # No upstream has received the request, so the next attempt is not a retry for them.
             # If it were charged, a network partition would use up this instance's share of the
             # retry budget within a second.
-            return len(call.tried_upstreams) <= _MAX_UNCONNECTED
+            return call.unconnected_attempts <= _MAX_UNCONNECTED
         if call.has_retry:
             call.has_retry = False
             return True
@@ -247,9 +310,7 @@
             last_event_id=call.progress.last_event_id,
         )
 
-    async def _attempt(
-        self, call: Call, upstream: RegisteredUpstream, caller: CallerConnection
-    ) -> None:
+    async def _attempt(self, call: Call, hop: _Hop, caller: CallerConnection) -> None:
         """Send the request to one upstream and pass its answer on.
 
         Raises
@@ -257,7 +318,10 @@
         _Retry
             If the attempt failed; its outcome is recorded in `call`.
         """
+        upstream = hop.upstream
         call.tried_upstreams.add(upstream.upstream_id)
+        call.unconnected_upstreams.discard(upstream.upstream_id)
+        call.relay = "" if hop.relay is None else hop.relay.member.peer.instance
         call.upstream_id = upstream.upstream_id
         call.registrations_age_s = self._directory.age_s(self._clock.monotonic_s())
         placed = self._placement.note_started(
@@ -270,15 +334,16 @@
         # Counted before sending, since an attempt that is cancelled later may have run.
         call.sent_attempts += 1
         try:
-            answer = await self._send(call, upstream)
-            self._reachability.note_reached(upstream, call.attempt_began_s)
+            answer = await self._send(call, hop)
+            if hop.relay is None:
+                self._reachability.note_reached(upstream, call.attempt_began_s)
             await self._pass_on(call, answer, placed, caller)
             self._placement.note_success(upstream)
             self._guard.note_answered(call, answer)
         except (NotRunError, MayHaveRunError) as error:
             if isinstance(error, NotRunError):
                 call.sent_attempts -= 1
-            pause_s = self._handle_failure(call, upstream, error)
+            pause_s = self._handle_failure(call, hop, error)
             self._log_failure(call, upstream, error, pause_s)
             raise _Retry from error
         finally:
@@ -286,9 +351,10 @@
             if answer is not None:
                 answer.close()
 
-    def _handle_failure(self, call: Call, upstream: RegisteredUpstream, error: Exception) -> float:
+    def _handle_failure(self, call: Call, hop: _Hop, error: Exception) -> float:
         """Apply a failure to the upstream's state; return for how long it is avoided."""
         now_s = self._clock.monotonic_s()
+        upstream = hop.upstream
         self._guard.note_attempt_failed(call, upstream, error)
         if isinstance(error, MisdirectedError):
             call.refusals += 1
@@ -298,13 +364,23 @@
             call.refusals += 1
             self._placement.note_full(upstream, now_s)
             return 0.0
+        if isinstance(error, NotRunError):
+            call.unconnected_attempts += 1
+        if isinstance(error, RelayUnavailableError):
+            # Only the peer failed; another one may reach this upstream.
+            call.unconnected_upstreams.add(upstream.upstream_id)
+            if hop.relay is not None:
+                self._relays.note_cannot_serve(hop.relay, upstream.service)
+            return 0.0
         if isinstance(error, NotConnectedError):
-            self._probes.note_attempt_failed(upstream, str(error))
-        elif isinstance(error, ConnectionBrokenError):
+            call.unconnected_upstreams.add(upstream.upstream_id)
+            return self._probes.note_attempt_failed(upstream, str(error))
+        if isinstance(error, ConnectionBrokenError) and hop.relay is None:
             self._reachability.note_broken(upstream)
         return self._placement.note_failure(upstream, now_s)
 
-    async def _send(self, call: Call, upstream: RegisteredUpstream) -> UpstreamAnswer:
+    async def _send(self, call: Call, hop: _Hop) -> UpstreamAnswer:
+        upstream = hop.upstream
         headers = self._translator.to_upstream(
             call.headers,
             ForwardFields(
@@ -315,12 +391,25 @@
                 last_event_id=call.progress.last_event_id or call.fields.last_event_id,
             ),
         )
-        sending = self._client.send(upstream, call.request, headers)
+        if hop.relay is None:
+            sending = self._client.send(upstream, call.request, headers)
+        else:
+            sending = self._send_relayed(call, upstream, hop.relay, headers)
         is_last = call.sent_attempts >= call.route.attempts or call.probe is not None
         if not call.route.may_run_twice or is_last:
             return await self._record_head_time(call, sending)
         return await self._send_with_early_retry(call, sending)
 
+    async def _send_relayed(
+        self, call: Call, upstream: RegisteredUpstream, relay: RelayPeer, headers: RawHeaders
+    ) -> UpstreamAnswer:
+        self._metrics.counts["attempts_through_relays"] += 1
+        relay.running += 1
+        try:
+            return await self._relays.send(relay, upstream, call, headers)
+        finally:
+            relay.running -= 1
+
     async def _send_with_early_retry(
         self, call: Call, sending: Awaitable[UpstreamAnswer]
     ) -> UpstreamAnswer:
@@ -476,6 +565,7 @@
             request=call.fields.request_id,
             digest=call.digest if isinstance(error, ConnectionBrokenError) else None,
             upstream=upstream.upstream_id,
+            relay=call.relay,
             error=str(error),
             sent=call.sent_attempts,
             events=call.progress.sent_events,
--- a/mothstand/gateway/headers.py
+++ b/mothstand/gateway/headers.py
@@ -83,6 +83,18 @@
     def to_upstream(self, headers: RawHeaders, fields: ForwardFields) -> RawHeaders:
         """Return the headers to send to an upstream."""
 
+    @abstractmethod
+    def relayed_to_upstream(self, headers: RawHeaders, elapsed_s: float) -> RawHeaders:
+        """Return the headers to send to an upstream with a request of another instance.
+
+        Parameters
+        ----------
+        headers
+            Headers that `to_upstream` of the other instance returned, as received.
+        elapsed_s
+            Time for which this instance has had the request, subtracted from its deadline.
+        """
+
     @abstractmethod
     def read_upstream(self, status: int, headers: RawHeaders) -> UpstreamFields:
         """Return the fields of the headers of an upstream's answer."""
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -15,6 +15,7 @@
 from ..core.loans import Peer
 from ..core.placement import Placement
 from ..core.reachability import Reachability
+from ..core.relaying import RelayPeers
 from ..core.retry_budget import RetryBudgetSettings
 from ..core.shutdown import Shutdown
 from ..core.stall_detector import TICK_S, StallDetector
@@ -36,6 +37,10 @@
 from .metrics import GatewayMetrics
 from .quarantine_feed import QuarantineFeed
 from .reachability_probes import ReachabilityProbes
+from .relay_client import RelayClient
+from .relay_finder import RelayFinder
+from .relay_server import RelayServer
+from .relays import PeerRelays
 from .server import GatewayServer
 from .startup_wait import StartupWait
 from .store_witness import PeerWitness
@@ -173,22 +178,46 @@
             clock,
             self._metrics,
         )
+        eligibility = Eligibility(
+            self._upstream_feed.directory,
+            self._evacuations.evacuations,
+            self._warmup,
+            settings.region_map,
+        )
+        self._relay_finder = RelayFinder(
+            RelayPeers(settings.instance.name, settings.data_centre),
+            self._members.fleet,
+            self._link,
+            self._probes,
+            clock,
+            self._metrics,
+        )
+        self._relay_client = RelayClient(settings, translator)
+        self._relay_server = RelayServer(
+            settings,
+            self._config,
+            _capacity(settings),
+            self._client,
+            translator,
+            eligibility,
+            self._probes,
+            self._crash_detector,
+            self._shutdown,
+            clock,
+            self._metrics,
+        )
         guard = CrashGuard(self._quarantine_feed, self._crash_detector, clock)
         forwarder = Forwarder(
             self._client,
             translator,
             self._placement,
-            Eligibility(
-                self._upstream_feed.directory,
-                self._evacuations.evacuations,
-                self._warmup,
-                settings.region_map,
-            ),
+            eligibility,
             retries,
             lambda: self._members.burst_shares.sharers(clock.monotonic_s()),
             self._stall_detector,
             guard,
             self._probes,
+            PeerRelays(self._relay_finder, self._relay_client),
             clock,
             self._metrics,
         )
@@ -231,12 +260,19 @@
         await _listen(runner, listen.callers, self._process_start.callers_socket)
         await _listen(checks, listen.ready)
         await _listen(checks, listen.metrics)
+        relays = web.ServerRunner(
+            self._relay_server.make_server(), shutdown_timeout=_SHUTDOWN_TIMEOUT_S
+        )
+        await relays.setup()
+        if listen.relay:
+            await _listen(relays, listen.relay)
         service = LendingService(
             self._accounts.lend,
             self._accounts.take_over,
             self._bootstrap_state,
             self._upstream_feed.gapless_read_s,
             self._quarantine_feed.apply_from_peer,
+            self._relay_server.offer,
         )
         peer_server = await serve_peers(service, listen.peers)
         emit(
@@ -257,17 +293,20 @@
             tasks.start_soon(self._run_with_restarts, "stalls", self._detect_stalls)
             tasks.start_soon(self._run_with_restarts, "upstream ends", self._crash_detector.run)
             tasks.start_soon(self._run_with_restarts, "probes", self._probes.run)
+            tasks.start_soon(self._run_with_restarts, "relays", self._relay_finder.run)
             tasks.start_soon(self._run_with_restarts, "quarantine", self._quarantine_feed.run)
             await self._wait_for_stop()
             # Requests have to end before claims are lowered: running requests count with their
             # maximum, and the unused part of it would stay claimed.
             await runner.cleanup()
+            await relays.cleanup()
             tasks.cancel_scope.cancel()
         await self._accounts.stop(until_s=self._shutdown.deadline_s)
         await checks.cleanup()
         peer_server.close()
         self._link.close()
         await self._client.aclose()
+        await self._relay_client.aclose()
         await self._store.aclose()
         unused = self._accounts.unused_tokens()
         emit(Event.INSTANCE_STOPPED, instance=self._local_peer.instance, still_claimed=unused)
@@ -297,17 +336,20 @@
         emit(
             Event.INSTANCE_STOPPING,
             instance=self._local_peer.instance,
-            running=self._server.running_requests,
+            running=self._running_requests,
         )
         is_giving_back = False
-        while not self._shutdown.is_over(
-            self._clock.monotonic_s(), running=self._server.running_requests
-        ):
+        while not self._shutdown.is_over(self._clock.monotonic_s(), running=self._running_requests):
             if not is_giving_back and self._shutdown.refuses_requests(self._clock.monotonic_s()):
                 is_giving_back = True
                 self._accounts.begin_stopping()
             await self._clock.sleep(_STOP_CHECK_INTERVAL_S)
 
+    @property
+    def _running_requests(self) -> int:
+        """Requests of callers and of other instances that are running."""
+        return self._server.running_requests + self._relay_server.running_requests
+
     async def _serve_checks(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer paths that contain `metrics` with the metrics, and others with readiness."""
         if "metrics" in request.path:
--- a/mothstand/gateway/lending.py
+++ b/mothstand/gateway/lending.py
@@ -14,6 +14,7 @@
 
 from ..core.evacuation import EvacuationState
 from ..core.loans import Holding
+from ..core.relaying import RelayOffer
 from ..peers import lending_pb2 as pb
 from ..peers.failures import PeerError, PeerUnreachableError
 from ..peers.lending_grpc import LendingBase, LendingStub
@@ -37,6 +38,8 @@
 
 EVACUATIONS_TIMEOUT_S = 0.25
 
+RELAY_OFFER_TIMEOUT_S = 0.25
+
 #: Maximum duration of a connection attempt: longer than packets wait on a full link, and shorter
 #: than the 1 s after which the first lost packet of a new connection is sent again.
 MAX_CONNECT_S = 0.8
@@ -185,6 +188,16 @@
             If it did not answer.
         """
 
+    @abstractmethod
+    async def relay_offer(self, address: str) -> RelayOffer:
+        """Return what a peer offers to relay.
+
+        Raises
+        ------
+        PeerError
+            If it did not answer.
+        """
+
     @abstractmethod
     def close(self) -> None:
         """Close all connections."""
@@ -302,6 +315,12 @@
             reply = await stub.Evacuations(pb.EvacuationsRequest())
         return _from_messages(reply.evacuations)
 
+    async def relay_offer(self, address: str) -> RelayOffer:
+        """Return what a peer offers to relay."""
+        with self._call(address) as stub, anyio.fail_after(RELAY_OFFER_TIMEOUT_S):
+            reply = await stub.Relaying(pb.RelayingRequest())
+        return RelayOffer(reply.address, {s.service: s.age_s for s in reply.services})
+
     def close(self) -> None:
         """Close all connections."""
         for address in list(self._channels):
@@ -376,7 +395,9 @@
         bootstrap_state: Callable[[], BootstrapState],
         registrations_gapless_read_s: Callable[[], float],
         apply_quarantine_records: Callable[[Iterable[KeyedRecord]], None],
+        relay_offer: Callable[[], RelayOffer],
     ) -> None:
+        self._relay_offer = relay_offer
         self._apply_quarantine_records = apply_quarantine_records
         self._lend = lend
         self._take_over = take_over
@@ -461,6 +482,18 @@
         states = self._bootstrap_state().evacuations
         await stream.send_message(pb.EvacuationsReply(evacuations=_to_messages(states)))
 
+    async def Relaying(  # noqa: N802
+        self, stream: Stream[pb.RelayingRequest, pb.RelayingReply]
+    ) -> None:
+        """Send what this instance can relay."""
+        await stream.recv_message()
+        offer = self._relay_offer()
+        services = [
+            pb.ReachedService(service=service, age_s=age_s)
+            for service, age_s in offer.reached_ages_s.items()
+        ]
+        await stream.send_message(pb.RelayingReply(address=offer.address, services=services))
+
 
 async def serve_peers(service: LendingService, address: str) -> Server:
     """Start a server for the calls of other instances."""
--- a/mothstand/gateway/reachability_probes.py
+++ b/mothstand/gateway/reachability_probes.py
@@ -28,6 +28,8 @@
     ----------
     reachability
         The state that attempts and probes update.
+    lost_services
+        Services of which no upstream can be connected to.
     """
 
     def __init__(
@@ -43,7 +45,7 @@
         self._check = check
         self._clock = clock
         self._metrics = metrics
-        self._lost_services: set[str] = set()
+        self.lost_services: set[str] = set()
 
     def note_attempt_failed(self, upstream: RegisteredUpstream, reason: str) -> float:
         """Record that no connection to an upstream was established; log a change.
@@ -107,19 +109,19 @@
     def _log_services(self) -> None:
         """Log services whose upstreams have all become unreachable, or are reachable again."""
         self._metrics.counts["unreachable_upstreams"] = self.reachability.unreachable_count
-        if not self.reachability.unreachable_count and not self._lost_services:
+        if not self.reachability.unreachable_count and not self.lost_services:
             return
         services = {u.service for u in self._directory.upstreams.values()}
         lost = {name for name in services if self._is_lost(name)}
-        for name in lost - self._lost_services:
+        for name in lost - self.lost_services:
             emit(
                 Event.SERVICE_UNREACHABLE,
                 service=name,
                 upstreams=len(self._directory.accepting_upstreams(name)),
             )
-        for name in self._lost_services - lost:
+        for name in self.lost_services - lost:
             emit(Event.SERVICE_REACHABLE, service=name)
-        self._lost_services = lost
+        self.lost_services = lost
         self._metrics.counts["unreachable_services"] = len(lost)
 
     def _is_lost(self, service: str) -> bool:
--- /dev/null
+++ b/mothstand/gateway/relay_finder.py
@@ -0,0 +1,139 @@
+"""Finds peers that relay requests, while this instance cannot reach upstreams itself."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ..events import Event, emit
+from ..peers.failures import PeerError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..clock import Clock
+    from ..core.fleet import FleetView, Member
+    from ..core.relaying import RelayPeer, RelayPeers
+    from ..types import DataCentre
+    from .lending import PeerLink
+    from .metrics import GatewayMetrics
+    from .reachability_probes import ReachabilityProbes
+
+#: Seconds between two checks whether relays are needed.
+_POLL_INTERVAL_S = 0.1
+
+#: Maximum seconds for which a request waits for a peer to be found.
+_MAX_WAIT_S = 0.3
+
+#: Seconds for which it is known that no peer relays, once all were asked.
+_UNAVAILABLE_VALID_S = 1.0
+
+
+class RelayFinder:
+    """Asks peers what they relay while an upstream's service is out of reach.
+
+    Attributes
+    ----------
+    peers
+        The peers in use.
+    """
+
+    def __init__(
+        self,
+        peers: RelayPeers,
+        fleet: FleetView,
+        link: PeerLink,
+        probes: ReachabilityProbes,
+        clock: Clock,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self.peers = peers
+        self._fleet = fleet
+        self._link = link
+        self._probes = probes
+        self._clock = clock
+        self._metrics = metrics
+        self._is_wanted = anyio.Event()
+        self._round_ended = anyio.Event()
+        self._all_asked_s: float | None = None
+        self._logged_peers: list[str] = []
+
+    async def find(self, service: str, permits: Callable[[DataCentre], bool]) -> RelayPeer | None:
+        """Return the peer for a request, after a wait for one to be found; None if there is none.
+
+        Parameters
+        ----------
+        permits
+            Whether the request's body may be sent to a data centre.
+        """
+        self.peers.note_needed(self._clock.monotonic_s())
+        self._is_wanted.set()
+        with anyio.move_on_after(_MAX_WAIT_S):
+            while True:
+                peer = self.peers.choose(service, permits, self._clock.monotonic_s())
+                if peer is not None or self._has_asked_all():
+                    return peer
+                await self._round_ended.wait()
+        return None
+
+    def is_unavailable(self, service: str, permits: Callable[[DataCentre], bool]) -> bool:
+        """Return whether all peers were asked recently and none can take a request."""
+        now_s = self._clock.monotonic_s()
+        return self._has_asked_all() and self.peers.choose(service, permits, now_s) is None
+
+    def note_cannot_serve(self, peer: RelayPeer, service: str) -> None:
+        """Record that a peer could not take a request of a service."""
+        self.peers.note_cannot_serve(peer, service, self._clock.monotonic_s())
+
+    def _has_asked_all(self) -> bool:
+        asked_s = self._all_asked_s
+        return asked_s is not None and (self._clock.monotonic_s() - asked_s <= _UNAVAILABLE_VALID_S)
+
+    async def run(self) -> None:
+        """Ask peers while relays are needed, until cancelled."""
+        while True:
+            with anyio.move_on_after(_POLL_INTERVAL_S):
+                await self._is_wanted.wait()
+            now_s = self._clock.monotonic_s()
+            if self._probes.lost_services or self.peers.is_needed(now_s):
+                await self._ask_until_found()
+                await self._clock.sleep(self.peers.policy.round_interval_s)
+            else:
+                self._is_wanted = anyio.Event()
+                self._log_peers([])
+
+    async def _ask_until_found(self) -> None:
+        """Ask some peers after the others until one is usable, or all were asked."""
+        began_s = self._clock.monotonic_s()
+        while True:
+            members = self._fleet.other_members()
+            asked = self.peers.peers_to_ask(members, self._clock.monotonic_s())
+            async with anyio.create_task_group() as tasks:
+                for member in asked:
+                    tasks.start_soon(self._ask, member)
+            now_s = self._clock.monotonic_s()
+            is_complete = self.peers.has_asked_all_since(members, began_s)
+            if is_complete:
+                self._all_asked_s = now_s
+            self._round_ended.set()
+            self._round_ended = anyio.Event()
+            usable = self.peers.usable_peers(now_s)
+            self._log_peers(usable)
+            if usable or is_complete:
+                return
+
+    async def _ask(self, member: Member) -> None:
+        self._metrics.counts["relay_offers_asked"] += 1
+        try:
+            offer = await self._link.relay_offer(member.peer.address)
+        except PeerError as error:
+            self.peers.note_unresponsive(member)
+            emit(Event.PEER_SUSPECTED, peer=member.peer.address, error=str(error))
+            return
+        self.peers.note_offer(member, offer, self._clock.monotonic_s())
+
+    def _log_peers(self, usable: list[str]) -> None:
+        if usable != self._logged_peers:
+            self._logged_peers = usable
+            emit(Event.RELAYS_CHANGED, peers=usable)
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -8,7 +8,6 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-import aiohttp
 from aiohttp import web
 from multidict import CIMultiDict
 
@@ -19,6 +18,7 @@
 from ..types import BudgetName
 from .call import Call, CallerConnection, CallerGoneError
 from .caller_connections import CallerServer
+from .request_body import read_body
 from .upstream_client import OutgoingRequest
 
 if TYPE_CHECKING:
@@ -223,7 +223,7 @@
         _check_head(headers, config)
         route = self._route(config, fields, request.raw_path)
         workspace = self._workspace(config, route, fields)
-        body = await _read_body(request, config.limits.body_bytes)
+        body = await read_body(request, config.limits.body_bytes)
         limit_s = route.timeout_s
         if fields.deadline_s is not None:
             limit_s = min(limit_s, fields.deadline_s)
@@ -339,6 +339,7 @@
             status=status,
             attempts=call.sent_attempts,
             upstream=call.upstream_id,
+            relay=call.relay,
             registrations_age_s=_rounded(call.registrations_age_s),
             tokens=usage.max_tokens,
             tokens_in_doubt=usage.max_tokens - usage.confirmed_tokens,
@@ -376,17 +377,3 @@
     if workspace is None or workspace.priority is None:
         return route.priority
     return workspace.priority
-
-
-async def _read_body(request: web.BaseRequest, max_bytes: int) -> bytes:
-    """Return the complete body, which is needed to send the request to another upstream."""
-    body = bytearray()
-    try:
-        while piece := await request.content.readany():
-            body += piece
-            if len(body) > max_bytes:
-                detail = f"more than {max_bytes} bytes"
-                raise RefusedError(Refusal(ErrorKind.BODY_TOO_LARGE, detail))
-    except (aiohttp.ClientError, web.RequestPayloadError) as error:
-        raise RefusedError(Refusal(ErrorKind.MALFORMED_REQUEST, repr(error))) from error
-    return bytes(body)
--- a/mothstand/gateway/upstream_client.py
+++ b/mothstand/gateway/upstream_client.py
@@ -122,22 +122,8 @@
     def __init__(self, settings: GatewaySettings, translator: HeaderTranslator) -> None:
         self._translator = translator
         self._connect_timeout_s = settings.timing.connect_timeout_s
-        self._connector = connector(
-            connect_limit=0,
-            user_timeout_s=settings.timing.upstream_timeout_s,
-            keepalive_s=_IDLE_REUSE_S,
-        )
-        self._http = aiohttp.ClientSession(
-            connector=self._connector,
-            timeout=aiohttp.ClientTimeout(total=None),
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=_SKIPPED_HEADERS,
-            auto_decompress=False,
-        )
-        # The library repeats a request by itself when a pooled connection turns out to be closed.
-        # The request may have run, and the repetition would not count as a retry. There is no
-        # public option to disable this.
-        self._http._retry_connection = False
+        self._connector = make_connector(settings)
+        self._http = make_session(self._connector)
 
     async def send(
         self, upstream: RegisteredUpstream, request: OutgoingRequest, headers: RawHeaders
@@ -171,10 +157,10 @@
         raw = tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in response.raw_headers)
         fields = self._translator.read_upstream(response.status, raw)
         if fields.is_misdirected:
-            await _discard(response)
+            await close_refused(response)
             raise MisdirectedError(f"another process is at {upstream.address}")
         if fields.has_not_run:
-            await _discard(response)
+            await close_refused(response)
             raise RefusedByUpstreamError(f"refused with {response.status}")
         if fields.request_id != request.request_id:
             # A second answer to an earlier request on this connection.
@@ -195,7 +181,32 @@
         await self._http.close()
 
 
-async def _discard(response: aiohttp.ClientResponse) -> None:
+def make_connector(settings: GatewaySettings) -> aiohttp.TCPConnector:
+    """Return a connection pool for upstreams, and for peers that relay."""
+    return connector(
+        connect_limit=0,
+        user_timeout_s=settings.timing.upstream_timeout_s,
+        keepalive_s=_IDLE_REUSE_S,
+    )
+
+
+def make_session(pool: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    """Return a client that sends each request unchanged and at most once."""
+    session = aiohttp.ClientSession(
+        connector=pool,
+        timeout=aiohttp.ClientTimeout(total=None),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=_SKIPPED_HEADERS,
+        auto_decompress=False,
+    )
+    # The library repeats a request by itself when a pooled connection turns out to be closed.
+    # The request may have run, and the repetition would not count as a retry. There is no
+    # public option to disable this.
+    session._retry_connection = False
+    return session
+
+
+async def close_refused(response: aiohttp.ClientResponse) -> None:
     """Read a refusal to its end, so that its connection can be used again."""
     try:
         await response.read()
--- a/mothstand/peers/lending_grpc.py
+++ b/mothstand/peers/lending_grpc.py
@@ -38,6 +38,10 @@
     async def Evacuations(self, stream: 'grpclib.server.Stream[mothstand.peers.lending_pb2.EvacuationsRequest, mothstand.peers.lending_pb2.EvacuationsReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Relaying(self, stream: 'grpclib.server.Stream[mothstand.peers.lending_pb2.RelayingRequest, mothstand.peers.lending_pb2.RelayingReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/mothstand.peers.Lending/Lend': grpclib.const.Handler(
@@ -76,6 +80,12 @@
                 mothstand.peers.lending_pb2.EvacuationsRequest,
                 mothstand.peers.lending_pb2.EvacuationsReply,
             ),
+            '/mothstand.peers.Lending/Relaying': grpclib.const.Handler(
+                self.Relaying,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                mothstand.peers.lending_pb2.RelayingRequest,
+                mothstand.peers.lending_pb2.RelayingReply,
+            ),
         }
 
 
@@ -118,3 +128,9 @@
             mothstand.peers.lending_pb2.EvacuationsRequest,
             mothstand.peers.lending_pb2.EvacuationsReply,
         )
+        self.Relaying = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/mothstand.peers.Lending/Relaying',
+            mothstand.peers.lending_pb2.RelayingRequest,
+            mothstand.peers.lending_pb2.RelayingReply,
+        )
--- a/mothstand/platform/headers.py
+++ b/mothstand/platform/headers.py
@@ -106,6 +106,19 @@
             forwarded.append((_LAST_EVENT_ID, fields.last_event_id))
         return tuple(forwarded)
 
+    def relayed_to_upstream(self, headers: RawHeaders, elapsed_s: float) -> RawHeaders:
+        """Return the headers of a relayed request, with its deadline reduced."""
+        forwarded = without_headers(
+            headers, _HOP_BY_HOP_HEADERS | _connection_specific_headers(headers)
+        )
+        return tuple(
+            (
+                name,
+                _reduced_deadline(value, elapsed_s) if name.lower() == _DEADLINE.lower() else value,
+            )
+            for name, value in forwarded
+        )
+
     def read_upstream(self, status: int, headers: RawHeaders) -> UpstreamFields:
         """Return the fields of an upstream's response headers."""
         return UpstreamFields(
@@ -131,6 +144,10 @@
         return tuple(headers)
 
 
+def _reduced_deadline(value: str, elapsed_s: float) -> str:
+    return str(max(1, int(float(value) - elapsed_s * 1000)))
+
+
 def _read_prompt(headers: RawHeaders) -> Prompt:
     counts = _header_value(headers, _TOKENS)
     if not counts:
--- a/mothstand/settings/gateway.py
+++ b/mothstand/settings/gateway.py
@@ -40,6 +40,12 @@
     ready: str = Field(pattern=_ADDRESS, description="IP:PORT of the readiness check")
     peers: str = Field(pattern=_ADDRESS, description="IP:PORT for other instances")
     metrics: str = Field(pattern=_ADDRESS, description="IP:PORT of the metrics")
+    relay: str = Field(
+        "",
+        pattern=rf"^$|{_ADDRESS}",
+        description="IP:PORT for requests of other instances that cannot reach an upstream, or "
+        "empty to relay none",
+    )
 
 
 class StoreSection(SectionModel):
--- a/mothstand/testing/budget_fleet.py
+++ b/mothstand/testing/budget_fleet.py
@@ -312,6 +312,7 @@
             ready=unused_address,
             peers=unused_address,
             metrics=unused_address,
+            relay="",
         ),
         store=StoreSection.model_validate({"address": unused_address}),
         seeds=SeedsSection.model_validate({}),
--- a/mothstand/testing/crash_histories.py
+++ b/mothstand/testing/crash_histories.py
@@ -47,7 +47,7 @@
 from .crash_faults import InjectedFault, choose_check, choose_feed_type
 from .crash_fleet import CRASH_THRESHOLD, STABLE_WINDOW_S
 from .eligibility import unrestricted_eligibility
-from .fakes import RETRIES, NoWitness, UnreachablePeers
+from .fakes import RETRIES, NoRelays, NoWitness, UnreachablePeers
 from .frozen_processes import FreezableClock, FreezableStoreLink, FrozenProcesses
 from .memory_store import MemoryStore, StoreLink, random_outcomes
 from .registrations import registration
@@ -249,7 +249,8 @@
             lambda: [other for other in history.alive if other != name],
             lambda: len(history.alive),
         )
-        check = choose_check(history.fault, _SimulatedCheck(history, name))
+        sound_check = _SimulatedCheck(history, name)
+        check = choose_check(history.fault, sound_check)
         self.crash_detector = CrashDetector(check, clock, self.quarantine_feed.report)
         self.upstream_feed = UpstreamFeed(
             link, UPSTREAMS_STREAM, clock, health, decode_upstream, self._forget, 1.0, NoWitness()
@@ -258,7 +259,7 @@
         self.crash_guard = CrashGuard(self.quarantine_feed, self.crash_detector, clock)
         metrics = GatewayMetrics()
         self.probes = ReachabilityProbes(
-            Reachability(), self.upstream_feed.directory, check, clock, metrics
+            Reachability(), self.upstream_feed.directory, sound_check, clock, metrics
         )
         self.forwarder = Forwarder(
             _SimulatedClient(history, self),
@@ -270,6 +271,7 @@
             StallDetector(),
             self.crash_guard,
             self.probes,
+            NoRelays(),
             clock,
             metrics,
         )
--- a/mothstand/testing/fakes.py
+++ b/mothstand/testing/fakes.py
@@ -12,6 +12,7 @@
 from ..core.records import Record, RecordId
 from ..core.retry_budget import RetryBudgetSettings
 from ..gateway.lending import BootstrapState, Handover, LoanReply, LoanRequest, PeerLink
+from ..gateway.relays import Relays
 from ..gateway.store_witness import StoreWitness
 from ..ledger.calls import PeerCalls, ReserveCall, ReserveReply, Ticket
 from ..log.client import LogClient, LogError, LogPage
@@ -22,7 +23,12 @@
 
     from ..core.accounts import MirrorAnswer, MirrorBatch
     from ..core.evacuation import EvacuationState
+    from ..core.relaying import RelayOffer, RelayPeer
+    from ..core.upstreams import RegisteredUpstream
+    from ..gateway.call import Call
+    from ..gateway.headers import RawHeaders
     from ..gateway.store import KeyedRecord
+    from ..gateway.upstream_client import UpstreamAnswer
     from ..types import DataCentre, Member, Shard
 
 _R = TypeVar("_R", bound=Record)
@@ -68,10 +74,35 @@
         """Fail."""
         raise PeerError(address)
 
+    async def relay_offer(self, address: str) -> RelayOffer:
+        """Fail."""
+        raise PeerError(address)
+
     def close(self) -> None:
         """Close nothing."""
 
 
+class NoRelays(Relays):
+    """A fleet in which no peer relays."""
+
+    async def find(self, service: str, permits: Callable[[DataCentre], bool]) -> RelayPeer | None:
+        """Return None."""
+        return None
+
+    def is_unavailable(self, service: str, permits: Callable[[DataCentre], bool]) -> bool:
+        """Return True."""
+        return True
+
+    def note_cannot_serve(self, peer: RelayPeer, service: str) -> None:
+        """Do nothing."""
+
+    async def send(
+        self, peer: RelayPeer, upstream: RegisteredUpstream, call: Call, headers: RawHeaders
+    ) -> UpstreamAnswer:
+        """Fail: there is no peer."""
+        raise NotImplementedError
+
+
 class FakeClock(Clock):
     """A clock that only `advance` moves."""
 
--- a/mothstand/testing/gateway_fleet.py
+++ b/mothstand/testing/gateway_fleet.py
@@ -105,13 +105,13 @@
         can_be_partitioned
             Whether `partition` can cut its path to engines.
         """
-        ports = [free_port() for _ in range(4)]
-        callers, ready, peers, metrics = (f"127.0.0.1:{port}" for port in ports)
+        ports = [free_port() for _ in range(5)]
+        callers, ready, peers, metrics, relay = (f"127.0.0.1:{port}" for port in ports)
         path = self.folder / f"{name}.ini"
         path.write_text(
             f"[instance]\nname = {name}\ndata_centre = {data_centre}\n"
             f"[listen]\ncallers = {callers}\nready = {ready}\npeers = {peers}\n"
-            f"metrics = {metrics}\n[store]\naddress = {self.store.address}\n"
+            f"metrics = {metrics}\nrelay = {relay}\n[store]\naddress = {self.store.address}\n"
             f"[timing]\ngrace_s = {grace_s}\n[regions]\ndata_centres = {regions}\n",
             encoding="utf-8",
         )
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -43,7 +43,7 @@
 from ..log.health import PlatformHealth
 from ..platform.headers import PlatformHeaders
 from ..testing.eligibility import unrestricted_eligibility
-from ..testing.fakes import UnreachablePeers
+from ..testing.fakes import NoRelays, UnreachablePeers
 from ..testing.memory_store import MemoryStore, StoreLink
 from ..types import DataCentre, Region
 
@@ -184,6 +184,7 @@
             StallDetector(),
             self.guard,
             self.probes,
+            NoRelays(),
             self.clock,
             self.metrics,
         )
--- a/mothstand/tests/test_slow_connections.py
+++ b/mothstand/tests/test_slow_connections.py
@@ -9,6 +9,7 @@
 import anyio
 import pytest
 
+from ..core.relaying import RelayOffer
 from ..gateway.lending import BootstrapState, GrpcPeerLink, LendingService, LoanReply, serve_peers
 from ..gateway.store import StoreError, Stream
 from ..peers.failures import PeerError
@@ -123,7 +124,12 @@
         slow_down_connections(monkeypatch)
         address = f"127.0.0.1:{free_port()}"
         service = LendingService(
-            _no_loan, lambda _: None, _empty_state, lambda: 12.5, lambda _: None
+            _no_loan,
+            lambda _: None,
+            _empty_state,
+            lambda: 12.5,
+            lambda _: None,
+            lambda: RelayOffer("", {}),
         )
         peer = await serve_peers(service, address)
         link = GrpcPeerLink()
@@ -148,7 +154,12 @@
         """
         address = f"127.0.0.1:{free_port()}"
         service = LendingService(
-            _no_loan, lambda _: None, _empty_state, lambda: 12.5, lambda _: None
+            _no_loan,
+            lambda _: None,
+            _empty_state,
+            lambda: 12.5,
+            lambda _: None,
+            lambda: RelayOffer("", {}),
         )
         peer = await serve_peers(service, address)
         link = GrpcPeerLink()
--- a/mothstand/tests/test_store_witness.py
+++ b/mothstand/tests/test_store_witness.py
@@ -9,6 +9,7 @@
 
 from ..core.fleet import Member
 from ..core.loans import Peer
+from ..core.relaying import RelayOffer
 from ..gateway.lending import (
     BootstrapState,
     GrpcPeerLink,
@@ -152,7 +153,12 @@
         async def run() -> float:
             address = f"127.0.0.1:{free_port()}"
             service = LendingService(
-                _no_loan, lambda _: None, _empty_state, lambda: 12.5, lambda _: None
+                _no_loan,
+                lambda _: None,
+                _empty_state,
+                lambda: 12.5,
+                lambda _: None,
+                lambda: RelayOffer("", {}),
             )
             server = await serve_peers(service, address)
             link = GrpcPeerLink()
