Use relaying peers by what they reach; suspect a partition for each service

Cause: all four places for peers were taken by instances that reached another service only; the one useful peer had 68 requests running, its limit. The partition itself was not suspected, since the other service answered: so probes came up to 4 s apart and did not confirm that the service was out of reach, and its requests were tried directly again, with a new wait for peers each time. Change: places are counted for each needed service, a peer that reaches none takes no place, one call without an answer does not end a valid offer, a partition is suspected for each service, a request waits for the search once, an instance relays 128 requests a core. Test: test_relaying, test_reachability.

--- a/mothstand/core/reachability.py
+++ b/mothstand/core/reachability.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -28,8 +29,8 @@
         Maximum time between two probes while a partition is suspected. One probe that succeeds
         shows that it has ended.
     partition_upstreams
-        Number of upstreams that are found unreachable, with no success since, from which on a
-        partition is suspected.
+        Number of upstreams of a service that are found unreachable, with none of them reached
+        since, from which on a partition is suspected.
     max_sweep
         Maximum upstreams that are probed at once when a partition is first suspected.
     confirmed_s
@@ -68,7 +69,7 @@
     _outages: dict[UpstreamKey, _Outage] = field(default_factory=dict)
     _suspects: dict[UpstreamKey, RegisteredUpstream] = field(default_factory=dict)
     _last_reached_s: dict[str, float] = field(default_factory=dict)
-    _last_failed_probe_s: float = float("-inf")
+    _last_failed_probe_s: dict[str, float] = field(default_factory=dict)
     _last_probe_s: float = float("-inf")
     _is_sweep_due: bool = False
 
@@ -85,11 +86,10 @@
         """Number of upstreams that are known to be unreachable."""
         return len(self._outages)
 
-    def is_confirmed(self, now_s: float) -> bool:
-        """Return whether a recent probe has confirmed that upstreams are unreachable."""
-        return bool(self._outages) and (
-            now_s - self._last_failed_probe_s <= self.policy.confirmed_s
-        )
+    def is_confirmed(self, service: str, now_s: float) -> bool:
+        """Return whether a probe of a service's upstreams has failed recently."""
+        failed_s = self._last_failed_probe_s.get(service, float("-inf"))
+        return bool(self._outages) and now_s - failed_s <= self.policy.confirmed_s
 
     def reached_age_s(self, service: str, now_s: float) -> float:
         """Return the seconds since an upstream of a service was last reached; infinite if never."""
@@ -97,10 +97,12 @@
 
     @property
     def is_partition_suspected(self) -> bool:
-        """Whether several upstreams were found unreachable since any upstream was reached."""
-        last_reached_s = max(self._last_reached_s.values(), default=float("-inf"))
-        lost = sum(outage.since_s > last_reached_s for outage in self._outages.values())
-        return lost >= self.policy.partition_upstreams
+        """Whether several upstreams of a service are unreachable and none was reached since."""
+        lost: Counter[str] = Counter()
+        for outage in self._outages.values():
+            service = outage.upstream.service
+            lost[service] += outage.since_s > self._last_reached_s.get(service, float("-inf"))
+        return any(count >= self.policy.partition_upstreams for count in lost.values())
 
     def note_reached(self, upstream: RegisteredUpstream, began_s: float) -> None:
         """Record that an attempt that began at `began_s` got an answer of an upstream."""
@@ -131,7 +133,7 @@
 
     def note_probe_failed(self, upstream: RegisteredUpstream, now_s: float) -> None:
         """Record that a probe of an upstream failed."""
-        self._last_failed_probe_s = now_s
+        self._last_failed_probe_s[upstream.service] = now_s
         self.note_unreachable(upstream, now_s)
         outage = self._outages[upstream.key]
         pause_s = min(self.policy.probe_max_s, self.policy.probe_first_s * 2**outage.failures)
--- a/mothstand/core/relaying.py
+++ b/mothstand/core/relaying.py
@@ -28,7 +28,7 @@
     Parameters
     ----------
     max_peers
-        Maximum peers that an instance uses at once.
+        Maximum peers that an instance uses at once for a service.
     asked_per_round
         Maximum peers that are asked at once whether they relay.
     round_interval_s
@@ -53,7 +53,7 @@
     needed_s: float = 2.0
     offer_valid_s: float = 1.6
     avoided_s: float = 1.0
-    requests_per_core: float = 64.0
+    requests_per_core: float = 128.0
     min_requests: int = 16
     recently_reached_s: float = 2.0
 
@@ -99,15 +99,15 @@
     policy: RelayPolicy = field(default_factory=RelayPolicy)
     _peers: dict[str, RelayPeer] = field(default_factory=dict)
     _asked_s: dict[str, float] = field(default_factory=dict)
-    _needed_until_s: float = float("-inf")
+    _needed_until_s: dict[str, float] = field(default_factory=dict)
 
-    def note_needed(self, now_s: float) -> None:
-        """Record that a request needs a relay."""
-        self._needed_until_s = now_s + self.policy.needed_s
+    def note_needed(self, service: str, now_s: float) -> None:
+        """Record that a request of a service needs a relay."""
+        self._needed_until_s[service] = now_s + self.policy.needed_s
 
-    def is_needed(self, now_s: float) -> bool:
-        """Return whether a request needed a relay recently."""
-        return now_s < self._needed_until_s
+    def needed_services(self, now_s: float) -> set[str]:
+        """Return the services of which a request needed a relay recently."""
+        return {service for service, until_s in self._needed_until_s.items() if now_s < until_s}
 
     def peers_to_ask(self, members: Iterable[Member], now_s: float) -> list[Member]:
         """Return the peers to ask in the next round: those in use, and others up to the limit.
@@ -121,10 +121,11 @@
             del self._peers[name]
         for name in [n for n in self._asked_s if n not in known]:
             del self._asked_s[name]
-        in_use = [name for name in self._peers if self._is_valid(self._peers[name], now_s)]
+        in_use = self.usable_peers(now_s)
         others = self._in_turn(member for name, member in known.items() if name not in in_use)
-        wanted = self.policy.asked_per_round if len(in_use) < self.policy.max_peers else 0
-        chosen = [*in_use, *others[:wanted]]
+        services = self.needed_services(now_s)
+        is_complete = all(self._has_enough(service, now_s) for service in services)
+        chosen = [*in_use, *([] if is_complete else others[: self.policy.asked_per_round])]
         for name in chosen:
             self._asked_s[name] = now_s
         return [known[name] for name in chosen]
@@ -154,21 +155,24 @@
         """Return the names of the peers with a valid offer."""
         return sorted(peer.member.peer.instance for peer in self._valid_peers(now_s))
 
+    def has_peers_for_all(self, now_s: float) -> bool:
+        """Return whether there is a peer for each needed service."""
+        return all(self._offering(service, now_s) for service in self.needed_services(now_s))
+
     def note_offer(self, member: Member, offer: RelayOffer, now_s: float) -> None:
-        """Record the offer of a peer; one that reaches no service is not used."""
+        """Record the offer of a peer; one that reaches no needed service is not used.
+
+        An offer that does not arrive is not recorded: the former one is used while it is valid.
+        """
         name = member.peer.instance
         peer = self._peers.get(name)
-        if not offer.reached_ages_s:
+        useful = self.needed_services(now_s) & offer.reached_ages_s.keys()
+        if not useful:
             self._peers.pop(name, None)
-        elif peer is None or peer.offer.address != offer.address:
-            if len(self._valid_peers(now_s)) < self.policy.max_peers:
-                self._peers[name] = RelayPeer(member, offer, now_s)
-        else:
+        elif peer is not None and peer.offer.address == offer.address:
             peer.offer, peer.offered_s = offer, now_s
-
-    def note_unresponsive(self, member: Member) -> None:
-        """Record that a peer did not answer, so that it is not used."""
-        self._peers.pop(member.peer.instance, None)
+        elif not all(self._has_enough(service, now_s) for service in useful):
+            self._peers[name] = RelayPeer(member, offer, now_s)
 
     def note_cannot_serve(self, peer: RelayPeer, service: str, now_s: float) -> None:
         """Record that a peer could not take a request of a service."""
@@ -186,13 +190,17 @@
         """
         candidates = [
             peer
-            for peer in self._valid_peers(now_s)
-            if service in peer.offer.reached_ages_s
-            and peer.avoided_until_s.get(service, 0.0) <= now_s
-            and permits(peer.member.data_centre)
+            for peer in self._offering(service, now_s)
+            if peer.avoided_until_s.get(service, 0.0) <= now_s and permits(peer.member.data_centre)
         ]
         return min(candidates, key=lambda peer: self._cost(peer, service), default=None)
 
+    def _offering(self, service: str, now_s: float) -> list[RelayPeer]:
+        return [p for p in self._valid_peers(now_s) if service in p.offer.reached_ages_s]
+
+    def _has_enough(self, service: str, now_s: float) -> bool:
+        return len(self._offering(service, now_s)) >= self.policy.max_peers
+
     def _cost(self, peer: RelayPeer, service: str) -> tuple[bool, float, bool, int]:
         is_stale = peer.offer.reached_ages_s[service] > self.policy.recently_reached_s
         capacity = self.policy.max_relayed(peer.member.capacity)
--- a/mothstand/gateway/call.py
+++ b/mothstand/gateway/call.py
@@ -69,6 +69,8 @@
         Attempts that reached no upstream, not even one that refused.
     relay
         Peer through which the latest attempt was made; empty for a direct one.
+    has_awaited_relay
+        Whether the request has already waited for a peer to be found.
     has_retry
         Whether the retry budget has already been charged for the next attempt.
     reserved_after_s, started_after_s
@@ -111,6 +113,7 @@
     unconnected_upstreams: set[str] = field(default_factory=set)
     unconnected_attempts: int = 0
     relay: str = ""
+    has_awaited_relay: bool = False
     progress: StreamProgress = field(default_factory=StreamProgress)
     failed_answer: CompleteAnswer | None = None
     reserved_after_s: float = 0.0
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -196,12 +196,17 @@
             return self._place(call, direct, eligible.cold_ids)
         relayable = [*untried, *self._unconnected(call, eligible.upstreams)]
         if relayable:
-            relay = await self._relays.find(call.service.name, self._permits(call))
+            relay = await self._relays.find(
+                call.service.name, self._permits(call), may_wait=not call.has_awaited_relay
+            )
+            call.has_awaited_relay = True
             if relay is not None:
                 return self._place(call, relayable, eligible.cold_ids, relay)
         if direct:
             return self._place(call, direct, eligible.cold_ids)
-        if not untried or self._reachability.is_confirmed(self._clock.monotonic_s()):
+        if not untried or self._reachability.is_confirmed(
+            call.service.name, self._clock.monotonic_s()
+        ):
             return None
         return self._place(call, untried, eligible.cold_ids)
 
@@ -236,7 +241,7 @@
         """Return whether neither this instance nor a peer can reach any of the upstreams."""
         return (
             not self._reachability.reachable(upstreams)
-            and self._reachability.is_confirmed(self._clock.monotonic_s())
+            and self._reachability.is_confirmed(call.service.name, self._clock.monotonic_s())
             and self._relays.is_unavailable(call.service.name, self._permits(call))
         )
 
--- a/mothstand/gateway/relay_finder.py
+++ b/mothstand/gateway/relay_finder.py
@@ -59,20 +59,24 @@
         self._all_asked_s: float | None = None
         self._logged_peers: list[str] = []
 
-    async def find(self, service: str, permits: Callable[[DataCentre], bool]) -> RelayPeer | None:
-        """Return the peer for a request, after a wait for one to be found; None if there is none.
+    async def find(
+        self, service: str, permits: Callable[[DataCentre], bool], *, may_wait: bool
+    ) -> RelayPeer | None:
+        """Return the peer for a request; None if there is none.
 
         Parameters
         ----------
         permits
             Whether the request's body may be sent to a data centre.
+        may_wait
+            Whether to wait until peers have been asked.
         """
-        self.peers.note_needed(self._clock.monotonic_s())
+        self.peers.note_needed(service, self._clock.monotonic_s())
         self._is_wanted.set()
         with anyio.move_on_after(_MAX_WAIT_S):
             while True:
                 peer = self.peers.choose(service, permits, self._clock.monotonic_s())
-                if peer is not None or self._has_asked_all():
+                if peer is not None or not may_wait or self._has_asked_all():
                     return peer
                 await self._round_ended.wait()
         return None
@@ -96,7 +100,9 @@
             with anyio.move_on_after(_POLL_INTERVAL_S):
                 await self._is_wanted.wait()
             now_s = self._clock.monotonic_s()
-            if self._probes.lost_services or self.peers.is_needed(now_s):
+            for service in self._probes.lost_services:
+                self.peers.note_needed(service, now_s)
+            if self.peers.needed_services(now_s):
                 await self._ask_until_found()
                 await self._clock.sleep(self.peers.policy.round_interval_s)
             else:
@@ -118,9 +124,8 @@
                 self._all_asked_s = now_s
             self._round_ended.set()
             self._round_ended = anyio.Event()
-            usable = self.peers.usable_peers(now_s)
-            self._log_peers(usable)
-            if usable or is_complete:
+            self._log_peers(self.peers.usable_peers(now_s))
+            if is_complete or self.peers.has_peers_for_all(now_s):
                 return
 
     async def _ask(self, member: Member) -> None:
@@ -128,7 +133,6 @@
         try:
             offer = await self._link.relay_offer(member.peer.address)
         except PeerError as error:
-            self.peers.note_unresponsive(member)
             emit(Event.PEER_SUSPECTED, peer=member.peer.address, error=str(error))
             return
         self.peers.note_offer(member, offer, self._clock.monotonic_s())
--- a/mothstand/gateway/relay_protocol.py
+++ b/mothstand/gateway/relay_protocol.py
@@ -40,7 +40,7 @@
     REJECTED = "rejected"
     #: The peer could not connect to this upstream.
     NOT_CONNECTED = "not connected"
-    #: The peer cannot connect to several upstreams.
+    #: The peer cannot connect to any upstream of the service.
     PARTITIONED = "partitioned"
     #: The upstream refused the request without running it.
     REFUSED = "refused"
--- a/mothstand/gateway/relay_server.py
+++ b/mothstand/gateway/relay_server.py
@@ -129,7 +129,7 @@
         ages_s = {
             service: reachability.reached_age_s(service, now_s)
             for service in services
-            if any(map(reachability.is_reachable, self._accepting_upstreams(service)))
+            if self._is_reached(service)
         }
         return RelayOffer(self._address, ages_s)
 
@@ -204,13 +204,20 @@
         if upstream.is_draining or self._eligibility.evacuations.is_evacuated(upstream.data_centre):
             raise _Failure(RelayOutcome.REJECTED, "the upstream is draining or evacuated")
         if not self._probes.reachability.is_reachable(upstream):
-            raise _Failure(self._unconnected_outcome(), "the upstream is unreachable here too")
+            raise _Failure(
+                self._unconnected_outcome(upstream), "the upstream is unreachable here too"
+            )
         return upstream
 
-    def _unconnected_outcome(self) -> RelayOutcome:
-        if self._probes.reachability.is_partition_suspected:
-            return RelayOutcome.PARTITIONED
-        return RelayOutcome.NOT_CONNECTED
+    def _unconnected_outcome(self, upstream: RegisteredUpstream) -> RelayOutcome:
+        if self._is_reached(upstream.service):
+            return RelayOutcome.NOT_CONNECTED
+        return RelayOutcome.PARTITIONED
+
+    def _is_reached(self, service: str) -> bool:
+        """Return whether this instance can connect to an upstream of a service."""
+        upstreams = self._accepting_upstreams(service)
+        return bool(self._probes.reachability.reachable(upstreams))
 
     async def _send(
         self,
@@ -228,7 +235,7 @@
             answer = await self._client.send(upstream, outgoing, forwarded)
         except NotConnectedError as error:
             self._probes.note_attempt_failed(upstream, str(error))
-            raise _Failure(self._unconnected_outcome(), str(error)) from error
+            raise _Failure(self._unconnected_outcome(upstream), str(error)) from error
         except MisdirectedError as error:
             raise _Failure(RelayOutcome.MISDIRECTED, str(error)) from error
         except RefusedByUpstreamError as error:
--- a/mothstand/gateway/relays.py
+++ b/mothstand/gateway/relays.py
@@ -24,13 +24,17 @@
     """Peers that relay requests to upstreams which this instance cannot reach."""
 
     @abstractmethod
-    async def find(self, service: str, permits: Callable[[DataCentre], bool]) -> RelayPeer | None:
-        """Return the peer for a request, after a wait for one to be found; None if there is none.
+    async def find(
+        self, service: str, permits: Callable[[DataCentre], bool], *, may_wait: bool
+    ) -> RelayPeer | None:
+        """Return the peer for a request; None if there is none.
 
         Parameters
         ----------
         permits
             Whether the request's body may be sent to a data centre.
+        may_wait
+            Whether to wait until peers have been asked.
         """
 
     @abstractmethod
@@ -61,9 +65,11 @@
         self._finder = finder
         self._client = client
 
-    async def find(self, service: str, permits: Callable[[DataCentre], bool]) -> RelayPeer | None:
-        """Return the peer for a request, after a wait for one to be found."""
-        return await self._finder.find(service, permits)
+    async def find(
+        self, service: str, permits: Callable[[DataCentre], bool], *, may_wait: bool
+    ) -> RelayPeer | None:
+        """Return the peer for a request; None if there is none."""
+        return await self._finder.find(service, permits, may_wait=may_wait)
 
     def is_unavailable(self, service: str, permits: Callable[[DataCentre], bool]) -> bool:
         """Return whether all peers were asked recently and none can take a request."""
--- a/mothstand/testing/fakes.py
+++ b/mothstand/testing/fakes.py
@@ -85,7 +85,9 @@
 class NoRelays(Relays):
     """A fleet in which no peer relays."""
 
-    async def find(self, service: str, permits: Callable[[DataCentre], bool]) -> RelayPeer | None:
+    async def find(
+        self, service: str, permits: Callable[[DataCentre], bool], *, may_wait: bool
+    ) -> RelayPeer | None:
         """Return None."""
         return None
 
--- a/mothstand/tests/test_reachability.py
+++ b/mothstand/tests/test_reachability.py
@@ -73,6 +73,12 @@
         reachability.note_reached(_UPSTREAMS[5], 1.5)
         assert not reachability.is_partition_suspected
 
+    def test_partition_from_one_service_is_suspected_while_others_are_reached(self) -> None:
+        # Guards against upstreams that are probed too seldom because another service answers.
+        reachability = _partitioned(2)
+        reachability.note_reached(_upstream(9, "forms"), 2.0)
+        assert reachability.is_partition_suspected
+
     def test_others_are_probed_once_when_a_partition_is_first_suspected(self) -> None:
         reachability = _partitioned(2)
         assert reachability.take_due_probes(_UPSTREAMS, 1.0) == _UPSTREAMS[2:]
@@ -103,7 +109,7 @@
 
     def test_only_recent_probes_confirm_that_upstreams_are_unreachable(self) -> None:
         reachability = _partitioned(2)
-        assert not reachability.is_confirmed(1.0)
+        assert not reachability.is_confirmed("llm", 1.0)
         reachability.note_probe_failed(_UPSTREAMS[0], 1.25)
-        assert reachability.is_confirmed(1.25 + _POLICY.confirmed_s)
-        assert not reachability.is_confirmed(1.5 + _POLICY.confirmed_s)
+        assert reachability.is_confirmed("llm", 1.25 + _POLICY.confirmed_s)
+        assert not reachability.is_confirmed("llm", 1.5 + _POLICY.confirmed_s)
