Count a refused connection as a crash only beside an upstream that accepts one

Callers would see: a request that many callers send, refused everywhere as quarantined, because a partition reset its connections at one instance. Change: up to three other upstreams are checked; if none accepts, the registration decides, as with no answer. Why it works: a request that crashes upstreams leaves others alive, a partition does not.

--- a/mothstand/gateway/crash_detector.py
+++ b/mothstand/gateway/crash_detector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from abc import ABC, abstractmethod
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -30,6 +31,10 @@
 _CHECK_PAUSE_S = 0.1
 
 
+#: Maximum other upstreams that are checked before a refused connection proves nothing.
+_MAX_WITNESSES = 3
+
+
 class Liveness(Enum):
     """Result of a connection attempt to an address."""
 
@@ -70,6 +75,33 @@
         return Liveness.LISTENING
 
 
+class CorroboratedCheck(LivenessCheck):
+    """Accepts a refused connection as proof only if another upstream accepts one.
+
+    A network partition may refuse the connections of one instance to all upstreams.
+
+    Parameters
+    ----------
+    addresses
+        Returns the addresses of all upstreams.
+    """
+
+    def __init__(self, check: LivenessCheck, addresses: Callable[[], list[str]]) -> None:
+        self._check = check
+        self._addresses = addresses
+
+    async def check(self, address: str) -> Liveness:
+        """Return the result of a connection attempt to ``IP:PORT``."""
+        liveness = await self._check.check(address)
+        if liveness is not Liveness.NOT_LISTENING:
+            return liveness
+        others = [other for other in self._addresses() if other != address]
+        for other in random.sample(others, min(_MAX_WITNESSES, len(others))):
+            if await self._check.check(other) is Liveness.LISTENING:
+                return liveness
+        return Liveness.UNKNOWN if others else liveness
+
+
 @dataclass(frozen=True, slots=True)
 class BrokenAttempt:
     """Attempt whose connection broke before its answer was complete.
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -27,7 +27,7 @@
 from ..types import BudgetName
 from .accounts import Accounts
 from .bootstrap import Bootstrap
-from .crash_detector import CrashDetector, TcpLivenessCheck
+from .crash_detector import CorroboratedCheck, CrashDetector, TcpLivenessCheck
 from .crash_guard import CrashGuard
 from .evacuations import EvacuationPolling, EvacuationTracker
 from .feeds import ConfigFeed
@@ -167,7 +167,9 @@
             clock,
         )
         self._crash_detector = CrashDetector(
-            TcpLivenessCheck(settings.timing.connect_timeout_s),
+            CorroboratedCheck(
+                TcpLivenessCheck(settings.timing.connect_timeout_s), self._upstream_addresses
+            ),
             clock,
             self._quarantine_feed.report,
         )
@@ -247,6 +249,9 @@
         if upstream.cold_s > 0 and not was_cold:
             emit(Event.UPSTREAM_COLD, upstream=upstream.upstream_id, cold_s=upstream.cold_s)
 
+    def _upstream_addresses(self) -> list[str]:
+        return [upstream.address for upstream in self._upstream_feed.directory.upstreams.values()]
+
     def _peer_addresses(self) -> list[str]:
         return [member.peer.address for member in self._members.fleet.other_members()]
 
--- a/mothstand/testing/crash_histories.py
+++ b/mothstand/testing/crash_histories.py
@@ -23,7 +23,12 @@
 from ..core.stall_detector import StallDetector
 from ..errors import RefusedError
 from ..gateway.call import Call, CallerConnection
-from ..gateway.crash_detector import CrashDetector, Liveness, LivenessCheck
+from ..gateway.crash_detector import (
+    CorroboratedCheck,
+    CrashDetector,
+    Liveness,
+    LivenessCheck,
+)
 from ..gateway.crash_guard import CrashGuard
 from ..gateway.forward import Forwarder
 from ..gateway.headers import CallerFields, RawHeaders, UpstreamFields
@@ -250,7 +255,11 @@
             lambda: len(history.alive),
         )
         sound_check = _SimulatedCheck(history, name)
-        check = choose_check(history.fault, sound_check)
+        corroborated_check = CorroboratedCheck(
+            sound_check,
+            lambda: [u.address for u in self.upstream_feed.directory.upstreams.values()],
+        )
+        check = choose_check(history.fault, corroborated_check)
         self.crash_detector = CrashDetector(check, clock, self.quarantine_feed.report)
         self.upstream_feed = UpstreamFeed(
             link, UPSTREAMS_STREAM, clock, health, decode_upstream, self._forget, 1.0, NoWitness()
--- a/mothstand/testing/partitioned_fleet.py
+++ b/mothstand/testing/partitioned_fleet.py
@@ -27,7 +27,6 @@
 
 _PREPAID_TOKENS = 100_000_000
 _REQUEST_INTERVAL_S = 0.1
-_EVENT_S = 0.02
 _LAST_EVENT = b"id: 5\ndata: word\n\n"
 
 
@@ -58,12 +57,15 @@
         Data centre of each instance, by name; the first one is also that of the engines.
     partitioned
         Names of the instances that lose their path to all engines.
+    event_s
+        Seconds between two events of an answer.
     """
 
     fleet: GatewayFleet
     data_centres: dict[str, str]
     partitioned: list[str]
     engines: int = 3
+    event_s: float = 0.02
     outcomes: list[Outcome] = field(default_factory=list)
     partition_began_s: float = 0.0
     partition_ended_s: float = 0.0
@@ -73,7 +75,7 @@
         """Simulate callers before, during and after a partition."""
         self.fleet.publish(prepaid_tokens=_PREPAID_TOKENS)
         for number in range(self.engines):
-            self.fleet.start_engine(f"e{number}", event_s=_EVENT_S)
+            self.fleet.start_engine(f"e{number}", event_s=self.event_s)
         for name, data_centre in self.data_centres.items():
             is_partitioned = name in self.partitioned
             self.fleet.start_instance(
--- a/mothstand/tests/test_crash_detector.py
+++ b/mothstand/tests/test_crash_detector.py
@@ -10,6 +10,7 @@
 from ..core.upstreams import RegisteredUpstream
 from ..gateway.crash_detector import (
     BrokenAttempt,
+    CorroboratedCheck,
     CrashDetector,
     Liveness,
     LivenessCheck,
@@ -119,3 +120,32 @@
         world = DetectorHarness(Liveness.LISTENING, Liveness.LISTENING)
         world.play(attempt("a"), 9.0, attempt("b"), 4.5, upstream())
         assert world.crashed_request_ids == ["b"]
+
+
+class AddressCheck(LivenessCheck):
+    """Check whose result depends on the address."""
+
+    def __init__(self, **results: Liveness) -> None:
+        self._results = results
+
+    async def check(self, address: str) -> Liveness:
+        return self._results[address]
+
+
+class TestCorroboratedCheck:
+    def _check(self, address: str, **results: Liveness) -> Liveness:
+        check = CorroboratedCheck(AddressCheck(**results), lambda: list(results))
+        return anyio.run(check.check, address)
+
+    def test_refusals_by_all_upstreams_prove_nothing(self) -> None:
+        # Guards against crashes that a partition with refused connections seems to show.
+        refused = Liveness.NOT_LISTENING
+        assert self._check("a", a=refused, b=refused, c=refused) is Liveness.UNKNOWN
+        assert self._check("a", a=refused, b=Liveness.UNKNOWN) is Liveness.UNKNOWN
+
+    def test_refusal_beside_an_upstream_that_listens_is_a_proof(self) -> None:
+        refused = Liveness.NOT_LISTENING
+        assert self._check("a", a=refused, b=Liveness.LISTENING) is refused
+
+    def test_refusal_by_the_only_upstream_is_a_proof(self) -> None:
+        assert self._check("a", a=Liveness.NOT_LISTENING) is Liveness.NOT_LISTENING
--- a/mothstand/tests/test_unreachable_upstreams.py
+++ b/mothstand/tests/test_unreachable_upstreams.py
@@ -7,6 +7,7 @@
 import pytest
 
 from ..errors import ErrorKind
+from ..events import Event
 from ..testing.gateway_fleet import GatewayFleet
 from ..testing.partitioned_fleet import STABLE_WINDOW_S, PartitionedFleet, failed
 from ..testing.partitioned_gateway import PartitionMode
@@ -63,3 +64,12 @@
         assert f'"kind": "{ErrorKind.NO_UPSTREAM.value}"' in refusals
         healed_s = fleet.partition_ended_s + _HEALED_WITHIN_S
         assert not failed(fleet.first_tries(healed_s, healed_s + 1.0, at_partitioned=True))
+
+    def test_upstreams_behind_a_partition_have_not_crashed(self, tmp_path: Path) -> None:
+        # Guards against a quarantine of innocent requests whose connections a partition has reset.
+        with GatewayFleet(tmp_path) as processes:
+            fleet = PartitionedFleet(processes, _FOUR_INSTANCES, ["a1", "a2"], event_s=0.2)
+            fleet.run(PartitionMode.RESET, before_s=2.0, cut_s=2.0, after_s=0.0)
+            logs = [processes.log(processes.processes[name]) for name in _FOUR_INSTANCES]
+        assert Event.ATTEMPT_FAILED.name.lower() in logs[0]
+        assert not [log for log in logs if Event.UPSTREAM_ENDED.name.lower() in log]
