--- a/mothstand/testing/budget_fleet.py
+++ b/mothstand/testing/budget_fleet.py
@@ -290,7 +290,7 @@
         )
         members.fleet = FleetView(members.fleet.local_member, self.claimants)
         accounts = Accounts(
-            _settings(name, data_centre),
+            gateway_settings(name, data_centre),
             local_peer,
             link,
             _InProcessPeers(self),
@@ -303,7 +303,8 @@
         return self.instances[address]
 
 
-def _settings(name: str, data_centre: DataCentre) -> GatewaySettings:
+def gateway_settings(name: str, data_centre: DataCentre, *, relay: str = "") -> GatewaySettings:
+    """Return settings of an instance that listens nowhere."""
     unused_address = "127.0.0.1:1"
     return GatewaySettings(
         instance=GatewayInstanceSection.model_validate({"name": name, "data_centre": data_centre}),
@@ -312,7 +313,7 @@
             ready=unused_address,
             peers=unused_address,
             metrics=unused_address,
-            relay="",
+            relay=relay,
         ),
         store=StoreSection.model_validate({"address": unused_address}),
         seeds=SeedsSection.model_validate({}),
