Bound the search for relaying peers; a late connection ends an outage

Change: four rounds of a new search, then one each 0.5 s, counted for each service; probes wait as long as connections are kept alive in the background (0.8 s), and a late connection ends its upstream's outage. Probes and the search sleep while nothing is lost. Test: test_late_connection_is_reported.

--- a/mothstand/core/reachability.py
+++ b/mothstand/core/reachability.py
@@ -61,8 +61,8 @@
 
     Notes
     -----
-    Only a probe ends an outage. Answers on connections that were open before do not: a partition
-    may refuse new connections while the open ones live on.
+    Only a new connection ends an outage. Answers on connections that were open before do not: a
+    partition may refuse new connections while the open ones live on.
     """
 
     policy: ReachabilityPolicy = field(default_factory=ReachabilityPolicy)
@@ -81,6 +81,11 @@
         """Return the upstreams that are not known to be unreachable."""
         return [u for u in upstreams if u.key not in self._outages]
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether there is nothing to probe."""
+        return not self._outages and not self._suspects
+
     @property
     def unreachable_count(self) -> int:
         """Number of upstreams that are known to be unreachable."""
--- a/mothstand/core/relaying.py
+++ b/mothstand/core/relaying.py
@@ -31,6 +31,9 @@
         Maximum peers that an instance uses at once for a service.
     asked_per_round
         Maximum peers that are asked at once whether they relay.
+    search_rounds
+        Rounds without a pause in a search that begins; later ones are `round_interval_s` apart, so
+        that the calls of a fleet without any upstreams stay few.
     round_interval_s
         Time between two rounds while relays are needed.
     needed_s
@@ -49,6 +52,7 @@
 
     max_peers: int = 4
     asked_per_round: int = 4
+    search_rounds: int = 4
     round_interval_s: float = 0.5
     needed_s: float = 2.0
     offer_valid_s: float = 1.6
@@ -147,10 +151,6 @@
             places[is_local] += 1
         return sorted(turns, key=lambda name: (self._asked_s.get(name, float("-inf")), turns[name]))
 
-    def has_asked_all_since(self, members: Iterable[Member], since_s: float) -> bool:
-        """Return whether all members were asked since a time."""
-        return all(self._asked_s.get(m.peer.instance, float("-inf")) >= since_s for m in members)
-
     def usable_peers(self, now_s: float) -> list[str]:
         """Return the names of the peers with a valid offer."""
         return sorted(peer.member.peer.instance for peer in self._valid_peers(now_s))
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -141,7 +141,6 @@
             self._members,
             started_s=process_start.started_s,
         )
-        self._client = UpstreamClient(settings, translator)
         self._stall_detector = StallDetector()
         self._quarantine_feed = QuarantineFeed(
             parts.store,
@@ -176,10 +175,12 @@
         self._probes = ReachabilityProbes(
             Reachability(),
             self._upstream_feed.directory,
-            TcpLivenessCheck(settings.timing.connect_timeout_s),
+            # A connection on a full link takes longer than a request waits for one.
+            TcpLivenessCheck(settings.timing.upstream_timeout_s),
             clock,
             self._metrics,
         )
+        self._client = UpstreamClient(settings, translator, self._probes.note_connected)
         eligibility = Eligibility(
             self._upstream_feed.directory,
             self._evacuations.evacuations,
--- a/mothstand/gateway/reachability_probes.py
+++ b/mothstand/gateway/reachability_probes.py
@@ -11,6 +11,8 @@
 from .crash_detector import Liveness
 
 if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
     from ..clock import Clock
     from ..core.reachability import Reachability
     from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
@@ -69,14 +71,23 @@
         """Probe upstreams that are due, until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
-                registered = list(self._directory.upstreams.values())
-                random.shuffle(registered)
-                now_s = self._clock.monotonic_s()
-                for upstream in self.reachability.take_due_probes(registered, now_s):
-                    tasks.start_soon(self._probe, upstream)
-                self._log_services()
+                if not self.reachability.is_idle:
+                    self._start_due_probes(tasks)
                 await self._clock.sleep(_POLL_INTERVAL_S)
 
+    def _start_due_probes(self, tasks: TaskGroup) -> None:
+        registered = list(self._directory.upstreams.values())
+        random.shuffle(registered)
+        for upstream in self.reachability.take_due_probes(registered, self._clock.monotonic_s()):
+            tasks.start_soon(self._probe, upstream)
+        self._log_services()
+
+    def note_connected(self, address: str) -> None:
+        """Record that a connection to ``IP:PORT`` was established after its request gave up."""
+        for upstream in self._directory.upstreams.values():
+            if upstream.address == address and not self.reachability.is_reachable(upstream):
+                self._end_outage(upstream)
+
     async def _probe(self, upstream: RegisteredUpstream) -> None:
         self._metrics.counts["reachability_probes"] += 1
         liveness = await self._check.check(upstream.address)
@@ -84,19 +95,19 @@
         if self._directory.upstreams.get(upstream.upstream_id) != upstream:
             self.forget(upstream)
         elif liveness is Liveness.LISTENING:
-            was_unreachable = not self.reachability.is_reachable(upstream)
-            after_s = self.reachability.note_probe_succeeded(upstream, now_s)
-            if was_unreachable:
-                emit(
-                    Event.UPSTREAM_REACHABLE,
-                    upstream=upstream.upstream_id,
-                    after_s=round(after_s, 3),
-                )
+            self._end_outage(upstream)
         else:
             self._log_outage(upstream, f"probe: {liveness.value}")
             self.reachability.note_probe_failed(upstream, now_s)
         self._log_services()
 
+    def _end_outage(self, upstream: RegisteredUpstream) -> None:
+        was_unreachable = not self.reachability.is_reachable(upstream)
+        after_s = self.reachability.note_probe_succeeded(upstream, self._clock.monotonic_s())
+        if was_unreachable:
+            emit(Event.UPSTREAM_REACHABLE, upstream=upstream.upstream_id, after_s=round(after_s, 3))
+        self._log_services()
+
     def _log_outage(self, upstream: RegisteredUpstream, reason: str) -> None:
         if self.reachability.is_reachable(upstream):
             emit(
--- a/mothstand/gateway/relay_finder.py
+++ b/mothstand/gateway/relay_finder.py
@@ -26,7 +26,7 @@
 #: Maximum seconds for which a request waits for a peer to be found.
 _MAX_WAIT_S = 0.3
 
-#: Seconds for which it is known that no peer relays, once all were asked.
+#: Seconds for which it is known that no peer relays, once several were asked.
 _UNAVAILABLE_VALID_S = 1.0
 
 
@@ -56,7 +56,7 @@
         self._metrics = metrics
         self._is_wanted = anyio.Event()
         self._round_ended = anyio.Event()
-        self._all_asked_s: float | None = None
+        self._searched_s: dict[str, float] = {}
         self._logged_peers: list[str] = []
 
     async def find(
@@ -72,62 +72,75 @@
             Whether to wait until peers have been asked.
         """
         self.peers.note_needed(service, self._clock.monotonic_s())
-        self._is_wanted.set()
+        if service not in self._searched_s:
+            self._is_wanted.set()
         with anyio.move_on_after(_MAX_WAIT_S):
             while True:
                 peer = self.peers.choose(service, permits, self._clock.monotonic_s())
-                if peer is not None or not may_wait or self._has_asked_all():
+                if peer is not None or not may_wait or self._has_searched(service):
                     return peer
                 await self._round_ended.wait()
         return None
 
     def is_unavailable(self, service: str, permits: Callable[[DataCentre], bool]) -> bool:
-        """Return whether all peers were asked recently and none can take a request."""
+        """Return whether peers were asked recently and none can take a request."""
         now_s = self._clock.monotonic_s()
-        return self._has_asked_all() and self.peers.choose(service, permits, now_s) is None
+        return self._has_searched(service) and self.peers.choose(service, permits, now_s) is None
 
     def note_cannot_serve(self, peer: RelayPeer, service: str) -> None:
         """Record that a peer could not take a request of a service."""
         self.peers.note_cannot_serve(peer, service, self._clock.monotonic_s())
 
-    def _has_asked_all(self) -> bool:
-        asked_s = self._all_asked_s
-        return asked_s is not None and (self._clock.monotonic_s() - asked_s <= _UNAVAILABLE_VALID_S)
+    def _has_searched(self, service: str) -> bool:
+        searched_s = self._searched_s.get(service)
+        return searched_s is not None and (
+            self._clock.monotonic_s() - searched_s <= _UNAVAILABLE_VALID_S
+        )
 
     async def run(self) -> None:
         """Ask peers while relays are needed, until cancelled."""
+        pause_s = _POLL_INTERVAL_S
         while True:
-            with anyio.move_on_after(_POLL_INTERVAL_S):
+            with anyio.move_on_after(pause_s):
                 await self._is_wanted.wait()
+            self._is_wanted = anyio.Event()
             now_s = self._clock.monotonic_s()
             for service in self._probes.lost_services:
                 self.peers.note_needed(service, now_s)
-            if self.peers.needed_services(now_s):
-                await self._ask_until_found()
-                await self._clock.sleep(self.peers.policy.round_interval_s)
+            services = self.peers.needed_services(now_s)
+            for service in self._searched_s.keys() - services:
+                del self._searched_s[service]
+            if services:
+                await self._search(services)
+                pause_s = self.peers.policy.round_interval_s
             else:
-                self._is_wanted = anyio.Event()
                 self._log_peers([])
+                pause_s = _POLL_INTERVAL_S
 
-    async def _ask_until_found(self) -> None:
-        """Ask some peers after the others until one is usable, or all were asked."""
-        began_s = self._clock.monotonic_s()
-        while True:
+    async def _search(self, services: set[str]) -> None:
+        is_new = bool(services - self._searched_s.keys())
+        await self._ask_until_found(self.peers.policy.search_rounds if is_new else 1)
+        self._searched_s |= dict.fromkeys(services, self._clock.monotonic_s())
+        self._end_round()
+
+    async def _ask_until_found(self, max_rounds: int) -> None:
+        """Ask some peers after the others until each needed service has one."""
+        for _ in range(max_rounds):
             members = self._fleet.other_members()
-            asked = self.peers.peers_to_ask(members, self._clock.monotonic_s())
             async with anyio.create_task_group() as tasks:
-                for member in asked:
+                for member in self.peers.peers_to_ask(members, self._clock.monotonic_s()):
                     tasks.start_soon(self._ask, member)
             now_s = self._clock.monotonic_s()
-            is_complete = self.peers.has_asked_all_since(members, began_s)
-            if is_complete:
-                self._all_asked_s = now_s
-            self._round_ended.set()
-            self._round_ended = anyio.Event()
             self._log_peers(self.peers.usable_peers(now_s))
-            if is_complete or self.peers.has_peers_for_all(now_s):
+            self._end_round()
+            if self.peers.has_peers_for_all(now_s):
                 return
 
+    def _end_round(self) -> None:
+        """Wake the requests that wait for a peer."""
+        self._round_ended.set()
+        self._round_ended = anyio.Event()
+
     async def _ask(self, member: Member) -> None:
         self._metrics.counts["relay_offers_asked"] += 1
         try:
--- a/mothstand/gateway/relays.py
+++ b/mothstand/gateway/relays.py
@@ -39,7 +39,7 @@
 
     @abstractmethod
     def is_unavailable(self, service: str, permits: Callable[[DataCentre], bool]) -> bool:
-        """Return whether all peers were asked recently and none can take a request."""
+        """Return whether peers were asked recently and none can take a request."""
 
     @abstractmethod
     def note_cannot_serve(self, peer: RelayPeer, service: str) -> None:
@@ -72,7 +72,7 @@
         return await self._finder.find(service, permits, may_wait=may_wait)
 
     def is_unavailable(self, service: str, permits: Callable[[DataCentre], bool]) -> bool:
-        """Return whether all peers were asked recently and none can take a request."""
+        """Return whether peers were asked recently and none can take a request."""
         return self._finder.is_unavailable(service, permits)
 
     def note_cannot_serve(self, peer: RelayPeer, service: str) -> None:
--- a/mothstand/gateway/sockets.py
+++ b/mothstand/gateway/sockets.py
@@ -11,6 +11,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from typing import Any
 
     from aiohttp.client_reqrep import ConnectionKey
@@ -67,6 +68,8 @@
     ----------
     max_connect_s
         Maximum time to establish a connection. A request waits for it only up to its own timeout.
+    on_late_connect
+        Called with ``IP:PORT`` of a connection that was established after its request gave up.
 
     Notes
     -----
@@ -77,8 +80,15 @@
     established late is put into the pool for the next request.
     """
 
-    def __init__(self, *, max_connect_s: float, **options: Any) -> None:
+    def __init__(
+        self,
+        *,
+        max_connect_s: float,
+        on_late_connect: Callable[[str], None] | None = None,
+        **options: Any,
+    ) -> None:
         super().__init__(**options)
+        self._on_late_connect = on_late_connect
         self._max_connect_s = max_connect_s
         self._background_connects: set[asyncio.Task[ResponseHandler]] = set()
 
@@ -109,10 +119,16 @@
             connecting.result().close()
         else:
             self._release(key, connecting.result())
+            if self._on_late_connect is not None:
+                self._on_late_connect(f"{key.host}:{key.port}")
 
 
 def connector(
-    *, connect_limit: int, user_timeout_s: float, keepalive_s: float = 15.0
+    *,
+    connect_limit: int,
+    user_timeout_s: float,
+    keepalive_s: float = 15.0,
+    on_late_connect: Callable[[str], None] | None = None,
 ) -> aiohttp.TCPConnector:
     """Return a connection pool that applies `set_timeouts` to each connection.
 
@@ -124,6 +140,8 @@
         Maximum time that sent data stays unacknowledged, and maximum time to connect.
     keepalive_s
         Time for which an idle connection stays in the pool.
+    on_late_connect
+        Called with ``IP:PORT`` of a connection that was established after its request gave up.
     """
 
     def make_socket(address_info: Any) -> socket.socket:
@@ -135,6 +153,7 @@
 
     pool = BackgroundConnector(
         max_connect_s=user_timeout_s,
+        on_late_connect=on_late_connect,
         limit=0,
         limit_per_host=connect_limit,
         keepalive_timeout=keepalive_s,
--- a/mothstand/gateway/upstream_client.py
+++ b/mothstand/gateway/upstream_client.py
@@ -12,6 +12,8 @@
 from .sockets import close_idle, connector
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..core.upstreams import RegisteredUpstream
     from ..settings.gateway import GatewaySettings
     from .headers import HeaderTranslator, RawHeaders, UpstreamFields
@@ -117,12 +119,23 @@
 
 
 class UpstreamClient:
-    """Client for upstreams with a pool of connections."""
+    """Client for upstreams with a pool of connections.
+
+    Parameters
+    ----------
+    on_late_connect
+        Called with ``IP:PORT`` of a connection that was established after its request gave up.
+    """
 
-    def __init__(self, settings: GatewaySettings, translator: HeaderTranslator) -> None:
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        translator: HeaderTranslator,
+        on_late_connect: Callable[[str], None] | None = None,
+    ) -> None:
         self._translator = translator
         self._connect_timeout_s = settings.timing.connect_timeout_s
-        self._connector = make_connector(settings)
+        self._connector = make_connector(settings, on_late_connect)
         self._http = make_session(self._connector)
 
     async def send(
@@ -181,12 +194,15 @@
         await self._http.close()
 
 
-def make_connector(settings: GatewaySettings) -> aiohttp.TCPConnector:
+def make_connector(
+    settings: GatewaySettings, on_late_connect: Callable[[str], None] | None = None
+) -> aiohttp.TCPConnector:
     """Return a connection pool for upstreams, and for peers that relay."""
     return connector(
         connect_limit=0,
         user_timeout_s=settings.timing.upstream_timeout_s,
         keepalive_s=_IDLE_REUSE_S,
+        on_late_connect=on_late_connect,
     )
 
 
--- a/mothstand/tests/test_reachability.py
+++ b/mothstand/tests/test_reachability.py
@@ -58,6 +58,7 @@
     def test_deregistered_upstream_is_forgotten(self) -> None:
         reachability = _partitioned(1)
         reachability.forget(_UPSTREAMS[0])
+        assert reachability.is_idle
         assert not reachability.unreachable_count
 
 
--- a/mothstand/tests/test_slow_connections.py
+++ b/mothstand/tests/test_slow_connections.py
@@ -10,12 +10,17 @@
 import pytest
 
 from ..core.relaying import RelayOffer
+from ..core.upstreams import RegisteredUpstream
 from ..gateway.lending import BootstrapState, GrpcPeerLink, LendingService, LoanReply, serve_peers
 from ..gateway.store import StoreError, Stream
+from ..gateway.upstream_client import NotConnectedError, OutgoingRequest, UpstreamClient
 from ..peers.failures import PeerError
+from ..platform.headers import PlatformHeaders
 from ..platform.store import HttpStore
 from ..settings.gateway import StoreSection
+from ..testing.budget_fleet import gateway_settings
 from ..testing.fleet import free_port
+from ..types import DataCentre
 from .test_sockets import server
 
 if TYPE_CHECKING:
@@ -111,6 +116,25 @@
         assert failure.type is StoreError
 
 
+class TestUpstreamClient:
+    @pytest.mark.anyio
+    async def test_late_connection_is_reported(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        # Guards against an instance on a full link that takes all upstreams for unreachable.
+        slow_down_connections(monkeypatch)
+        connected: list[str] = []
+        async with server(empty_page) as url:
+            address = url.removeprefix("http://").removesuffix("/")
+            settings = gateway_settings("a", DataCentre("sto-a"))
+            client = UpstreamClient(settings, PlatformHeaders(), connected.append)
+            upstream = RegisteredUpstream("i-1", "llm", address, DataCentre("sto-a"), 8, False)
+            with pytest.raises(NotConnectedError):
+                await client.send(upstream, OutgoingRequest("GET", "/", "r", b""), ())
+            assert connected == []
+            await anyio.sleep(_CONNECT_S)
+            await client.aclose()
+        assert connected == [address]
+
+
 class TestGrpcPeerLink:
     @pytest.mark.anyio
     async def test_connection_attempt_outlives_the_call_that_began_it(
