Count a relayed request against its peer until its answer ends

Cause: peers are chosen by requests in flight, but a request counted only until the head of its answer, so that long streams did not. Change: counted for the whole attempt.

--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -44,7 +44,7 @@
     from ..types import DataCentre
     from .call import Call, CallerConnection
     from .crash_guard import CrashGuard
-    from .headers import HeaderTranslator, RawHeaders
+    from .headers import HeaderTranslator
     from .metrics import GatewayMetrics
     from .reachability_probes import ReachabilityProbes
     from .relays import Relays
@@ -338,6 +338,9 @@
         self._eligibility.note_sent(upstream, call.service, call.attempt_began_s)
         # Counted before sending, since an attempt that is cancelled later may have run.
         call.sent_attempts += 1
+        if hop.relay is not None:
+            self._metrics.counts["attempts_through_relays"] += 1
+            hop.relay.running += 1
         try:
             answer = await self._send(call, hop)
             if hop.relay is None:
@@ -353,6 +356,8 @@
             raise _Retry from error
         finally:
             self._placement.note_ended(placed)
+            if hop.relay is not None:
+                hop.relay.running -= 1
             if answer is not None:
                 answer.close()
 
@@ -399,22 +404,12 @@
         if hop.relay is None:
             sending = self._client.send(upstream, call.request, headers)
         else:
-            sending = self._send_relayed(call, upstream, hop.relay, headers)
+            sending = self._relays.send(hop.relay, upstream, call, headers)
         is_last = call.sent_attempts >= call.route.attempts or call.probe is not None
         if not call.route.may_run_twice or is_last:
             return await self._record_head_time(call, sending)
         return await self._send_with_early_retry(call, sending)
 
-    async def _send_relayed(
-        self, call: Call, upstream: RegisteredUpstream, relay: RelayPeer, headers: RawHeaders
-    ) -> UpstreamAnswer:
-        self._metrics.counts["attempts_through_relays"] += 1
-        relay.running += 1
-        try:
-            return await self._relays.send(relay, upstream, call, headers)
-        finally:
-            relay.running -= 1
-
     async def _send_with_early_retry(
         self, call: Call, sending: Awaitable[UpstreamAnswer]
     ) -> UpstreamAnswer:
