Log each read of the configuration, and its age in the line of a refusal

Cause looked for: a route in force is refused with 404. No line told how old the configuration was that decided a refusal, when the read of a version began, how long it took on the link and in decoding, or how many versions waited.

Added: MS2003 config_read (records, bytes, read_s, apply_s, waiting, unconfirmed_s), config_version and config_age_s in MS7001 request_refused, the counter config_bytes and the histograms config_read_us and loop_delay_us. A page of the store tells the stream's end, from which ConfigFreshness knows up to when the configuration was the newest. No decision changes.

--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -32,6 +32,7 @@
         "A published configuration is in force at this instance.",
     )
     CONFIG_REFUSED = (2002, logging.WARNING, "A published configuration conflicted or was invalid.")
+    CONFIG_READ = (2003, logging.INFO, "Versions of the configuration were read from the store.")
     PEER_SUSPECTED = (3001, logging.WARNING, "A peer has not answered for the suspicion time.")
     PEER_SEEN = (3002, logging.INFO, "A peer answered, for the first time or again.")
     MEMBER_SEEN = (3003, logging.INFO, "An instance announced itself for the first time.")
@@ -174,6 +175,11 @@
         return str(self.value[2])
 
 
+def rounded(seconds: float | None) -> float | None:
+    """Return a duration in milliseconds' precision for a log line."""
+    return None if seconds is None else round(seconds, 3)
+
+
 def emit(event: Event, /, **fields: Any) -> None:
     """Log one event as a line of its number, its name and its fields as JSON."""
     logging.log(
--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -6,16 +6,18 @@
 from typing import TYPE_CHECKING
 
 from ..core.backoff import Backoff
-from ..events import Event, emit
+from ..events import Event, emit, rounded
 from .store import KeyedRecord, Store, StoreError, StoreTrimmedError, Stream, StreamPage
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..clock import Clock
+    from ..core.config_freshness import ConfigFreshness
     from ..core.routes import GatewayConfig
     from ..log.health import PlatformHealth
     from .evacuations import EvacuationTracker
+    from .metrics import GatewayMetrics
 
 #: Maximum wait of a read for a new configuration. The store answers at once when there is one; a
 #: shorter wait would only detect an unresponsive connection sooner.
@@ -53,6 +55,7 @@
         self._next_offset: int | None = None
         self._failing_since_s: float | None = None
         self._is_behind_logged = False
+        self._asked_wait_s = 0.0
 
     async def run(self) -> None:
         """Follow the stream until cancelled."""
@@ -108,15 +111,19 @@
             await self.note_read()
             self.apply(page.records)
         self._next_offset = page.next_offset
+        self.note_applied(page)
 
     async def _read(self, from_offset: int) -> StreamPage:
         # No wait after a failure, so that the store's return is noticed at once.
-        wait_s = 0.0 if self._health.is_failing else self.wait_s
-        return await self._store.read(self._stream, from_offset, wait_s=wait_s)
+        self._asked_wait_s = 0.0 if self._health.is_failing else self.wait_s
+        return await self._store.read(self._stream, from_offset, wait_s=self._asked_wait_s)
 
     async def note_read(self) -> None:  # noqa: B027 - most feeds have nothing to note
         """Note that the store answered; called before the records are applied."""
 
+    def note_applied(self, page: StreamPage) -> None:  # noqa: B027 - as above
+        """Note that a page has been applied."""
+
     @property
     @abstractmethod
     def pause_s(self) -> float:
@@ -147,6 +154,10 @@
         Called with each version that takes effect.
     evacuations
         Receives the evacuations that the same stream contains.
+    freshness
+        Told when the configuration in force is the newest, and when a newer one exists.
+    metrics
+        Receives the bytes and the duration of the reads.
 
     Notes
     -----
@@ -166,9 +177,15 @@
         decode: Callable[[bytes], GatewayConfig],
         on_config: Callable[[GatewayConfig], None],
         evacuations: EvacuationTracker,
+        freshness: ConfigFreshness,
+        metrics: GatewayMetrics,
     ) -> None:
         super().__init__(store, stream, clock, health)
         self._evacuations = evacuations
+        self.freshness = freshness
+        self._metrics = metrics
+        self._read_began_s = 0.0
+        self._read_ended_s = 0.0
         self.config: GatewayConfig | None = None
         self.raw = b""
         self._key = key
@@ -185,6 +202,45 @@
         """Seconds for which the store holds a read until there is a record."""
         return CONFIG_WAIT_S
 
+    async def poll(self) -> None:
+        """Read once."""
+        self._read_began_s = self._clock.monotonic_s()
+        await super().poll()
+
+    async def note_read(self) -> None:
+        """Note when the read ended."""
+        self._read_ended_s = self._clock.monotonic_s()
+
+    def note_applied(self, page: StreamPage) -> None:
+        """Confirm the configuration in force, or note that a newer one waits."""
+        now_s = self._clock.monotonic_s()
+        size_bytes = sum(len(record.value or b"") for record in page.records)
+        self._metrics.record_config_read(self._read_ended_s - self._read_began_s, size_bytes)
+        if page.records:
+            emit(
+                Event.CONFIG_READ,
+                records=len(page.records),
+                next_offset=page.next_offset,
+                waiting=page.waiting_records,
+                bytes=size_bytes,
+                read_s=round(self._read_ended_s - self._read_began_s, 3),
+                apply_s=round(now_s - self._read_ended_s, 3),
+                unconfirmed_s=rounded(self.freshness.age_s(self._read_ended_s)),
+            )
+        if page.waiting_records:
+            self.freshness.note_newer_exists(now_s)
+        else:
+            self.freshness.note_newest(self._confirmed_s(page, now_s))
+
+    def _confirmed_s(self, page: StreamPage, now_s: float) -> float:
+        """Return the earliest time at which the store can have answered the latest read.
+
+        The store answers an empty page only after the whole wait.
+        """
+        if page.records:
+            return self._read_began_s
+        return max(self._read_began_s, min(now_s, self._read_began_s + self._asked_wait_s))
+
     def apply_listing(self, listing: StreamPage) -> None:
         """Apply the newest record of each key."""
         self._evacuations.apply_listing(listing)
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -9,6 +9,7 @@
 import anyio
 from aiohttp import web
 
+from ..core.config_freshness import ConfigFreshness
 from ..core.eligibility import Eligibility
 from ..core.evacuation import Evacuations
 from ..core.fleet import Capacity, Member
@@ -102,6 +103,8 @@
             parts.decode_config,
             self._on_config,
             self._evacuations,
+            ConfigFreshness(settings.timing.configuration_ms / 1000),
+            self._metrics,
         )
         self._placement = Placement(settings.data_centre)
         self._link = GrpcPeerLink()
@@ -226,6 +229,7 @@
         )
         self._server = GatewayServer(
             self._config,
+            self._config_feed.freshness,
             translator,
             self._accounts,
             guard,
@@ -329,8 +333,10 @@
 
     async def _detect_stalls(self) -> None:
         while True:
-            self._stall_detector.tick(self._clock.monotonic_s())
+            began_s = self._clock.monotonic_s()
+            self._stall_detector.tick(began_s)
             await self._clock.sleep(TICK_S)
+            self._metrics.record_loop_delay(self._clock.monotonic_s() - began_s - TICK_S)
 
     async def _wait_for_stop(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
--- a/mothstand/gateway/metrics.py
+++ b/mothstand/gateway/metrics.py
@@ -20,6 +20,8 @@
     reserve_us: HdrHistogram = field(default_factory=new_histogram)
     first_event_us: HdrHistogram = field(default_factory=new_histogram)
     whole_us: HdrHistogram = field(default_factory=new_histogram)
+    config_read_us: HdrHistogram = field(default_factory=new_histogram)
+    loop_delay_us: HdrHistogram = field(default_factory=new_histogram)
 
     def record_first_event(self, elapsed_s: float) -> None:
         """Record the time from a request's arrival to its first event."""
@@ -33,9 +35,18 @@
         """Record the time from a request's arrival to its end."""
         record_s(self.whole_us, elapsed_s)
 
+    def record_config_read(self, elapsed_s: float, size_bytes: int) -> None:
+        """Record how long a read of the configuration took, with the wait for a new version."""
+        record_s(self.config_read_us, elapsed_s)
+        self.counts["config_bytes"] += size_bytes
+
+    def record_loop_delay(self, delay_s: float) -> None:
+        """Record how late the event loop resumed a task that slept."""
+        record_s(self.loop_delay_us, max(0.0, delay_s))
+
     def text(self) -> str:
         """Return all metrics as lines of name and value."""
         lines = [f"mothstand_{name} {value}" for name, value in sorted(self.counts.items())]
-        for name in ("reserve_us", "first_event_us", "whole_us"):
+        for name in ("reserve_us", "first_event_us", "whole_us", "config_read_us", "loop_delay_us"):
             lines += metric_lines(name, getattr(self, name))
         return "\n".join(lines) + "\n"
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -14,7 +14,7 @@
 from ..core.homes import permitted_regions
 from ..core.shutdown import STOPPING_RETRY_AFTER_S
 from ..errors import ErrorKind, Refusal, RefusedError
-from ..events import Event, emit
+from ..events import Event, emit, rounded
 from ..types import BudgetName
 from .call import Call, CallerConnection, CallerGoneError
 from .caller_connections import CallerServer
@@ -26,6 +26,7 @@
 
     from ..clock import Clock
     from ..core.claims import Reservation, Usage
+    from ..core.config_freshness import ConfigFreshness
     from ..core.routes import GatewayConfig, GatewayWorkspace, RequestLimits, Route
     from ..core.shutdown import Shutdown
     from .accounts import Accounts
@@ -113,6 +114,8 @@
     ----------
     config
         Returns the configuration in force, or None before the first one.
+    freshness
+        Tells how long ago that configuration was known to be the newest.
     shutdown
         State of a stop: connections are closed after their answer, later requests are refused.
     startup_wait
@@ -122,6 +125,7 @@
     def __init__(
         self,
         config: Callable[[], GatewayConfig | None],
+        freshness: ConfigFreshness,
         translator: HeaderTranslator,
         accounts: Accounts,
         guard: CrashGuard,
@@ -134,6 +138,7 @@
         self.running_requests = 0
         self._startup_wait = startup_wait
         self._config = config
+        self._freshness = freshness
         self._translator = translator
         self._accounts = accounts
         self._guard = guard
@@ -310,12 +315,15 @@
         self, caller: HttpCaller, request_id: str, refusal: Refusal, arrived_s: float
     ) -> None:
         self._metrics.counts[f"refused_{refusal.kind.value}"] += 1
+        config = self._config()
         emit(
             Event.REQUEST_REFUSED,
             request=request_id,
             kind=refusal.kind.value,
             detail=refusal.detail,
             run_state=refusal.answer.run_state.value,
+            config_version=None if config is None else config.version,
+            config_age_s=rounded(self._freshness.age_s(self._clock.monotonic_s())),
             elapsed_s=round(self._clock.monotonic_s() - arrived_s, 3),
         )
         headers = self._translator.refusal_headers(request_id, refusal.effective_retry_after_s)
@@ -340,7 +348,7 @@
             attempts=call.sent_attempts,
             upstream=call.upstream_id,
             relay=call.relay,
-            registrations_age_s=_rounded(call.registrations_age_s),
+            registrations_age_s=rounded(call.registrations_age_s),
             tokens=usage.max_tokens,
             tokens_in_doubt=usage.max_tokens - usage.confirmed_tokens,
             reserved_after_s=round(call.reserved_after_s, 3),
@@ -356,10 +364,6 @@
     return [f"{Path(frame.filename).name}:{frame.lineno}" for frame in frames]
 
 
-def _rounded(seconds: float | None) -> float | None:
-    return None if seconds is None else round(seconds, 3)
-
-
 def _raw_headers(request: web.BaseRequest) -> RawHeaders:
     return tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in request.raw_headers)
 
--- a/mothstand/gateway/store.py
+++ b/mothstand/gateway/store.py
@@ -33,10 +33,22 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamPage:
-    """Records of a stream in order, and the offset to continue from."""
+    """Records of a stream in order, and the offset to continue from.
+
+    Parameters
+    ----------
+    end_offset
+        End of the stream when the store answered; beyond `next_offset` if more records wait.
+    """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    end_offset: int
+
+    @property
+    def waiting_records(self) -> int:
+        """Number of records after this page that the store had when it answered."""
+        return max(0, self.end_offset - self.next_offset)
 
 
 @dataclass(frozen=True, slots=True)
--- a/mothstand/platform/store.py
+++ b/mothstand/platform/store.py
@@ -81,7 +81,8 @@
         records.append(_decode_record(content, offset))
         position += _RECORD_LENGTH.size + length
         offset += 1
-    return StreamPage(tuple(records), offset)
+    end_offset, _ = _PAGE_HEAD.unpack_from(data)
+    return StreamPage(tuple(records), offset, max(offset, end_offset))
 
 
 def _decode_record(content: bytes, offset: int) -> KeyedRecord:
@@ -163,7 +164,7 @@
             # Pages are not a snapshot: later changes are read again from the first page's end on.
             end = page.end if end is None else end
             if not page.has_more or not page.items:
-                return StreamPage(tuple(records), end)
+                return StreamPage(tuple(records), end, end)
             params["after"] = page.items[-1].key
 
     async def aclose(self) -> None:
--- a/mothstand/settings/gateway.py
+++ b/mothstand/settings/gateway.py
@@ -100,6 +100,12 @@
     """``[timing]``: intervals and timeouts."""
 
     grace_s: float = Field(8.0, gt=0, description="seconds from SIGTERM to SIGKILL, above 0")
+    configuration_ms: float = Field(
+        2000.0,
+        gt=0,
+        description="milliseconds within which a version is in force after its acknowledgement, "
+        "above 0",
+    )
     upstream_timeout_s: float = Field(
         0.8, gt=0, description="seconds without an acknowledgement by an upstream, above 0"
     )
--- a/mothstand/testing/memory_store.py
+++ b/mothstand/testing/memory_store.py
@@ -96,7 +96,8 @@
         if from_offset < self._first_offsets[stream]:
             raise StoreTrimmedError(f"{stream}: offset {from_offset} is not retained")
         stored = self._records[stream]
-        return StreamPage(tuple(stored[from_offset:]), max(from_offset, len(stored)))
+        end = max(from_offset, len(stored))
+        return StreamPage(tuple(stored[from_offset:]), end, end)
 
     def newest(self, stream: Stream) -> StreamPage:
         """Return the newest record of each key."""
@@ -107,7 +108,7 @@
         stored = self._records[stream][:end_offset]
         by_key = {record.key: record for record in stored}
         live_records = (record for record in by_key.values() if record.value is not None)
-        return StreamPage(tuple(live_records), len(stored))
+        return StreamPage(tuple(live_records), len(stored), len(stored))
 
 
 class StoreLink(Store):
--- a/mothstand/testing/routing_instances.py
+++ b/mothstand/testing/routing_instances.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from ..core.config_freshness import ConfigFreshness
 from ..core.eligibility import Eligibility
 from ..core.evacuation import Evacuations
 from ..core.fleet import Member
@@ -21,6 +22,7 @@
 from ..gateway.evacuations import EvacuationPolling, EvacuationTracker
 from ..gateway.feeds import ConfigFeed
 from ..gateway.member_feed import MemberFeed
+from ..gateway.metrics import GatewayMetrics
 from ..gateway.upstream_feed import UpstreamFeed
 from ..log.health import PlatformHealth
 from ..peers.failures import PeerUnreachableError
@@ -177,6 +179,8 @@
             decode_config,
             lambda _: None,
             self.tracker,
+            ConfigFreshness(3.0),
+            GatewayMetrics(),
         )
         peer = Peer(name, str(starts), f"{name}:1")
         self.members = MemberFeed(
--- a/mothstand/tests/test_bootstrap.py
+++ b/mothstand/tests/test_bootstrap.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from ..core.config_freshness import ConfigFreshness
 from ..core.evacuation import Evacuations
 from ..core.fleet import Member
 from ..core.loans import Peer
@@ -15,6 +16,7 @@
 from ..gateway.feeds import ConfigFeed
 from ..gateway.lending import BootstrapState
 from ..gateway.member_feed import MemberFeed, encode_member
+from ..gateway.metrics import GatewayMetrics
 from ..gateway.quarantine_feed import QuarantineFeed
 from ..gateway.store import KeyedRecord
 from ..gateway.upstream_feed import UpstreamFeed
@@ -86,6 +88,8 @@
             decode_config,
             lambda _: None,
             self.evacuations,
+            ConfigFreshness(3.0),
+            GatewayMetrics(),
         )
         self.upstreams = UpstreamFeed(
             self.link,
--- a/mothstand/tests/test_feeds.py
+++ b/mothstand/tests/test_feeds.py
@@ -7,9 +7,11 @@
 
 import anyio
 
+from ..core.config_freshness import ConfigFreshness
 from ..core.evacuation import Evacuations
 from ..gateway.evacuations import EvacuationTracker
 from ..gateway.feeds import ConfigFeed
+from ..gateway.metrics import GatewayMetrics
 from ..gateway.upstream_feed import UpstreamFeed
 from ..log.health import PlatformHealth
 from ..platform.records import (
@@ -60,6 +62,8 @@
             decode_config,
             lambda _: None,
             EvacuationTracker(Evacuations(), evacuated_data_centre, clock),
+            ConfigFreshness(3.0),
+            GatewayMetrics(),
         )
 
         def publish(version: int) -> None:
