Test that refusals and service follow the newest configuration (red)

Three failing tests, listed: a reader on a thin link falls behind by more with each version; 404, 401 and 402 are final although newer versions cannot be read; a dropped route is served for as long as the read of its removal takes. A fourth, which holds: an outage of the store does not end service. The stand-in of the store can send records at a limited rate.

--- a/mothstand/gateway/store.py
+++ b/mothstand/gateway/store.py
@@ -50,6 +50,18 @@
         """Number of records after this page that the store had when it answered."""
         return max(0, self.end_offset - self.next_offset)
 
+    def first_records(self, max_bytes: int) -> StreamPage:
+        """Return the first records that fit into a size together, at least one."""
+        size_bytes = 0
+        kept: list[KeyedRecord] = []
+        for record in self.records:
+            size_bytes += len(record.value or b"")
+            if kept and size_bytes > max_bytes:
+                break
+            kept.append(record)
+        dropped = len(self.records) - len(kept)
+        return StreamPage(tuple(kept), self.next_offset - dropped, self.end_offset)
+
 
 @dataclass(frozen=True, slots=True)
 class Stream:
--- a/mothstand/standins/users_store.py
+++ b/mothstand/standins/users_store.py
@@ -2,7 +2,8 @@
 
 Run as ``python -m mothstand.standins.users_store --address IP:PORT``. ``POST /put?key=K`` with
 ``topic`` writes a record as operators and upstreams do; ``POST /away?on=1`` makes the calls of the
-protocol fail with 503 until ``on=0``.
+protocol fail with 503 until ``on=0``. ``POST /rate?bytes_per_s=N`` limits how fast the records of
+each read are sent; 0 ends the limit.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 import anyio
 import fire
 from starlette.applications import Starlette
-from starlette.responses import JSONResponse, Response
+from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
 from ..gateway.store import Stream
@@ -23,6 +24,8 @@
 from .serving import run_app
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from starlette.requests import Request
 
 _POLL_S = 0.02
@@ -40,6 +43,7 @@
     def __init__(self) -> None:
         self._store = MemoryStore()
         self._is_unreachable = False
+        self._bytes_per_s = 0
 
     async def append(self, request: Request) -> Response:
         """Append records; if an offset is given, only if the stream ends there."""
@@ -66,7 +70,17 @@
             return Response(status_code=_UNAVAILABLE)
         page = self._store.read(stream, from_offset)
         head = struct.pack(">QQ", page.next_offset, 0)
-        return Response(head + b"".join(encode_record(record) for record in page.records))
+        content = head + b"".join(encode_record(record) for record in page.records)
+        if not self._bytes_per_s:
+            return Response(content)
+        return StreamingResponse(self._slowly(content))
+
+    async def _slowly(self, content: bytes) -> AsyncIterator[bytes]:
+        """Send the first bytes at once and the rest at the limited rate."""
+        size = max(1, int(self._bytes_per_s * _POLL_S))
+        for start in range(0, len(content), size):
+            yield content[start : start + size]
+            await anyio.sleep(_POLL_S)
 
     async def newest(self, request: Request) -> Response:
         """Return the newest record of each key."""
@@ -91,6 +105,11 @@
         self._is_unreachable = request.query_params["on"] == "1"
         return JSONResponse({})
 
+    async def set_rate(self, request: Request) -> Response:
+        """Limit how fast the records of each read are sent."""
+        self._bytes_per_s = int(request.query_params["bytes_per_s"])
+        return JSONResponse({})
+
 
 def main(address: str) -> None:
     """Serve until SIGTERM."""
@@ -101,6 +120,7 @@
         Route("/log-newest", store.newest, methods=["GET"]),
         Route("/put", store.put, methods=["POST"]),
         Route("/away", store.set_unreachable, methods=["POST"]),
+        Route("/rate", store.set_rate, methods=["POST"]),
     ]
     run_app(Starlette(routes=routes), address)
 
--- a/mothstand/testing/gateway_fleet.py
+++ b/mothstand/testing/gateway_fleet.py
@@ -23,6 +23,9 @@
 HOST = "api.example"
 PREFIX = "/ask/"
 
+#: Time within which a version has to be in force.
+CONFIGURATION_S = 2.0
+
 #: Path of the route whose requests may run only once.
 ONCE_PREFIX = "/once/"
 SERVICE = "llm"
@@ -37,6 +40,7 @@
     engines: list[FleetProcess] = field(default_factory=list)
     _version: int = 0
     _metrics_addresses: dict[str, str] = field(default_factory=dict)
+    _ready_urls: dict[str, str] = field(default_factory=dict)
 
     def __enter__(self) -> GatewayFleet:
         """Start the store and return the fleet."""
@@ -112,7 +116,8 @@
             f"[instance]\nname = {name}\ndata_centre = {data_centre}\n"
             f"[listen]\ncallers = {callers}\nready = {ready}\npeers = {peers}\n"
             f"metrics = {metrics}\nrelay = {relay}\n[store]\naddress = {self.store.address}\n"
-            f"[timing]\ngrace_s = {grace_s}\n[regions]\ndata_centres = {regions}\n",
+            f"[timing]\ngrace_s = {grace_s}\nconfiguration_ms = {CONFIGURATION_S * 1000}\n"
+            f"[regions]\ndata_centres = {regions}\n",
             encoding="utf-8",
         )
         self._metrics_addresses[name] = metrics
@@ -121,9 +126,8 @@
             module = "mothstand.testing.partitioned_gateway"
             command = (sys.executable, "-m", module, str(path), str(self._partition_path(name)))
         process = self._spawn(name, command, callers, peers)
-        wait_until(
-            lambda: _get_status(f"http://{ready}/readiness") == httpx.codes.OK, f"{name} ready"
-        )
+        self._ready_urls[name] = f"http://{ready}/readiness"
+        wait_until(lambda: self.is_ready(process), f"{name} ready")
         return process
 
     def partition(self, instance: FleetProcess, mode: PartitionMode) -> None:
@@ -146,16 +150,26 @@
         prepaid_tokens: int,
         route_homes: tuple[str, ...] = (),
         workspace_homes: tuple[str, ...] = (),
+        prefix: str = PREFIX,
+        keys: tuple[str, ...] = (KEY,),
+        filler_bytes: int = 0,
     ) -> None:
-        """Publish a configuration with two routes and one workspace."""
+        """Publish a configuration with two routes and one workspace.
+
+        Parameters
+        ----------
+        filler_bytes
+            Size of a field that instances ignore, for a version that takes long to read.
+        """
         self._version += 1
         config = {
             "version": self._version,
+            "filler": "x" * filler_bytes,
             "routes": [
                 {
                     "name": "ask",
                     "host": HOST,
-                    "path_prefix": PREFIX,
+                    "path_prefix": prefix,
                     "kind": "streaming",
                     "timeout_ms": 5000,
                     "goal_ms": 300,
@@ -182,7 +196,7 @@
             "tenants": [
                 {
                     "name": "seniors",
-                    "keys": [KEY],
+                    "keys": list(keys),
                     "prepaid": prepaid_tokens,
                     "home_regions": list(workspace_homes),
                 }
@@ -205,6 +219,15 @@
         """Make the store fail all calls, or answer again."""
         httpx.post(f"{self.store.url}/away", params={"on": int(is_unreachable)}).raise_for_status()
 
+    def set_store_rate(self, bytes_per_s: int) -> None:
+        """Make the store send the records of each read at a rate; 0 for no limit."""
+        params = {"bytes_per_s": bytes_per_s}
+        httpx.post(f"{self.store.url}/rate", params=params).raise_for_status()
+
+    def is_ready(self, instance: FleetProcess) -> bool:
+        """Return whether an instance says that it is ready."""
+        return _get_status(self._ready_urls[instance.name]) == httpx.codes.OK
+
     def send_request(
         self,
         instance: FleetProcess,
--- /dev/null
+++ b/mothstand/tests/test_config_freshness.py
@@ -0,0 +1,155 @@
+"""Tests of instances that learn late of a new version of the configuration."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import TYPE_CHECKING
+
+import anyio
+import pytest
+
+from ..core.config_freshness import ConfigFreshness
+from ..core.evacuation import Evacuations
+from ..gateway.evacuations import EvacuationTracker
+from ..gateway.feeds import ConfigFeed
+from ..gateway.metrics import GatewayMetrics
+from ..log.health import PlatformHealth
+from ..platform.records import CONFIG_KEY, CONFIG_STREAM, decode_config, evacuated_data_centre
+from ..testing.gateway_fleet import CONFIGURATION_S, KEY, PREFIX, GatewayFleet
+from ..testing.memory_store import MemoryStore
+from ..testing.thin_store_link import ThinStoreLink
+from ..testing.virtual_time import VirtualClock, run_in_virtual_time
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+    from ..core.routes import GatewayConfig
+
+#: Time within which a version has to be in force, on the largest deployments.
+_MAX_AGE_S = 3.0
+
+_VERSION_BYTES = 400_000
+
+
+class _ThinReader:
+    """A configuration feed behind a link on which one version takes longer than to the next."""
+
+    def __init__(self, *, bytes_per_s: float) -> None:
+        clock = VirtualClock()
+        self.published_s: dict[int, float] = {}
+        self.in_force_s: dict[int, float] = {}
+        self._store = MemoryStore()
+        self.feed = ConfigFeed(
+            ThinStoreLink(self._store, bytes_per_s),
+            CONFIG_STREAM,
+            CONFIG_KEY,
+            clock,
+            PlatformHealth(clock),
+            decode_config,
+            self._note_in_force,
+            EvacuationTracker(Evacuations(), evacuated_data_centre, clock),
+            ConfigFreshness(_MAX_AGE_S),
+            GatewayMetrics(),
+        )
+
+    def publish(self) -> None:
+        """Publish the next version, with the size of a whole configuration."""
+        version = len(self.published_s) + 1
+        self.published_s[version] = anyio.current_time()
+        value = json.dumps({"version": version, "filler": "x" * _VERSION_BYTES})
+        self._store.put(CONFIG_STREAM, CONFIG_KEY, value.encode())
+
+    def _note_in_force(self, config: GatewayConfig) -> None:
+        for version in range(1, config.version + 1):
+            self.in_force_s.setdefault(version, anyio.current_time())
+
+    def delays_s(self) -> dict[int, float]:
+        """Return for each version the time until it or a later one was in force."""
+        return {v: self.in_force_s[v] - at_s for v, at_s in self.published_s.items()}
+
+
+class TestReader:
+    def test_reader_that_fell_behind_catches_up_while_versions_keep_coming(self) -> None:
+        """Guards against a configuration that is older by more with each version."""
+        reader = _ThinReader(bytes_per_s=300_000.0)
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                reader.publish()
+                tasks.start_soon(reader.feed.run)
+                await anyio.sleep(2.0)
+                for _ in range(3):
+                    reader.publish()
+                for _ in range(20):
+                    await anyio.sleep(1.3)
+                    reader.publish()
+                await anyio.sleep(20.0)
+                tasks.cancel_scope.cancel()
+
+        run_in_virtual_time(run)
+        delays_s = reader.delays_s()
+        late = {v: round(delay_s, 2) for v, delay_s in delays_s.items() if delay_s > _MAX_AGE_S}
+        assert not late
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[GatewayFleet]:
+    with GatewayFleet(tmp_path) as fleet:
+        fleet.publish(prepaid_tokens=100)
+        fleet.start_engine("e-1")
+        yield fleet
+
+
+@pytest.mark.processes
+class TestAnswersToCallers:
+    @pytest.mark.parametrize("refusal", ["unknown path", "unknown key", "exhausted budget"])
+    def test_refusal_is_not_final_while_newer_versions_cannot_be_read(
+        self, fleet: GatewayFleet, refusal: str
+    ) -> None:
+        """Guards against 404, 401 and 402 for what a newer configuration allows."""
+        instance = fleet.start_instance("a")
+        path = "/added/" if refusal == "unknown path" else PREFIX
+        key = "added-key" if refusal == "unknown key" else KEY
+        assert fleet.send_request(instance, "r-1", path=path, key=key).status_code in (
+            401,
+            402,
+            404,
+        )
+        fleet.set_store_unreachable(True)
+        fleet.publish(prepaid_tokens=100_000, prefix=path, keys=(KEY, key))
+        time.sleep(CONFIGURATION_S + 0.5)
+        answer = fleet.send_request(instance, "r-2", path=path, key=key)
+        assert answer.status_code == 503
+        assert float(answer.headers["Retry-After"]) > 0
+        fleet.set_store_unreachable(False)
+        time.sleep(CONFIGURATION_S)
+        assert fleet.send_request(instance, "r-3", path=path, key=key).status_code == 200
+
+    def test_instance_that_knows_of_a_newer_version_does_not_serve_by_an_older_one(
+        self, fleet: GatewayFleet
+    ) -> None:
+        """Guards against a dropped route that is served while its removal is being read."""
+        fleet.publish(prepaid_tokens=100_000)
+        instance = fleet.start_instance("a")
+        assert fleet.send_request(instance, "r-1").status_code == 200
+        fleet.set_store_rate(20_000)
+        fleet.publish(prepaid_tokens=100_000, prefix="/moved/", filler_bytes=400_000)
+        time.sleep(CONFIGURATION_S + 0.1)
+        answer = fleet.send_request(instance, "r-2")
+        assert answer.status_code == 503
+        assert answer.headers["Connection"] == "close"
+        assert not fleet.is_ready(instance)
+
+    def test_instance_serves_by_its_last_version_while_the_store_is_unreachable(
+        self, fleet: GatewayFleet
+    ) -> None:
+        """Guards against an outage of the store that ends all service."""
+        fleet.publish(prepaid_tokens=100_000)
+        instance = fleet.start_instance("a")
+        assert fleet.send_request(instance, "r-1").status_code == 200
+        fleet.set_store_unreachable(True)
+        time.sleep(CONFIGURATION_S + 0.5)
+        assert fleet.send_request(instance, "r-2").status_code == 200
+        assert fleet.is_ready(instance)
