Read one version of the configuration at a time, and skip to the newest when behind

Cause: each version is as large as the whole configuration, and the reader fetched every one. A page of the store holds three of 400 kB, so an instance that fell behind received three old versions before the newest; only a failed read made it list the newest.

Change: Store.read_first asks for at most one kilobyte, to which the store answers with one record, and reports the stream's end with the first bytes. With two or more versions behind, the newest record of each key is listed. After a version the next read does not wait, so that the version is confirmed as the newest at once.

--- a/mothstand/core/config_freshness.py
+++ b/mothstand/core/config_freshness.py
@@ -3,7 +3,16 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class _KnownEnd:
+    """End of the configuration's stream, and when this instance learnt of it."""
+
+    offset: int
+    learnt_s: float
 
 
 @dataclass(slots=True)
@@ -18,17 +27,25 @@
 
     max_age_s: float
     _confirmed_s: float = -math.inf
-    _outdated_since_s: float | None = None
-
-    def note_newest(self, at_s: float) -> None:
-        """Record that the configuration in force was the newest at a time."""
-        self._confirmed_s = max(self._confirmed_s, at_s)
-        self._outdated_since_s = None
-
-    def note_newer_exists(self, now_s: float) -> None:
-        """Record that the store has a version which is not in force here yet."""
-        if self._outdated_since_s is None:
-            self._outdated_since_s = now_s
+    _unread_ends: deque[_KnownEnd] = field(default_factory=deque)
+
+    def note_end(self, end_offset: int, now_s: float) -> None:
+        """Record that the stream has records up to an offset, which may not be applied yet."""
+        if not self._unread_ends or end_offset > self._unread_ends[-1].offset:
+            self._unread_ends.append(_KnownEnd(end_offset, now_s))
+
+    def note_applied(self, next_offset: int, answered_s: float) -> None:
+        """Record that all records before an offset are applied.
+
+        Parameters
+        ----------
+        answered_s
+            Earliest time at which the store can have answered the read.
+        """
+        while self._unread_ends and self._unread_ends[0].offset <= next_offset:
+            self._unread_ends.popleft()
+        if not self._unread_ends:
+            self._confirmed_s = max(self._confirmed_s, answered_s)
 
     def age_s(self, now_s: float) -> float | None:
         """Return the seconds since the last confirmation, or None before the first."""
@@ -36,5 +53,4 @@
 
     def outdated_s(self, now_s: float) -> float:
         """Return for how long a newer version is known to exist; 0 if none is."""
-        since_s = self._outdated_since_s
-        return 0.0 if since_s is None else now_s - since_s
+        return now_s - self._unread_ends[0].learnt_s if self._unread_ends else 0.0
--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -26,6 +26,9 @@
 #: A stream that cannot be read for this time is logged as behind.
 BEHIND_AFTER_S = 2.0
 
+#: Versions of the configuration that may wait before the newest one is listed.
+_MAX_WAITING_VERSIONS = 1
+
 _BACKOFF_FIRST_S = 0.1
 _BACKOFF_MAX_S = 0.5
 
@@ -161,8 +164,10 @@
 
     Notes
     -----
-    After a failed read only the newest version is fetched. Thirty versions of 60 kB, which may
-    accumulate in an outage, take 3 s on a link of 5 Mbit/s; one takes 0.1 s.
+    Only the newest version matters, and each is as large as the whole configuration. A read
+    returns one version, so that a page of several does not delay the newest one. A reader that is
+    two or more versions behind, or whose read failed, lists the newest record of each key instead
+    of reading those in between.
     """
 
     relist_after_failure = True
@@ -186,6 +191,8 @@
         self._metrics = metrics
         self._read_began_s = 0.0
         self._read_ended_s = 0.0
+        self._has_news = False
+        self._waiting_versions = 0
         self.config: GatewayConfig | None = None
         self.raw = b""
         self._key = key
@@ -206,13 +213,26 @@
         """Read once."""
         self._read_began_s = self._clock.monotonic_s()
         await super().poll()
+        if self._waiting_versions > _MAX_WAITING_VERSIONS:
+            self._next_offset = None
 
     async def note_read(self) -> None:
         """Note when the read ended."""
         self._read_ended_s = self._clock.monotonic_s()
 
+    async def _read(self, from_offset: int) -> StreamPage:
+        # The read after a version does not wait, so that the version is confirmed as the newest.
+        self._asked_wait_s = 0.0 if self._health.is_failing or self._has_news else self.wait_s
+        return await self._store.read_first(
+            self._stream, from_offset, wait_s=self._asked_wait_s, on_end=self._note_end
+        )
+
+    def _note_end(self, end_offset: int) -> None:
+        if self._next_offset is not None and end_offset > self._next_offset:
+            self.freshness.note_end(end_offset, self._clock.monotonic_s())
+
     def note_applied(self, page: StreamPage) -> None:
-        """Confirm the configuration in force, or note that a newer one waits."""
+        """Note up to which record the stream is applied, and when that was all of it."""
         now_s = self._clock.monotonic_s()
         size_bytes = sum(len(record.value or b"") for record in page.records)
         self._metrics.record_config_read(self._read_ended_s - self._read_began_s, size_bytes)
@@ -227,12 +247,13 @@
                 apply_s=round(now_s - self._read_ended_s, 3),
                 unconfirmed_s=rounded(self.freshness.age_s(self._read_ended_s)),
             )
+        self._has_news = bool(page.records)
+        self._waiting_versions = page.waiting_records
         if page.waiting_records:
-            self.freshness.note_newer_exists(now_s)
-        else:
-            self.freshness.note_newest(self._confirmed_s(page, now_s))
+            self.freshness.note_end(page.end_offset, now_s)
+        self.freshness.note_applied(page.next_offset, self._answered_s(page, now_s))
 
-    def _confirmed_s(self, page: StreamPage, now_s: float) -> float:
+    def _answered_s(self, page: StreamPage, now_s: float) -> float:
         """Return the earliest time at which the store can have answered the latest read.
 
         The store answers an empty page only after the whole wait.
--- a/mothstand/gateway/store.py
+++ b/mothstand/gateway/store.py
@@ -4,6 +4,10 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 
 class StoreError(Exception):
@@ -84,6 +88,28 @@
     async def read(self, stream: Stream, from_offset: int, *, wait_s: float = 0.0) -> StreamPage:
         """Return records from an offset on, waiting up to `wait_s` for the first one."""
 
+    async def read_first(
+        self,
+        stream: Stream,
+        from_offset: int,
+        *,
+        wait_s: float = 0.0,
+        on_end: Callable[[int], None] = lambda _: None,
+    ) -> StreamPage:
+        """Return the first record from an offset on, for streams with large records.
+
+        Parameters
+        ----------
+        wait_s
+            Maximum wait for the record.
+        on_end
+            Called with the end of the stream as soon as the store answers, while the record may
+            still be on its way.
+        """
+        page = (await self.read(stream, from_offset, wait_s=wait_s)).first_records(max_bytes=0)
+        on_end(page.end_offset)
+        return page
+
     @abstractmethod
     async def newest(self, stream: Stream) -> StreamPage:
         """Return the newest record of each key, and the stream's end before the listing began."""
--- a/mothstand/platform/store.py
+++ b/mothstand/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import struct
 from typing import TYPE_CHECKING
@@ -22,6 +23,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..settings.gateway import StoreSection
 
 _Query = dict[str, str | int]
@@ -132,14 +135,46 @@
 
     async def read(self, stream: Stream, from_offset: int, *, wait_s: float = 0.0) -> StreamPage:
         """Return records from an offset on, waiting up to `wait_s` for the first."""
+        return await self._read(stream, from_offset, wait_s, {})
+
+    async def read_first(
+        self,
+        stream: Stream,
+        from_offset: int,
+        *,
+        wait_s: float = 0.0,
+        on_end: Callable[[int], None] = lambda _: None,
+    ) -> StreamPage:
+        """Return the first record from an offset on; the store sends at least one."""
+        limit: _Query = {"maximum_kilobytes": 1}
+        page = await self._read(stream, from_offset, wait_s, limit, on_end)
+        if page.records or not page.waiting_records:
+            return page
+        return await super().read_first(stream, from_offset, on_end=on_end)
+
+    async def _read(
+        self,
+        stream: Stream,
+        from_offset: int,
+        wait_s: float,
+        limit: _Query,
+        on_end: Callable[[int], None] = lambda _: None,
+    ) -> StreamPage:
         params: _Query = {
             "topic": stream.topic,
             "part": stream.partition,
             "from": from_offset,
+            **limit,
         }
         if wait_s > 0:
             params["wait_ms"] = int(wait_s * 1000)
-        status, data = await self._call("GET", "/log-read", params, wait_s=wait_s)
+
+        def note_head(head: bytes) -> None:
+            on_end(_PAGE_HEAD.unpack(head)[0])
+
+        status, data = await self._call(
+            "GET", "/log-read", params, wait_s=wait_s, on_page_head=note_head
+        )
         if status == _GONE:
             raise StoreTrimmedError(f"{stream}: offset {from_offset} is no longer retained")
         _raise_for_status(status, "read")
@@ -179,6 +214,7 @@
         *,
         body: bytes | None = None,
         wait_s: float = 0.0,
+        on_page_head: Callable[[bytes], None] = lambda _: None,
     ) -> tuple[int, bytes]:
         # `sock_read` limits the time between bytes, not that of the whole response: on a link of
         # 5 Mbit/s a page of a large configuration takes longer than the timeout.
@@ -192,7 +228,12 @@
             async with self._http.request(
                 method, self._base_url + path, params=params, data=body, timeout=timeout
             ) as response:
-                return response.status, await response.read()
+                if response.status != _OK:
+                    return response.status, await response.read()
+                head = await _read_head(response)
+                if len(head) == _PAGE_HEAD.size:
+                    on_page_head(head)
+                return response.status, head + await response.content.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             # Nothing was sent. Connections that are idle now are newer; the next call may use them.
             raise StoreError(f"{path}: {error!r}") from error
@@ -212,6 +253,14 @@
     return KeyedRecord(item.key, value, item.offset)
 
 
+async def _read_head(response: aiohttp.ClientResponse) -> bytes:
+    """Return the first bytes of a response: the head of a page, or less if it is shorter."""
+    try:
+        return await response.content.readexactly(_PAGE_HEAD.size)
+    except asyncio.IncompleteReadError as error:
+        return error.partial
+
+
 def _raise_for_status(status: int, operation: str) -> None:
     """Raise unless the status is 200; any other means that the call had no effect."""
     if status != _OK:
--- a/mothstand/testing/thin_store_link.py
+++ b/mothstand/testing/thin_store_link.py
@@ -9,6 +9,8 @@
 from .memory_store import MemoryStore, StoreLink
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..gateway.store import Stream, StreamPage
 
 #: Maximum bytes of the records of one page, as the platform's store sends by default.
@@ -34,6 +36,17 @@
         """Return records from an offset on, once they have arrived."""
         return await self._read_page(stream, from_offset, wait_s, _PAGE_BYTES)
 
+    async def read_first(
+        self,
+        stream: Stream,
+        from_offset: int,
+        *,
+        wait_s: float = 0.0,
+        on_end: Callable[[int], None] = lambda _: None,
+    ) -> StreamPage:
+        """Return the first record from an offset on, once it has arrived."""
+        return await self._read_page(stream, from_offset, wait_s, 0, on_end)
+
     async def newest(self, stream: Stream) -> StreamPage:
         """Return the newest record of each key, once they have arrived."""
         page = await super().newest(stream)
@@ -41,7 +54,12 @@
         return page
 
     async def _read_page(
-        self, stream: Stream, from_offset: int, wait_s: float, max_bytes: int
+        self,
+        stream: Stream,
+        from_offset: int,
+        wait_s: float,
+        max_bytes: int,
+        on_end: Callable[[int], None] = lambda _: None,
     ) -> StreamPage:
         until_s = anyio.current_time() + wait_s
         page = await super().read(stream, from_offset)
@@ -49,6 +67,7 @@
             await anyio.sleep(_POLL_S)
             page = await super().read(stream, from_offset)
         page = page.first_records(max_bytes)
+        on_end(page.end_offset)
         await self._receive(page)
         return page
 
