Refuse for good only by a configuration that is known to be recent

Callers got 404 from an instance whose configuration was seconds old, for a route that all others had (CONFIG).

Cause: 404, 401, 402, 413 and 431 say that the request will not be allowed, but rested on whatever version the instance had, however old. Class: a final answer from a belief of unknown age.

Change: ConfigFreshness knows the latest time at which the version in force was the newest, from reads that returned everything that the store had. If that is more than the operators' bound (configuration_ms) before the request arrived, such a refusal becomes configuration_stale (503, not run, Retry-After). After a body has been read, the version in force then decides.

--- a/mothstand/core/config_freshness.py
+++ b/mothstand/core/config_freshness.py
@@ -47,6 +47,13 @@
         if not self._unread_ends:
             self._confirmed_s = max(self._confirmed_s, answered_s)
 
+    def is_confirmed(self, arrived_s: float) -> bool:
+        """Return whether a request may be refused for good by the configuration in force.
+
+        All versions that were acknowledged `max_age_s` before the request arrived must be in it.
+        """
+        return self._confirmed_s >= arrived_s - self.max_age_s
+
     def age_s(self, now_s: float) -> float | None:
         """Return the seconds since the last confirmation, or None before the first."""
         return None if math.isinf(self._confirmed_s) else now_s - self._confirmed_s
--- a/mothstand/errors.py
+++ b/mothstand/errors.py
@@ -41,6 +41,7 @@
     NO_UPSTREAM = "no_upstream"
     OVERLOADED = "overloaded"
     NOT_READY = "not_ready"
+    CONFIGURATION_STALE = "configuration_stale"
     STOPPING = "stopping"
     QUARANTINED = "quarantined"
     UPSTREAM_REFUSED = "upstream_refused"
@@ -121,6 +122,9 @@
         429, _NOT_RUN, 1, "All upstreams for this are at their limit."
     ),
     ErrorKind.NOT_READY: ErrorAnswer(503, _NOT_RUN, 1, "The instance has no configuration yet."),
+    ErrorKind.CONFIGURATION_STALE: ErrorAnswer(
+        503, _NOT_RUN, 1, "A newer configuration may decide otherwise; this instance lacks it."
+    ),
     ErrorKind.STOPPING: ErrorAnswer(503, _NOT_RUN, 1, "The instance is stopping."),
     ErrorKind.QUARANTINED: ErrorAnswer(
         503, _NOT_RUN, 60, "Upstreams ended while they ran this same request; it is kept from them."
@@ -141,6 +145,18 @@
 }
 
 
+#: Refusals that rest on the configuration, so that a newer version may allow the request.
+DECIDED_BY_CONFIGURATION = frozenset(
+    {
+        ErrorKind.UNAUTHORIZED,
+        ErrorKind.UNKNOWN_PATH,
+        ErrorKind.BUDGET_EXHAUSTED,
+        ErrorKind.BODY_TOO_LARGE,
+        ErrorKind.HEAD_TOO_LARGE,
+    }
+)
+
+
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """Refusal of a request.
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -13,7 +13,7 @@
 
 from ..core.homes import permitted_regions
 from ..core.shutdown import STOPPING_RETRY_AFTER_S
-from ..errors import ErrorKind, Refusal, RefusedError
+from ..errors import DECIDED_BY_CONFIGURATION, ErrorKind, Refusal, RefusedError
 from ..events import Event, emit, rounded
 from ..types import BudgetName
 from .call import Call, CallerConnection, CallerGoneError
@@ -174,7 +174,8 @@
             request_id = fields.request_id
             await self._serve(request, headers, fields, caller, arrived_s)
         except RefusedError as error:
-            await self._refuse(caller, request_id, error.refusal, arrived_s)
+            refusal = self._unless_stale(error.refusal, arrived_s)
+            await self._refuse(caller, request_id, refusal, arrived_s)
         except CallerGoneError:
             # Logged as request_left already; the library closes the connection.
             self._metrics.counts["callers_gone"] += 1
@@ -186,6 +187,12 @@
         assert caller.response is not None
         return caller.response
 
+    def _unless_stale(self, refusal: Refusal, arrived_s: float) -> Refusal:
+        """Return a refusal, or a temporary one if a newer configuration may allow the request."""
+        if refusal.kind not in DECIDED_BY_CONFIGURATION or self._freshness.is_confirmed(arrived_s):
+            return refusal
+        return Refusal(ErrorKind.CONFIGURATION_STALE, f"{refusal.kind.value}: {refusal.detail}")
+
     async def _answer_internal_error(
         self, caller: HttpCaller, request_id: str, error: Exception, arrived_s: float
     ) -> None:
@@ -226,9 +233,12 @@
         if self._shutdown.refuses_requests(arrived_s):
             raise RefusedError(Refusal(ErrorKind.STOPPING, retry_after_s=STOPPING_RETRY_AFTER_S))
         _check_head(headers, config)
+        self._workspace(config, self._route(config, fields, request.raw_path), fields)
+        body = await read_body(request, config.limits.body_bytes)
+        # Reading a body may take longer than the next version.
+        config = self._config() or config
         route = self._route(config, fields, request.raw_path)
         workspace = self._workspace(config, route, fields)
-        body = await read_body(request, config.limits.body_bytes)
         limit_s = route.timeout_s
         if fields.deadline_s is not None:
             limit_s = min(limit_s, fields.deadline_s)
