Refuse requests, and leave rotation, while a newer configuration is overdue

Cause: an instance whose link is full knew from the first bytes of a read that a newer version exists, and went on by the older one without limit.

Change: once a newer version has been known for configuration_ms less half a second, the instance refuses requests with configuration_stale (503, not run), closes callers' connections with their next answer and is not ready. Callers go to other instances, and the link becomes free for the version. An instance that cannot read the store at all knows of no newer version and goes on: an outage of the store must not end service. MS2004 config_outdated, MS2005 config_current.

--- a/mothstand/core/config_freshness.py
+++ b/mothstand/core/config_freshness.py
@@ -6,6 +6,12 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+#: Part of the time for a version to be in force that may pass before its first bytes arrive.
+_NEWS_DELAY_S = 0.5
+
+#: Seconds after which a refused caller should retry: another instance has the newest version.
+OUTDATED_RETRY_AFTER_S = 0.05
+
 
 @dataclass(frozen=True, slots=True)
 class _KnownEnd:
@@ -58,6 +64,14 @@
         """Return the seconds since the last confirmation, or None before the first."""
         return None if math.isinf(self._confirmed_s) else now_s - self._confirmed_s
 
+    def is_outdated(self, now_s: float) -> bool:
+        """Return whether a newer version must be in force by now, and is not.
+
+        A request could be served by a dropped route or key. While the store cannot be read, no
+        newer version is known, and the instance goes on.
+        """
+        return self.outdated_s(now_s) >= max(0.0, self.max_age_s - _NEWS_DELAY_S)
+
     def outdated_s(self, now_s: float) -> float:
         """Return for how long a newer version is known to exist; 0 if none is."""
         return now_s - self._unread_ends[0].learnt_s if self._unread_ends else 0.0
--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -33,6 +33,12 @@
     )
     CONFIG_REFUSED = (2002, logging.WARNING, "A published configuration conflicted or was invalid.")
     CONFIG_READ = (2003, logging.INFO, "Versions of the configuration were read from the store.")
+    CONFIG_OUTDATED = (
+        2004,
+        logging.WARNING,
+        "A newer configuration exists and could not be read in time: requests are refused.",
+    )
+    CONFIG_CURRENT = (2005, logging.INFO, "The newest configuration is in force again.")
     PEER_SUSPECTED = (3001, logging.WARNING, "A peer has not answered for the suspicion time.")
     PEER_SEEN = (3002, logging.INFO, "A peer answered, for the first time or again.")
     MEMBER_SEEN = (3003, logging.INFO, "An instance announced itself for the first time.")
--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -192,6 +192,7 @@
         self._read_began_s = 0.0
         self._read_ended_s = 0.0
         self._has_news = False
+        self._is_outdated_logged = False
         self._waiting_versions = 0
         self.config: GatewayConfig | None = None
         self.raw = b""
@@ -253,6 +254,18 @@
             self.freshness.note_end(page.end_offset, now_s)
         self.freshness.note_applied(page.next_offset, self._answered_s(page, now_s))
 
+    def log_outdated(self) -> None:
+        """Log when the configuration in force becomes too old, and when it no longer is."""
+        now_s = self._clock.monotonic_s()
+        if self.freshness.is_outdated(now_s) == self._is_outdated_logged:
+            return
+        self._is_outdated_logged = not self._is_outdated_logged
+        emit(
+            Event.CONFIG_OUTDATED if self._is_outdated_logged else Event.CONFIG_CURRENT,
+            version=None if self.config is None else self.config.version,
+            outdated_s=round(self.freshness.outdated_s(now_s), 3),
+        )
+
     def _answered_s(self, page: StreamPage, now_s: float) -> float:
         """Return the earliest time at which the store can have answered the latest read.
 
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -337,6 +337,7 @@
             self._stall_detector.tick(began_s)
             await self._clock.sleep(TICK_S)
             self._metrics.record_loop_delay(self._clock.monotonic_s() - began_s - TICK_S)
+            self._config_feed.log_outdated()
 
     async def _wait_for_stop(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
@@ -369,7 +370,8 @@
                 self._evacuations.evacuations.evacuated
             )
             return web.Response(text=self._metrics.text())
-        ready = self._can_serve() and not self._shutdown.is_stopping
+        is_outdated = self._config_feed.freshness.is_outdated(self._clock.monotonic_s())
+        ready = self._can_serve() and not self._shutdown.is_stopping and not is_outdated
         return web.Response(status=200 if ready else 503)
 
     def _can_serve(self) -> bool:
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from ..core.config_freshness import OUTDATED_RETRY_AFTER_S
 from ..core.homes import permitted_regions
 from ..core.shutdown import STOPPING_RETRY_AFTER_S
 from ..errors import DECIDED_BY_CONFIGURATION, ErrorKind, Refusal, RefusedError
@@ -48,12 +49,19 @@
 
 
 class HttpCaller(CallerConnection):
-    """Connection to a caller through the server library."""
+    """Connection to a caller through the server library.
 
-    def __init__(self, request: web.BaseRequest, shutdown: Shutdown) -> None:
+    Parameters
+    ----------
+    must_close
+        Returns whether the connection ends with its next answer, so that the caller connects to
+        another instance.
+    """
+
+    def __init__(self, request: web.BaseRequest, must_close: Callable[[], bool]) -> None:
         self.response: web.StreamResponse | None = None
         self._request = request
-        self._shutdown = shutdown
+        self._must_close = must_close
 
     async def start(self, status: int, reason: str, headers: RawHeaders) -> None:
         """Send the head of a streamed answer."""
@@ -91,7 +99,7 @@
             await response.write_eof()
 
     async def _prepare(self, response: web.StreamResponse) -> None:
-        if self._shutdown.is_stopping:
+        if self._must_close():
             response.force_close()
         self.response = response
         with _translate_disconnect():
@@ -166,7 +174,7 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.running_requests += 1
         arrived_s = self._clock.monotonic_s()
-        caller = HttpCaller(request, self._shutdown)
+        caller = HttpCaller(request, self._must_close)
         request_id = ""
         try:
             headers = _raw_headers(request)
@@ -187,6 +195,9 @@
         assert caller.response is not None
         return caller.response
 
+    def _must_close(self) -> bool:
+        return self._shutdown.is_stopping or self._freshness.is_outdated(self._clock.monotonic_s())
+
     def _unless_stale(self, refusal: Refusal, arrived_s: float) -> Refusal:
         """Return a refusal, or a temporary one if a newer configuration may allow the request."""
         if refusal.kind not in DECIDED_BY_CONFIGURATION or self._freshness.is_confirmed(arrived_s):
@@ -230,6 +241,10 @@
         config = self._config()
         if config is None:
             raise RefusedError(Refusal(ErrorKind.NOT_READY))
+        if self._freshness.is_outdated(self._clock.monotonic_s()):
+            raise RefusedError(
+                Refusal(ErrorKind.CONFIGURATION_STALE, retry_after_s=OUTDATED_RETRY_AFTER_S)
+            )
         if self._shutdown.refuses_requests(arrived_s):
             raise RefusedError(Refusal(ErrorKind.STOPPING, retry_after_s=STOPPING_RETRY_AFTER_S))
         _check_head(headers, config)
