Keep connections to the store for as long as packets wait on a full link

Cause: a connection, and a new one, was given up after 1 s without an acknowledgement (user timeout). On a link that callers' bodies fill, packets wait longer than that, so that every attempt was repeated from the beginning and an established connection was closed. Ruled out: the processor (a version is applied in 0.03 to 0.1 s).

Change: connections to the store have a user timeout of 3 s, within which attempts also continue in the background. A call still waits 0.3 s for a connection and 1 s for an answer.

The test of an attempt that outlives its call failed for a connection that takes 2 s, and passes.

--- a/mothstand/platform/store.py
+++ b/mothstand/platform/store.py
@@ -36,6 +36,10 @@
 #: Key given to a record without one; no stream uses it.
 _NO_KEY = ""
 
+#: Longest time that packets wait on a full link. A connection lives and is established within it;
+#: a call that is not answered ends by its own timeout.
+_MAX_LINK_DELAY_S = 3.0
+
 _RECORD_LENGTH = struct.Struct(">I")
 _PAGE_HEAD = struct.Struct(">QQ")
 
@@ -114,7 +118,7 @@
     def __init__(self, settings: StoreSection) -> None:
         self._settings = settings
         self._base_url = f"http://{settings.address}"
-        self._connector = connector(connect_limit=8, user_timeout_s=settings.timeout_s)
+        self._connector = connector(connect_limit=8, user_timeout_s=_MAX_LINK_DELAY_S)
         self._http = aiohttp.ClientSession(
             connector=self._connector,
             timeout=aiohttp.ClientTimeout(total=None),
--- a/mothstand/tests/test_slow_connections.py
+++ b/mothstand/tests/test_slow_connections.py
@@ -41,13 +41,15 @@
     return "asyncio"
 
 
-def slow_down_connections(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Delay each new connection of the running loop by `_CONNECT_S`."""
+def slow_down_connections(
+    monkeypatch: pytest.MonkeyPatch, connect_s: float = _CONNECT_S
+) -> None:
+    """Delay each new connection of the running loop."""
     loop = asyncio.get_running_loop()
     connect = loop.sock_connect
 
     async def sock_connect(sock: Any, address: Any) -> None:
-        await asyncio.sleep(_CONNECT_S)
+        await asyncio.sleep(connect_s)
         await connect(sock, address)
 
     monkeypatch.setattr(loop, "sock_connect", sock_connect)
@@ -81,15 +83,16 @@
 
 class TestHttpStore:
     @pytest.mark.anyio
+    @pytest.mark.parametrize("connect_s", [_CONNECT_S, 2.0])
     async def test_connection_attempt_outlives_the_call_that_began_it(
-        self, monkeypatch: pytest.MonkeyPatch
+        self, monkeypatch: pytest.MonkeyPatch, connect_s: float
     ) -> None:
         """Guards against an instance that serves with a configuration 5 s old after a cut.
 
         On a link full of requests, a connection to the store takes 0.5 s. A call gave up after
         0.3 s and closed its attempt, and the next call started from the beginning.
         """
-        slow_down_connections(monkeypatch)
+        slow_down_connections(monkeypatch, connect_s)
         async with server(empty_page) as url:
             address = url.removeprefix("http://").removesuffix("/")
             store = HttpStore(StoreSection.model_validate({"address": address}))
