Log the rate limits that upstreams name

No line or metric told whether an answer named a limit, nor what an instance made of it. UpstreamFields has rate_limit_per_s (the lowest valid value; 0 and more), an invalid value is kept apart and logged once for each upstream. Nothing acts on it yet.

--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -156,6 +156,13 @@
         logging.INFO,
         "An instance disconnected before the answer that it was relayed was complete.",
     )
+    UPSTREAM_LIMITED = (
+        6032,
+        logging.WARNING,
+        "An upstream names a limit on the requests a second from the whole fleet.",
+    )
+    UPSTREAM_UNLIMITED = (6033, logging.INFO, "An upstream no longer names a limit.")
+    RATE_LIMIT_IGNORED = (6034, logging.WARNING, "An upstream's limit is not a number; ignored.")
     END_DROPPED = (6021, logging.ERROR, "A crash record was dropped: too many wait for the store.")
     REQUEST_REFUSED = (7001, logging.INFO, "A request was refused.")
     HEAD_TOO_SLOW = (7005, logging.INFO, "A connection was closed before its head was complete.")
--- a/mothstand/gateway/headers.py
+++ b/mothstand/gateway/headers.py
@@ -58,12 +58,18 @@
         Whether a process other than the addressed upstream answered.
     closes_connection
         Whether the upstream closes the connection after the answer.
+    rate_limit_per_s
+        Requests a second that the upstream accepts from all instances; None if it names no limit.
+    invalid_rate_limit
+        A limit that is not a number of requests a second, as received; empty for none.
     """
 
     request_id: str
     has_not_run: bool
     is_misdirected: bool
     closes_connection: bool
+    rate_limit_per_s: float | None = None
+    invalid_rate_limit: str = ""
 
 
 class HeaderTranslator(ABC):
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -36,6 +36,7 @@
 from .lending import BootstrapState, GrpcPeerLink, LendingService, serve_peers
 from .member_feed import MemberFeed
 from .metrics import GatewayMetrics
+from .named_limits import NamedLimits
 from .quarantine_feed import QuarantineFeed
 from .reachability_probes import ReachabilityProbes
 from .relay_client import RelayClient
@@ -183,7 +184,10 @@
             clock,
             self._metrics,
         )
-        self._client = UpstreamClient(settings, translator, self._probes.note_connected)
+        self._named_limits = NamedLimits(self._metrics)
+        self._client = UpstreamClient(
+            settings, translator, self._probes.note_connected, self._named_limits.note_answer
+        )
         eligibility = Eligibility(
             self._upstream_feed.directory,
             self._evacuations.evacuations,
@@ -243,6 +247,7 @@
     def _forget_upstream(self, upstream: RegisteredUpstream) -> None:
         self._placement.forget(upstream)
         self._warmup.forget(upstream)
+        self._named_limits.forget(upstream)
         self._probes.forget(upstream)
         self._client.close_idle_connections(upstream)
         self._crash_detector.note_process_ended(upstream)
--- a/mothstand/gateway/upstream_client.py
+++ b/mothstand/gateway/upstream_client.py
@@ -125,6 +125,8 @@
     ----------
     on_late_connect
         Called with ``IP:PORT`` of a connection that was established after its request gave up.
+    on_answer
+        Called with the fields of each answer of an upstream, refusals included.
     """
 
     def __init__(
@@ -132,8 +134,10 @@
         settings: GatewaySettings,
         translator: HeaderTranslator,
         on_late_connect: Callable[[str], None] | None = None,
+        on_answer: Callable[[RegisteredUpstream, UpstreamFields], None] = lambda _, __: None,
     ) -> None:
         self._translator = translator
+        self._on_answer = on_answer
         self._connect_timeout_s = settings.timing.connect_timeout_s
         self._connector = make_connector(settings, on_late_connect)
         self._http = make_session(self._connector)
@@ -172,6 +176,8 @@
         if fields.is_misdirected:
             await close_refused(response)
             raise MisdirectedError(f"another process is at {upstream.address}")
+        if fields.has_not_run or fields.request_id == request.request_id:
+            self._on_answer(upstream, fields)
         if fields.has_not_run:
             await close_refused(response)
             raise RefusedByUpstreamError(f"refused with {response.status}")
--- a/mothstand/platform/headers.py
+++ b/mothstand/platform/headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from ..core.prompt import Prompt, parse_parts, parse_token_counts
 from ..gateway.headers import (
     CallerFields,
@@ -26,6 +28,10 @@
 _PRIORITY = "X-Request-Priority"
 _NOT_EXECUTED = "X-Not-Executed"
 _RETRY_AFTER = "Retry-After"
+_RATE_LIMIT = "Server-Limit"
+
+#: Characters of an invalid header value that are logged.
+_MAX_LOGGED_VALUE = 40
 
 _LOWEST_PRIORITY = 9
 _MISDIRECTED = 421
@@ -121,11 +127,14 @@
 
     def read_upstream(self, status: int, headers: RawHeaders) -> UpstreamFields:
         """Return the fields of an upstream's response headers."""
+        rate_limit_per_s, invalid_rate_limit = _read_rate_limit(headers)
         return UpstreamFields(
             request_id=_header_value(headers, _REQUEST_ID),
             has_not_run=bool(_header_value(headers, _NOT_EXECUTED)),
             is_misdirected=status == _MISDIRECTED,
             closes_connection=_header_value(headers, "Connection").lower() == "close",
+            rate_limit_per_s=rate_limit_per_s,
+            invalid_rate_limit=invalid_rate_limit,
         )
 
     def to_caller(self, headers: RawHeaders) -> RawHeaders:
@@ -144,6 +153,23 @@
         return tuple(headers)
 
 
+def _read_rate_limit(headers: RawHeaders) -> tuple[float | None, str]:
+    """Return the lowest limit that an answer names, and the first value that is none."""
+    values = [value.strip() for name, value in headers if name.lower() == _RATE_LIMIT.lower()]
+    limits_per_s = []
+    invalid = ""
+    for value in filter(None, values):
+        try:
+            limit_per_s = float(value)
+        except ValueError:
+            limit_per_s = math.nan
+        if math.isfinite(limit_per_s) and limit_per_s >= 0:
+            limits_per_s.append(limit_per_s)
+        else:
+            invalid = invalid or value[:_MAX_LOGGED_VALUE]
+    return min(limits_per_s, default=None), invalid
+
+
 def _reduced_deadline(value: str, elapsed_s: float) -> str:
     return str(max(1, int(float(value) - elapsed_s * 1000)))
 
--- a/mothstand/tests/test_slow_connections.py
+++ b/mothstand/tests/test_slow_connections.py
@@ -41,9 +41,7 @@
     return "asyncio"
 
 
-def slow_down_connections(
-    monkeypatch: pytest.MonkeyPatch, connect_s: float = _CONNECT_S
-) -> None:
+def slow_down_connections(monkeypatch: pytest.MonkeyPatch, connect_s: float = _CONNECT_S) -> None:
     """Delay each new connection of the running loop."""
     loop = asyncio.get_running_loop()
     connect = loop.sock_connect
