--- a/mothstand/standins/users_engine.py
+++ b/mothstand/standins/users_engine.py
@@ -3,7 +3,8 @@
 Run as ``python -m mothstand.standins.users_engine --address IP:PORT --upstream-id ID``. It refuses
 a request that expects another id, and continues after ``Last-Event-Id``. ``GET /journal`` lists the
 requests that it ran. With ``--crash-body TEXT`` it crashes soon after it starts a request with that
-body. With ``--arrivals PATH`` it appends a line for each request to a file that outlives it.
+body. With ``--rate-limit TEXT`` all its answers name that limit. With ``--arrivals PATH`` it
+appends a line for each request to a file that outlives it.
 """
 
 from __future__ import annotations
@@ -60,13 +61,21 @@
     ----------
     crash_body
         Body of requests that crash the engine; empty for none.
+    rate_limit
+        Requests a second that its answers name as its limit; empty for none.
     arrivals_path
         File that receives a line for each arrival; None for none.
     """
 
     def __init__(
-        self, upstream_id: str, event_interval_s: float, crash_body: str, arrivals_path: Path | None
+        self,
+        upstream_id: str,
+        event_interval_s: float,
+        crash_body: str,
+        rate_limit: str,
+        arrivals_path: Path | None,
     ) -> None:
+        self._limit_headers = {"Server-Limit": rate_limit} if rate_limit else {}
         self._upstream_id = upstream_id
         self._event_interval_s = event_interval_s
         self._crash_body = crash_body
@@ -95,6 +104,7 @@
         headers = {
             "X-Request-Id": request_id,
             "X-Server-Signature": f"signed-{self._upstream_id}",
+            **self._limit_headers,
         }
         return StreamingResponse(events(), media_type="text/event-stream", headers=headers)
 
@@ -115,11 +125,12 @@
     upstream_id: str,
     event_s: float = 0.01,
     crash_body: str = "",
+    rate_limit: str = "",
     arrivals: str = "",
 ) -> None:
     """Serve until SIGTERM."""
     engine = UsersEngineStandIn(
-        upstream_id, event_s, crash_body, Path(arrivals) if arrivals else None
+        upstream_id, event_s, crash_body, str(rate_limit), Path(arrivals) if arrivals else None
     )
     routes = [
         Route("/journal", engine.journal, methods=["GET"]),
--- a/mothstand/testing/gateway_fleet.py
+++ b/mothstand/testing/gateway_fleet.py
@@ -69,6 +69,7 @@
         *,
         event_s: float = 0.01,
         crash_body: str = "",
+        rate_limit: str = "",
         address: str = "",
         data_centre: str = "sto-a",
     ) -> FleetProcess:
@@ -78,6 +79,8 @@
         ----------
         crash_body
             Body of requests that crash the engine.
+        rate_limit
+            Requests a second that it names as its limit; empty for none.
         address
             ``IP:PORT``; an unused port if empty.
         """
@@ -85,6 +88,7 @@
             f"--upstream-id={name}",
             f"--event-s={event_s}",
             f"--crash-body={crash_body}",
+            f"--rate-limit='{rate_limit}'",
             f"--arrivals={self.arrivals_path}",
         )
         engine = self._start_standin(name, "users_engine", *options, address=address)
