Keep the rate limit that an upstream names, over the whole fleet

Cause: the header was read nowhere. Class: a limit of the whole fleet that no instance knows, as with the retry budget and cold upstreams; read by each instance for itself it would be exceeded by their number.

Change: core/rate_limits.py beside core/warmup.py, which now share designated senders and their saved request (core/sender_quota.py). A limit is divided among as many senders as the bound leaves room for, with two more that an old view of the fleet may add; all others send nothing there. Instances announce what answers told them, and the latest answer counts, so that a limit also begins and ends where nothing is sent. What does not fit goes to other upstreams, else it is refused with overloaded (not run) and a Retry-After by the rate. Retries, second attempts and relayed attempts count where they are decided. A limit of 0 to 0.1 counts as 0.1, so that an answer can tell its end.

Ruled out: announcing limits without the time of the answer (two senders kept an ended limit alive for each other), and dropping a limit that nobody announces (90 instances with 0.3 a second: 17 arrivals, 6.8 allowed); the random histories found both.

The test with three instances failed before (46 arrivals in 4 s, 11 allowed) and passes. Histories with 6, 90 and 300 instances, kills, cuts from the store and added instances; two planted faults are found.

--- a/mothstand/core/eligibility.py
+++ b/mothstand/core/eligibility.py
@@ -1,7 +1,7 @@
-"""The upstreams to which a request may be sent: registered, not evacuated, in its regions, warm.
+"""The upstreams to which a request may be sent: registered, not evacuated, in its regions.
 
-A cold upstream is eligible only at instances that may send to it, and marked, so that placement
-prefers warm ones.
+A cold upstream, and one that names a rate limit, are eligible only at instances that may send to
+them now. Cold ones are marked, so that placement prefers warm ones.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
     from ..types import Region
     from .evacuation import Evacuations
     from .homes import RegionMap
+    from .rate_limits import RateLimits
     from .routes import GatewayService
     from .upstreams import RegisteredUpstream, UpstreamDirectory
     from .warmup import Warmup
@@ -26,6 +27,7 @@
     EVACUATED = "evacuated"
     OTHER_REGION = "outside of the home regions"
     COLD = "cold"
+    RATE_LIMITED = "at their rate limit"
 
 
 @dataclass(slots=True)
@@ -36,10 +38,13 @@
     ----------
     cold_ids
         Ids of those that are cold.
+    rate_limited
+        Upstreams that are excluded by their rate limits only.
     """
 
     upstreams: list[RegisteredUpstream] = field(default_factory=list)
     cold_ids: set[str] = field(default_factory=set)
+    rate_limited: list[RegisteredUpstream] = field(default_factory=list)
     exclusions: Counter[Exclusion] = field(default_factory=Counter)
 
     @property
@@ -55,6 +60,7 @@
     directory: UpstreamDirectory
     evacuations: Evacuations
     warmup: Warmup
+    limits: RateLimits
     region_map: RegionMap
 
     def eligible(
@@ -73,6 +79,8 @@
             exclusion = self._exclusion(upstream, service, permitted, is_cold, now_s)
             if exclusion is not None:
                 found.exclusions[exclusion] += 1
+                if exclusion is Exclusion.RATE_LIMITED:
+                    found.rate_limited.append(upstream)
                 continue
             found.upstreams.append(upstream)
             if is_cold:
@@ -94,7 +102,8 @@
     def note_sent(
         self, upstream: RegisteredUpstream, service: GatewayService, now_s: float
     ) -> None:
-        """Count a request that is sent to an upstream, if the upstream is cold."""
+        """Count a request that is sent to an upstream that is cold or has a rate limit."""
+        self.limits.note_sent(upstream, now_s)
         if self.is_cold(upstream, service, now_s):
             self.warmup.note_sent(upstream, service.cold_per_s, now_s)
 
@@ -112,4 +121,6 @@
             return Exclusion.OTHER_REGION
         if is_cold and not self.warmup.may_send(upstream, service.cold_per_s, now_s):
             return Exclusion.COLD
+        if not self.limits.may_send(upstream, now_s):
+            return Exclusion.RATE_LIMITED
         return None
--- a/mothstand/core/warmup.py
+++ b/mothstand/core/warmup.py
@@ -1,9 +1,7 @@
 """Rate limit on cold upstreams, which crash when they get too many requests a second.
 
-The limit applies to the arrivals from all instances. Hundreds of instances learn at the same time
-that an upstream is cold, and a request cannot wait for an agreement between them. So only a few
-designated instances send to a cold upstream, each at a part of the permitted rate. All instances
-choose them alike, by a hash over the members of the fleet.
+The limit applies to the arrivals from all instances, and is divided among designated senders (see
+`sender_quota`).
 
 While the fleet changes, instances know different members and may designate different senders. The
 parts of all senders together are half of the limit, so that two views may be in use at once. An
@@ -12,10 +10,11 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .sender_quota import SavedRequest, SenderQuota
+
 if TYPE_CHECKING:
     from .fleet import FleetView
     from .upstreams import RegisteredUpstream, UpstreamKey
@@ -51,36 +50,19 @@
         return cold_per_s * self.overshoot + self.slack
 
 
-@dataclass(frozen=True, slots=True)
-class SenderQuota:
-    """Designated senders of each cold upstream of a service, and the rate of each sender.
-
-    Parameters
-    ----------
-    senders
-        0 if the limit is too low for any.
-    rate_per_s
-        Requests a second of each sender, beside one that it may have saved up.
-    """
-
-    senders: int
-    rate_per_s: float
-
-    @classmethod
-    def of(cls, max_arrivals: float) -> SenderQuota:
-        """Divide the limit by views and senders."""
-        arrivals = max_arrivals / _CONCURRENT_VIEWS
-        senders = min(_MAX_SENDERS, int(arrivals / _MIN_SENDER_ARRIVALS)) or int(arrivals >= 1)
-        return cls(senders, arrivals / senders - 1 if senders else 0.0)
+def cold_quota(max_arrivals: float) -> SenderQuota:
+    """Divide the arrivals that a cold upstream may get in one second by views and senders."""
+    arrivals = max_arrivals / _CONCURRENT_VIEWS
+    senders = min(_MAX_SENDERS, int(arrivals / _MIN_SENDER_ARRIVALS)) or int(arrivals >= 1)
+    return SenderQuota(senders, arrivals / senders - 1 if senders else 0.0)
 
 
 @dataclass(slots=True)
 class _ColdUpstream:
-    """A cold upstream, with this instance's saved-up request (0 to 1) as of a time."""
+    """A cold upstream, with what this instance has saved up for it."""
 
     cold_until_s: float
-    saved: float = 1.0
-    saved_at_s: float = -math.inf
+    saved: SavedRequest = field(default_factory=SavedRequest)
 
 
 @dataclass(slots=True)
@@ -110,22 +92,19 @@
 
     def may_send(self, upstream: RegisteredUpstream, cold_per_s: float, now_s: float) -> bool:
         """Return whether this instance may send a request to a cold upstream now."""
-        quota = SenderQuota.of(self.settings.max_arrivals(cold_per_s))
+        quota = cold_quota(self.settings.max_arrivals(cold_per_s))
         return (
             self.fleet.is_current(now_s)
-            and self.fleet.is_designated(upstream.upstream_id, quota.senders)
+            and quota.permits(self.fleet, upstream.upstream_id)
             and self._saved(upstream, quota, now_s) >= 1
         )
 
     def note_sent(self, upstream: RegisteredUpstream, cold_per_s: float, now_s: float) -> None:
         """Count a request that is sent to a cold upstream."""
-        quota = SenderQuota.of(self.settings.max_arrivals(cold_per_s))
+        quota = cold_quota(self.settings.max_arrivals(cold_per_s))
         state = self._cold.setdefault(upstream.key, _ColdUpstream(now_s))
-        state.saved = self._saved(upstream, quota, now_s) - 1
-        state.saved_at_s = now_s
+        state.saved.take(quota.rate_per_s, now_s)
 
     def _saved(self, upstream: RegisteredUpstream, quota: SenderQuota, now_s: float) -> float:
         state = self._cold.get(upstream.key)
-        if state is None:
-            return 1.0
-        return min(1.0, state.saved + quota.rate_per_s * (now_s - state.saved_at_s))
+        return 1.0 if state is None else state.saved.amount(quota.rate_per_s, now_s)
--- a/mothstand/gateway/call.py
+++ b/mothstand/gateway/call.py
@@ -95,6 +95,9 @@
         Regions in which the request may run; None for any.
     exclusions
         Upstreams that could not be chosen for the latest attempt, by reason; for the log.
+    rate_limit_retry_s
+        Seconds until an upstream that is excluded by its rate limit alone may get a request again;
+        None if there is none.
     """
 
     fields: CallerFields
@@ -128,6 +131,7 @@
     probe: Probe | None = None
     permitted_regions: frozenset[Region] | None = None
     exclusions: str = ""
+    rate_limit_retry_s: float | None = None
     _digest: RequestDigest | None = None
 
     @property
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -71,6 +71,9 @@
 _FULL_RETRY_AFTER_S = 0.5
 
 
+#: Maximum Retry-After while upstreams are at their rate limits: these may end at any time.
+_MAX_RATE_LIMIT_RETRY_S = 2.0
+
 #: An upstream's deadline is earlier than the caller's by this margin, so that the upstream can
 #: still report that a request from its queue did not run. With the same deadline the caller would
 #: get a 504 and the prompt's tokens would stay uncertain.
@@ -142,7 +145,6 @@
         )
         eligible = self._eligible(call)
         if not eligible.upstreams:
-            call.exclusions = eligible.exclusions_summary
             raise RefusedError(self._no_upstream(call))
         if self._is_out_of_reach(call, eligible.upstreams):
             raise RefusedError(self._no_upstream(call))
@@ -189,7 +191,6 @@
     async def _choose(self, call: Call) -> _Hop | None:
         """Return the next hop: direct, or through a peer if no upstream can be connected to."""
         eligible = self._eligible(call)
-        call.exclusions = eligible.exclusions_summary
         untried = [u for u in eligible.upstreams if u.upstream_id not in call.tried_upstreams]
         direct = self._reachability.reachable(untried)
         if direct and call.unconnected_attempts < _MAX_UNCONNECTED_BEFORE_RELAY:
@@ -246,9 +247,14 @@
         )
 
     def _eligible(self, call: Call) -> EligibleUpstreams:
-        return self._eligibility.eligible(
-            call.service, call.permitted_regions, self._clock.monotonic_s()
-        )
+        now_s = self._clock.monotonic_s()
+        eligible = self._eligibility.eligible(call.service, call.permitted_regions, now_s)
+        call.exclusions = eligible.exclusions_summary
+        call.rate_limit_retry_s = None
+        if eligible.rate_limited:
+            limits = self._eligibility.limits
+            call.rate_limit_retry_s = limits.retry_after_s(eligible.rate_limited)
+        return eligible
 
     def _may_retry(self, call: Call) -> bool:
         if call.sent_attempts >= call.route.attempts or call.refusals >= _MAX_REFUSALS:
@@ -300,6 +306,12 @@
             raise RefusedError(self._no_upstream(call))
 
     def _no_upstream(self, call: Call) -> Refusal:
+        if call.rate_limit_retry_s is not None:
+            return Refusal(
+                ErrorKind.OVERLOADED,
+                call.attempts_summary,
+                retry_after_s=min(_MAX_RATE_LIMIT_RETRY_S, call.rate_limit_retry_s),
+            )
         return Refusal(
             ErrorKind.NO_UPSTREAM, call.attempts_summary, retry_after_s=_FULL_RETRY_AFTER_S
         )
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -184,7 +184,7 @@
             clock,
             self._metrics,
         )
-        self._named_limits = NamedLimits(self._metrics)
+        self._named_limits = NamedLimits(self._members.limits, clock, self._metrics)
         self._client = UpstreamClient(
             settings, translator, self._probes.note_connected, self._named_limits.note_answer
         )
@@ -192,6 +192,7 @@
             self._upstream_feed.directory,
             self._evacuations.evacuations,
             self._warmup,
+            self._members.limits,
             settings.region_map,
         )
         self._relay_finder = RelayFinder(
@@ -227,7 +228,7 @@
             self._stall_detector,
             guard,
             self._probes,
-            PeerRelays(self._relay_finder, self._relay_client),
+            PeerRelays(self._relay_finder, self._relay_client, self._named_limits.note_answer),
             clock,
             self._metrics,
         )
--- a/mothstand/gateway/member_feed.py
+++ b/mothstand/gateway/member_feed.py
@@ -5,12 +5,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from pydantic import BaseModel, ValidationError
+from pydantic import BaseModel, Field, ValidationError
 
 from ..core.burst_shares import BurstShares, SharerNotice
 from ..core.fleet import Capacity, FleetView, Member
 from ..core.loans import Peer
 from ..core.pace import UpstreamPaces
+from ..core.rate_limits import LimitNotice, RateLimits
+from ..core.upstreams import UpstreamKey
 from ..events import Event, emit
 from ..types import DataCentre
 from .feeds import KeyedFeed
@@ -38,6 +40,15 @@
 _UNKNOWN_NOTICE = SharerNotice(read_to=-1, lease_s=60.0, may_have_used=True)
 
 
+class _LimitValue(BaseModel):
+    """A rate limit that an upstream names, or none if it named one before."""
+
+    upstream: str
+    born_ms: int = 0
+    rate_per_s: float | None = Field(None, ge=0, allow_inf_nan=False)
+    age_s: float = Field(ge=0, allow_inf_nan=False)
+
+
 class _MemberValue(BaseModel):
     """Value of an announcement; the record's key is the instance's name."""
 
@@ -50,12 +61,14 @@
     lease_s: float = _UNKNOWN_NOTICE.lease_s
     may_have_used: bool = _UNKNOWN_NOTICE.may_have_used
     slow_upstreams: tuple[str, ...] = ()
+    rate_limits: tuple[_LimitValue, ...] = ()
 
 
 def encode_member(
     member: Member,
     notice: SharerNotice = _UNKNOWN_NOTICE,
     slow_upstreams: tuple[str, ...] = (),
+    limit_notices: tuple[LimitNotice, ...] = (),
 ) -> KeyedRecord:
     """Return an announcement as a record."""
     value = _MemberValue(
@@ -68,6 +81,15 @@
         lease_s=round(notice.lease_s, 1),
         may_have_used=notice.may_have_used,
         slow_upstreams=slow_upstreams,
+        rate_limits=tuple(
+            _LimitValue(
+                upstream=notice.upstream.upstream_id,
+                born_ms=notice.upstream.born_ms,
+                rate_per_s=notice.rate_per_s,
+                age_s=round(notice.age_s, 3),
+            )
+            for notice in limit_notices
+        ),
     )
     return KeyedRecord(member.peer.instance, value.model_dump_json().encode())
 
@@ -80,11 +102,14 @@
     ----------
     slow_upstreams
         Ids of upstreams that it has measured as slower than the others of their service.
+    limit_notices
+        Rate limits of upstreams that it has learnt from answers.
     """
 
     member: Member
     notice: SharerNotice
     slow_upstreams: tuple[str, ...] = ()
+    limit_notices: tuple[LimitNotice, ...] = ()
 
 
 def decode_member(record: KeyedRecord) -> Announcement:
@@ -103,7 +128,11 @@
     capacity = Capacity(value.cores, value.link_mbit_per_s)
     member = Member(peer, DataCentre(value.data_centre), capacity)
     notice = SharerNotice(value.read_to, value.lease_s, value.may_have_used)
-    return Announcement(member, notice, value.slow_upstreams)
+    limit_notices = tuple(
+        LimitNotice(UpstreamKey(limit.upstream, limit.born_ms), limit.rate_per_s, limit.age_s)
+        for limit in value.rate_limits
+    )
+    return Announcement(member, notice, value.slow_upstreams, limit_notices)
 
 
 class MemberFeed(KeyedFeed):
@@ -134,6 +163,7 @@
         super().__init__(store, MEMBERS_STREAM, clock, health)
         self._paces = UpstreamPaces() if paces is None else paces
         self.fleet = FleetView(local_member)
+        self.limits = RateLimits(self.fleet)
         self.burst_shares = BurstShares(
             local_member.peer.instance,
             local_member.peer.incarnation,
@@ -179,7 +209,12 @@
         read_to = self._next_offset or 0
         self.burst_shares.note_read(read_to, now_s, self.fleet.announce_interval_s)
         notice = self.burst_shares.next_notice(self.fleet.announce_interval_s)
-        own_record = encode_member(self.fleet.local_member, notice, self._paces.own_slow_ids)
+        own_record = encode_member(
+            self.fleet.local_member,
+            notice,
+            self._paces.own_slow_ids,
+            self.limits.notices(now_s),
+        )
         expired_records = tuple(
             KeyedRecord(name, None) for name in self.burst_shares.expired_names(now_s)
         )
@@ -229,6 +264,7 @@
                 )
                 if record.key != self.fleet.local_member.peer.instance:
                     self._paces.apply_report(record.key, announcement.slow_upstreams, now_s)
+                    self.limits.apply_notices(announcement.limit_notices, now_s)
         for instance in self.fleet.expire_members(now_s):
             emit(Event.MEMBER_GONE, instance=instance)
         if self.fleet.size != size_before:
--- a/mothstand/gateway/named_limits.py
+++ b/mothstand/gateway/named_limits.py
@@ -1,4 +1,4 @@
-"""Records the rate limits that upstreams name in their answers."""
+"""Passes the rate limits that upstreams name in their answers on to the decision."""
 
 from __future__ import annotations
 
@@ -7,6 +7,8 @@
 from ..events import Event, emit
 
 if TYPE_CHECKING:
+    from ..clock import Clock
+    from ..core.rate_limits import RateLimits
     from ..core.upstreams import RegisteredUpstream, UpstreamKey
     from .headers import UpstreamFields
     from .metrics import GatewayMetrics
@@ -15,7 +17,9 @@
 class NamedLimits:
     """Logs when an upstream begins or ends to name a limit, and counts such answers."""
 
-    def __init__(self, metrics: GatewayMetrics) -> None:
+    def __init__(self, limits: RateLimits, clock: Clock, metrics: GatewayMetrics) -> None:
+        self._limits = limits
+        self._clock = clock
         self._metrics = metrics
         self._rates_per_s: dict[UpstreamKey, float] = {}
         self._invalid: set[UpstreamKey] = set()
@@ -30,6 +34,9 @@
                 value=fields.invalid_rate_limit,
             )
         rate_per_s = fields.rate_limit_per_s
+        if rate_per_s is None and fields.invalid_rate_limit:
+            return
+        self._limits.note_answer(upstream, rate_per_s, self._clock.monotonic_s())
         if rate_per_s is not None:
             self._metrics.counts["answers_with_limit"] += 1
             if upstream.key not in self._rates_per_s:
@@ -41,5 +48,6 @@
 
     def forget(self, upstream: RegisteredUpstream) -> None:
         """Drop the state of an upstream that is deregistered."""
+        self._limits.forget(upstream)
         self._rates_per_s.pop(upstream.key, None)
         self._invalid.discard(upstream.key)
--- a/mothstand/gateway/relays.py
+++ b/mothstand/gateway/relays.py
@@ -14,7 +14,7 @@
     from ..core.upstreams import RegisteredUpstream
     from ..types import DataCentre
     from .call import Call
-    from .headers import RawHeaders
+    from .headers import RawHeaders, UpstreamFields
     from .relay_client import RelayClient
     from .relay_finder import RelayFinder
     from .upstream_client import UpstreamAnswer
@@ -59,11 +59,23 @@
 
 
 class PeerRelays(Relays):
-    """Relays among the instances of the fleet."""
-
-    def __init__(self, finder: RelayFinder, client: RelayClient) -> None:
+    """Relays among the instances of the fleet.
+
+    Parameters
+    ----------
+    on_answer
+        Called with the fields of each answer of an upstream.
+    """
+
+    def __init__(
+        self,
+        finder: RelayFinder,
+        client: RelayClient,
+        on_answer: Callable[[RegisteredUpstream, UpstreamFields], None],
+    ) -> None:
         self._finder = finder
         self._client = client
+        self._on_answer = on_answer
 
     async def find(
         self, service: str, permits: Callable[[DataCentre], bool], *, may_wait: bool
@@ -86,4 +98,6 @@
         attempt = RelayedAttempt(
             upstream.key, self._finder.peers.local_name, call.digest, call.known_crashes
         )
-        return await self._client.send(peer, attempt, call.request, headers)
+        answer = await self._client.send(peer, attempt, call.request, headers)
+        self._on_answer(upstream, answer.fields)
+        return answer
--- a/mothstand/testing/eligibility.py
+++ b/mothstand/testing/eligibility.py
@@ -9,6 +9,7 @@
 from ..core.fleet import FleetView, Member
 from ..core.homes import RegionMap
 from ..core.loans import Peer
+from ..core.rate_limits import RateLimits
 from ..core.warmup import Warmup, WarmupSettings
 from ..types import DataCentre
 
@@ -32,6 +33,7 @@
     *,
     evacuations: Evacuations | None = None,
     warmup: Warmup | None = None,
+    limits: RateLimits | None = None,
     region_map: RegionMap | None = None,
 ) -> Eligibility:
     """Return an eligibility decision that excludes nothing but by the given parts."""
@@ -39,5 +41,6 @@
         directory,
         Evacuations() if evacuations is None else evacuations,
         Warmup(WarmupSettings(), fleet_view("me")) if warmup is None else warmup,
+        RateLimits(fleet_view("me")) if limits is None else limits,
         RegionMap() if region_map is None else region_map,
     )
--- a/mothstand/testing/routing_instances.py
+++ b/mothstand/testing/routing_instances.py
@@ -216,6 +216,7 @@
             self.upstream_feed.directory,
             self.tracker.evacuations,
             self.warmup,
+            self.members.limits,
             RegionMap(dict.fromkeys(DATA_CENTRES, _REGION)),
         )
         self.placement = Placement(DATA_CENTRES[0])
--- a/mothstand/tests/test_rate_limits.py
+++ b/mothstand/tests/test_rate_limits.py
@@ -11,6 +11,7 @@
 
 from ..standins.users_engine import Arrival
 from ..testing.gateway_fleet import GatewayFleet
+from ..testing.limit_histories import LimitFault, LimitHistory, LimitSettings
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -70,3 +71,32 @@
         assert counted_s, "the limited upstream is not used at all"
         assert _most_in_window(counted_s) <= _MAX_ARRIVALS
         assert set(statuses) == {200}
+
+
+class TestHistories:
+    @pytest.mark.parametrize("seed", range(4))
+    @pytest.mark.parametrize("limit_per_s", [0.3, 1.9, 8.0])
+    @pytest.mark.parametrize("instances", [6, 90, 300])
+    def test_limit_holds_for_the_fleet(self, instances: int, limit_per_s: float, seed: int) -> None:
+        settings = LimitSettings(
+            instances, limit_per_s, requests_per_s=15.0 * limit_per_s + 30, disruptions=6
+        )
+        assert LimitHistory(settings, seed).run().worst_share <= 1
+
+    @pytest.mark.parametrize("fault", [LimitFault.EACH_ALONE, LimitFault.IGNORES_LIMITS])
+    def test_planted_fault_is_found(self, fault: LimitFault) -> None:
+        settings = LimitSettings(6, 1.9, requests_per_s=60.0, fault=fault)
+        assert LimitHistory(settings, 0).run().worst_share > 1
+
+    @pytest.mark.parametrize("limit_per_s", [0.3, 1.9, 8.0])
+    @pytest.mark.parametrize("instances", [1, 6, 90])
+    def test_limited_upstream_is_used(self, instances: int, limit_per_s: float) -> None:
+        """Guards against limits that are divided into shares too small for any request."""
+        settings = LimitSettings(instances, limit_per_s, requests_per_s=20.0 * limit_per_s + 60)
+        result = LimitHistory(settings, 0).run()
+        limited_s = settings.limited_to_s - settings.limited_from_s
+        assert result.limited_arrivals >= 0.5 * limit_per_s * limited_s
+
+    def test_upstream_is_used_by_all_after_its_limit_has_ended(self) -> None:
+        settings = LimitSettings(6, 1.9, requests_per_s=60.0, duration_s=50.0)
+        assert LimitHistory(settings, 0).run().blocked_at_end == 0
--- a/mothstand/tests/test_warmup.py
+++ b/mothstand/tests/test_warmup.py
@@ -10,7 +10,7 @@
 from ..core.prompt import Prompt, PromptPart
 from ..core.routes import GatewayService
 from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
-from ..core.warmup import SenderQuota, Warmup, WarmupSettings
+from ..core.warmup import Warmup, WarmupSettings, cold_quota
 from ..testing.eligibility import fleet_view, unrestricted_eligibility
 from ..types import DataCentre
 
@@ -34,10 +34,10 @@
     return sent
 
 
-class TestSenderQuota:
+class TestColdQuota:
     @pytest.mark.parametrize("max_arrivals", [0.5, 1.9, 2.0, 3.0, 5.5, 18.35, 100.0])
     def test_two_sets_of_senders_stay_within_the_limit(self, max_arrivals: float) -> None:
-        quota = SenderQuota.of(max_arrivals)
+        quota = cold_quota(max_arrivals)
         assert 2 * quota.senders * (1 + quota.rate_per_s) <= max_arrivals
         assert quota.rate_per_s >= 0
         assert (quota.senders > 0) == (max_arrivals >= 2)
@@ -56,7 +56,7 @@
         upstream = make_upstream(1)
         warmup = Warmup(_SETTINGS, fleet_view("me"))
         warmup.note_cold(upstream, 3.0, 0.0)
-        quota = SenderQuota.of(_SETTINGS.max_arrivals(_SERVICE.cold_per_s))
+        quota = cold_quota(_SETTINGS.max_arrivals(_SERVICE.cold_per_s))
         assert 0 < count_sent(warmup, upstream, 3.0) <= 1 + 3 * quota.rate_per_s
 
     def test_instance_with_an_old_view_of_the_fleet_sends_nothing(self) -> None:
