--- a/mothstand/testing/limit_histories.py
+++ b/mothstand/testing/limit_histories.py
@@ -203,6 +203,8 @@
 
     def _disrupt(self) -> None:
         running = [i for i in self._instances if not i.is_killed]
+        if not running:
+            return
         instance = self._rng.choice(running)
         kind = self._rng.choice(("kill", "cut", "add"))
         if kind == "add":
