Name an upstream that the relaying peer reaches

Cause: an offer named services, not upstreams. Change: it also names the upstreams that the peer cannot connect to, at most 200; an attempt through the peer goes to another one while there is one. The new test failed for two of three upstreams before, and passes.

--- a/mothstand/core/reachability.py
+++ b/mothstand/core/reachability.py
@@ -86,6 +86,10 @@
         """Whether there is nothing to probe."""
         return not self._outages and not self._suspects
 
+    def unreachable_ids(self, max_ids: int) -> frozenset[str]:
+        """Return the ids of some upstreams that are known to be unreachable, the latest first."""
+        return frozenset(key.upstream_id for key in list(self._outages)[-max_ids:])
+
     @property
     def unreachable_count(self) -> int:
         """Number of upstreams that are known to be unreachable."""
--- a/mothstand/core/relaying.py
+++ b/mothstand/core/relaying.py
@@ -77,10 +77,13 @@
     reached_ages_s
         Services with an upstream that it can connect to, and the seconds since it last reached one;
         infinite if it never did.
+    unreachable_ids
+        Ids of upstreams that it cannot connect to.
     """
 
     address: str
     reached_ages_s: dict[str, float]
+    unreachable_ids: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -202,7 +202,10 @@
             )
             call.has_awaited_relay = True
             if relay is not None:
-                return self._place(call, relayable, eligible.cold_ids, relay)
+                unreachable_ids = relay.offer.unreachable_ids
+                # The offer may be a second old: if it names all of them, any may be reached now.
+                reached = [u for u in relayable if u.upstream_id not in unreachable_ids]
+                return self._place(call, reached or relayable, eligible.cold_ids, relay)
         if direct:
             return self._place(call, direct, eligible.cold_ids)
         if not untried or self._reachability.is_confirmed(
--- a/mothstand/gateway/lending.py
+++ b/mothstand/gateway/lending.py
@@ -319,7 +319,8 @@
         """Return what a peer offers to relay."""
         with self._call(address) as stub, anyio.fail_after(RELAY_OFFER_TIMEOUT_S):
             reply = await stub.Relaying(pb.RelayingRequest())
-        return RelayOffer(reply.address, {s.service: s.age_s for s in reply.services})
+        ages_s = {s.service: s.age_s for s in reply.services}
+        return RelayOffer(reply.address, ages_s, frozenset(reply.unreachable_ids))
 
     def close(self) -> None:
         """Close all connections."""
@@ -492,7 +493,13 @@
             pb.ReachedService(service=service, age_s=age_s)
             for service, age_s in offer.reached_ages_s.items()
         ]
-        await stream.send_message(pb.RelayingReply(address=offer.address, services=services))
+        await stream.send_message(
+            pb.RelayingReply(
+                address=offer.address,
+                services=services,
+                unreachable_ids=sorted(offer.unreachable_ids),
+            )
+        )
 
 
 async def serve_peers(service: LendingService, address: str) -> Server:
--- a/mothstand/gateway/relay_server.py
+++ b/mothstand/gateway/relay_server.py
@@ -57,6 +57,9 @@
 #: Idle connections of peers are closed after this time.
 _IDLE_TIMEOUT_S = 30.0
 
+#: Maximum unreachable upstreams that an offer names.
+_MAX_UNREACHABLE_IDS = 200
+
 #: Status of an answer that only has an outcome.
 _NO_ANSWER = 503
 
@@ -131,7 +134,8 @@
             for service in services
             if self._is_reached(service)
         }
-        return RelayOffer(self._address, ages_s)
+        unreachable_ids = reachability.unreachable_ids(_MAX_UNREACHABLE_IDS)
+        return RelayOffer(self._address, ages_s, unreachable_ids)
 
     def _accepts_requests(self) -> bool:
         return not self._shutdown.is_stopping and self.running_requests < self._max_requests
--- a/mothstand/testing/fakes.py
+++ b/mothstand/testing/fakes.py
@@ -105,6 +105,38 @@
         raise NotImplementedError
 
 
+class OnePeerRelays(NoRelays):
+    """One peer, which answers each request as scripted.
+
+    Parameters
+    ----------
+    answer
+        Returns the answer of an upstream, or raises.
+    """
+
+    def __init__(
+        self, peer: RelayPeer, answer: Callable[[RegisteredUpstream], UpstreamAnswer]
+    ) -> None:
+        self._peer = peer
+        self._answer = answer
+
+    async def find(
+        self, service: str, permits: Callable[[DataCentre], bool], *, may_wait: bool
+    ) -> RelayPeer | None:
+        """Return the peer."""
+        return self._peer
+
+    def is_unavailable(self, service: str, permits: Callable[[DataCentre], bool]) -> bool:
+        """Return False."""
+        return False
+
+    async def send(
+        self, peer: RelayPeer, upstream: RegisteredUpstream, call: Call, headers: RawHeaders
+    ) -> UpstreamAnswer:
+        """Return the scripted answer."""
+        return self._answer(upstream)
+
+
 class FakeClock(Clock):
     """A clock that only `advance` moves."""
 
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -11,11 +11,14 @@
 from ..clock import SystemClock
 from ..core.claims import NO_USAGE, Usage
 from ..core.evacuation import Evacuations, EvacuationState
+from ..core.fleet import Member
 from ..core.homes import RegionMap
+from ..core.loans import Peer
 from ..core.placement import Placement
 from ..core.prompt import Prompt, PromptPart
 from ..core.quarantine import CRASH_THRESHOLD, UpstreamCrash
 from ..core.reachability import Reachability
+from ..core.relaying import RelayOffer, RelayPeer
 from ..core.retry_budget import RetryBudgetSettings
 from ..core.routes import Destination, GatewayService, RequestKind, Route
 from ..core.stall_detector import StallDetector
@@ -43,13 +46,15 @@
 from ..log.health import PlatformHealth
 from ..platform.headers import PlatformHeaders
 from ..testing.eligibility import unrestricted_eligibility
-from ..testing.fakes import NoRelays, UnreachablePeers
+from ..testing.fakes import NoRelays, OnePeerRelays, UnreachablePeers
 from ..testing.memory_store import MemoryStore, StoreLink
 from ..types import DataCentre, Region
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from ..gateway.relays import Relays
+
 _LOCAL_DATA_CENTRE = DataCentre("sto-a")
 
 
@@ -143,7 +148,12 @@
 class ForwarderHarness:
     """Forwarder with three engines."""
 
-    def __init__(self, *script: FakeAnswer | Exception | None, burst: float = 60) -> None:
+    def __init__(
+        self,
+        *script: FakeAnswer | Exception | None,
+        burst: float = 60,
+        relays: Relays | None = None,
+    ) -> None:
         self.client = FakeClient(list(script))
         self.directory = UpstreamDirectory()
         for number in range(3):
@@ -184,7 +194,7 @@
             StallDetector(),
             self.guard,
             self.probes,
-            NoRelays(),
+            NoRelays() if relays is None else relays,
             self.clock,
             self.metrics,
         )
@@ -520,3 +530,24 @@
         call.permitted_regions = frozenset({Region("fi-south")})
         assert world.run(call) is ErrorKind.NO_UPSTREAM
         assert world.client.sent_headers == []
+
+
+class TestRelays:
+    @pytest.mark.parametrize("reached", ["i-0", "i-1", "i-2"])
+    def test_relayed_attempt_names_an_upstream_that_the_peer_reaches(self, reached: str) -> None:
+        """Guards against relayed attempts at upstreams that the peer cannot reach either."""
+        unreachable_ids = frozenset({"i-0", "i-1", "i-2"} - {reached})
+        offer = RelayOffer("10.0.0.2:2", {"llm": 0.0}, unreachable_ids)
+        member = Member(Peer("b", "1", "b:1"), _LOCAL_DATA_CENTRE)
+        named: list[str] = []
+
+        def answer(upstream: RegisteredUpstream) -> FakeAnswer:
+            named.append(upstream.upstream_id)
+            return FakeAnswer(200, [b"ok"])
+
+        relays = OnePeerRelays(RelayPeer(member, offer, 0.0), answer)
+        world = ForwarderHarness(relays=relays)
+        for upstream in world.directory.upstreams.values():
+            world.probes.reachability.note_unreachable(upstream, 0.0)
+        assert world.run(world.call(RequestKind.IDEMPOTENT)) is None
+        assert named == [reached]
