Get newer configurations from peers while the store rejects this instance

Change: the same answer of a peer tells the version of its configuration; a newer one is fetched from one peer, with 3 s for it to arrive. It is not confirmed as the newest, so that refusals by it stay temporary. The new test stays at version 1 without the fetch, and passes with it.

--- a/mothstand/gateway/evacuations.py
+++ b/mothstand/gateway/evacuations.py
@@ -1,4 +1,4 @@
-"""Learns of evacuations from the store, and from peers while the store cannot be read."""
+"""Learns of evacuations from the store, and of all operators' changes from peers without it."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 from ..core.evacuation import EvacuationState
 from ..events import Event, emit
 from ..peers.failures import PeerError
+from .store import KeyedRecord
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -17,12 +18,16 @@
     from ..clock import Clock
     from ..core.evacuation import Evacuations
     from ..types import DataCentre
+    from .feeds import ConfigFeed
     from .lending import PeerLink
-    from .store import KeyedRecord, StreamPage
+    from .store import StreamPage
 
 #: Reads that fail for this time count as an outage, in which peers are asked.
 _ASK_PEERS_AFTER_S = 1.0
 
+#: Time for a peer's configuration to arrive: a large one needs a second on a thin link.
+_CONFIG_TIMEOUT_S = 3.0
+
 #: Seconds between two rounds of asking peers.
 _ROUND_INTERVAL_S = 1.0
 
@@ -94,8 +99,8 @@
         )
 
 
-class EvacuationPolling:
-    """Asks peers for evacuations while the operators' stream cannot be read.
+class OperatorNewsPolling:
+    """Asks peers for evacuations and newer configurations while the store cannot be read.
 
     Notes
     -----
@@ -103,8 +108,8 @@
 
     Parameters
     ----------
-    failing_s
-        Returns for how many seconds reads of the operators' stream have failed.
+    config_feed
+        Tells how long reads have failed, and receives the configurations of peers.
     peer_addresses
         Returns the addresses of all other instances.
     """
@@ -113,13 +118,13 @@
         self,
         tracker: EvacuationTracker,
         link: PeerLink,
-        failing_s: Callable[[], float],
+        config_feed: ConfigFeed,
         peer_addresses: Callable[[], list[str]],
         clock: Clock,
     ) -> None:
         self._tracker = tracker
         self._link = link
-        self._failing_s = failing_s
+        self._config_feed = config_feed
         self._peer_addresses = peer_addresses
         self._clock = clock
 
@@ -127,19 +132,37 @@
         """Ask some peers in each interval in which the stream cannot be read."""
         while True:
             await self._clock.sleep(_ROUND_INTERVAL_S)
-            if self._failing_s() >= _ASK_PEERS_AFTER_S:
+            if self._config_feed.failing_s() >= _ASK_PEERS_AFTER_S:
                 await self._ask_some_peers()
 
     async def _ask_some_peers(self) -> None:
         addresses = self._peer_addresses()
+        versions: dict[str, int] = {}
         async with anyio.create_task_group() as tasks:
             for address in random.sample(addresses, min(_PEERS_ASKED, len(addresses))):
-                tasks.start_soon(self._ask_peer, address)
+                tasks.start_soon(self._ask_peer, address, versions)
+        if versions:
+            newest = max(versions, key=lambda address: versions[address])
+            await self._fetch_config(newest, versions[newest])
 
-    async def _ask_peer(self, address: str) -> None:
+    async def _ask_peer(self, address: str, versions: dict[str, int]) -> None:
+        try:
+            news = await self._link.operator_news(address)
+        except PeerError as error:
+            emit(Event.PEER_SUSPECTED, peer=address, error=str(error))
+            return
+        self._tracker.apply_from_peer(news.evacuations)
+        versions[address] = news.config_version
+
+    async def _fetch_config(self, address: str, version: int) -> None:
+        """Apply the configuration of a peer if it is newer than the one in force."""
+        config = self._config_feed.config
+        if config is None or version <= config.version:
+            # Before the first configuration, the bootstrap asks peers.
+            return
         try:
-            states = await self._link.evacuations(address)
+            state = await self._link.bootstrap_state(address, timeout_s=_CONFIG_TIMEOUT_S)
         except PeerError as error:
             emit(Event.PEER_SUSPECTED, peer=address, error=str(error))
             return
-        self._tracker.apply_from_peer(states)
+        self._config_feed.apply_record(KeyedRecord("", state.config))
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -30,7 +30,7 @@
 from .bootstrap import Bootstrap
 from .crash_detector import CorroboratedCheck, CrashDetector, TcpLivenessCheck
 from .crash_guard import CrashGuard
-from .evacuations import EvacuationPolling, EvacuationTracker
+from .evacuations import EvacuationTracker, OperatorNewsPolling
 from .feeds import ConfigFeed
 from .forward import Forwarder
 from .lending import BootstrapState, GrpcPeerLink, LendingService, serve_peers
@@ -155,8 +155,8 @@
             self._peer_addresses,
             lambda: self._members.fleet.size,
         )
-        self._evacuation_polling = EvacuationPolling(
-            self._evacuations, self._link, self._config_feed.failing_s, self._peer_addresses, clock
+        self._operator_news = OperatorNewsPolling(
+            self._evacuations, self._link, self._config_feed, self._peer_addresses, clock
         )
         self._bootstrap = Bootstrap(
             settings.seeds.peers,
@@ -301,7 +301,7 @@
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._run_with_restarts, "config", self._config_feed.run)
-            tasks.start_soon(self._run_with_restarts, "evacuations", self._evacuation_polling.run)
+            tasks.start_soon(self._run_with_restarts, "operator news", self._operator_news.run)
             tasks.start_soon(self._run_with_restarts, "upstreams", self._upstream_feed.run)
             tasks.start_soon(self._run_with_restarts, "members", self._members.run)
             tasks.start_soon(self._run_with_restarts, "claims", self._accounts.run)
@@ -399,6 +399,7 @@
             self._members.known_records(),
             self._quarantine_feed.known_records(),
             self._evacuations.evacuations.states,
+            0 if self._config_feed.config is None else self._config_feed.config.version,
         )
 
     def _config(self) -> GatewayConfig | None:
--- a/mothstand/gateway/lending.py
+++ b/mothstand/gateway/lending.py
@@ -116,6 +116,8 @@
     ----------
     quarantine_records
         Records of upstream crashes during requests.
+    config_version
+        Version of `config`; 0 if the peer has none. Only known to the peer that sends the state.
     """
 
     config: bytes
@@ -123,6 +125,15 @@
     members: tuple[KeyedRecord, ...]
     quarantine_records: tuple[KeyedRecord, ...] = ()
     evacuations: tuple[EvacuationState, ...] = ()
+    config_version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorNews:
+    """What a peer has read of the operators' stream."""
+
+    evacuations: tuple[EvacuationState, ...]
+    config_version: int
 
 
 class PeerLink(ABC):
@@ -149,7 +160,9 @@
         """
 
     @abstractmethod
-    async def bootstrap_state(self, address: str) -> BootstrapState:
+    async def bootstrap_state(
+        self, address: str, *, timeout_s: float = BOOTSTRAP_TIMEOUT_S
+    ) -> BootstrapState:
         """Return the state that a peer has of configuration, upstreams, members and quarantine.
 
         Raises
@@ -179,8 +192,8 @@
         """
 
     @abstractmethod
-    async def evacuations(self, address: str) -> tuple[EvacuationState, ...]:
-        """Return the evacuations that a peer knows.
+    async def operator_news(self, address: str) -> OperatorNews:
+        """Return the evacuations that a peer knows, and the version of its configuration.
 
         Raises
         ------
@@ -284,9 +297,11 @@
         with self._call(address) as stub, anyio.fail_after(LOAN_TIMEOUT_S):
             await stub.TakeOver(message)
 
-    async def bootstrap_state(self, address: str) -> BootstrapState:
+    async def bootstrap_state(
+        self, address: str, *, timeout_s: float = BOOTSTRAP_TIMEOUT_S
+    ) -> BootstrapState:
         """Return the state that a peer has of configuration, upstreams, members and quarantine."""
-        with self._call(address) as stub, anyio.fail_after(BOOTSTRAP_TIMEOUT_S):
+        with self._call(address) as stub, anyio.fail_after(timeout_s):
             reply = await stub.Knowledge(pb.KnowledgeRequest())
         return BootstrapState(
             config=reply.config,
@@ -309,11 +324,11 @@
         with self._call(address) as stub, anyio.fail_after(LOAN_TIMEOUT_S):
             await stub.TellEnds(pb.EndsRequest(ends=messages))
 
-    async def evacuations(self, address: str) -> tuple[EvacuationState, ...]:
-        """Return the evacuations that a peer knows."""
+    async def operator_news(self, address: str) -> OperatorNews:
+        """Return the evacuations that a peer knows, and the version of its configuration."""
         with self._call(address) as stub, anyio.fail_after(EVACUATIONS_TIMEOUT_S):
             reply = await stub.Evacuations(pb.EvacuationsRequest())
-        return _from_messages(reply.evacuations)
+        return OperatorNews(_from_messages(reply.evacuations), reply.config_version)
 
     async def relay_offer(self, address: str) -> RelayOffer:
         """Return what a peer offers to relay."""
@@ -478,10 +493,14 @@
     async def Evacuations(  # noqa: N802
         self, stream: Stream[pb.EvacuationsRequest, pb.EvacuationsReply]
     ) -> None:
-        """Send the evacuations that this instance knows."""
+        """Send the evacuations that this instance knows, and the version of its configuration."""
         await stream.recv_message()
-        states = self._bootstrap_state().evacuations
-        await stream.send_message(pb.EvacuationsReply(evacuations=_to_messages(states)))
+        state = self._bootstrap_state()
+        await stream.send_message(
+            pb.EvacuationsReply(
+                evacuations=_to_messages(state.evacuations), config_version=state.config_version
+            )
+        )
 
     async def Relaying(  # noqa: N802
         self, stream: Stream[pb.RelayingRequest, pb.RelayingReply]
--- a/mothstand/testing/fakes.py
+++ b/mothstand/testing/fakes.py
@@ -11,7 +11,15 @@
 from ..core.membership import Membership
 from ..core.records import Record, RecordId
 from ..core.retry_budget import RetryBudgetSettings
-from ..gateway.lending import BootstrapState, Handover, LoanReply, LoanRequest, PeerLink
+from ..gateway.lending import (
+    BOOTSTRAP_TIMEOUT_S,
+    BootstrapState,
+    Handover,
+    LoanReply,
+    LoanRequest,
+    OperatorNews,
+    PeerLink,
+)
 from ..gateway.relays import Relays
 from ..gateway.store_witness import StoreWitness
 from ..ledger.calls import PeerCalls, ReserveCall, ReserveReply, Ticket
@@ -22,7 +30,6 @@
     from collections.abc import Callable
 
     from ..core.accounts import MirrorAnswer, MirrorBatch
-    from ..core.evacuation import EvacuationState
     from ..core.relaying import RelayOffer, RelayPeer
     from ..core.upstreams import RegisteredUpstream
     from ..gateway.call import Call
@@ -58,7 +65,9 @@
         """Fail."""
         raise PeerError(address)
 
-    async def bootstrap_state(self, address: str) -> BootstrapState:
+    async def bootstrap_state(
+        self, address: str, *, timeout_s: float = BOOTSTRAP_TIMEOUT_S
+    ) -> BootstrapState:
         """Fail."""
         raise PeerError(address)
 
@@ -70,7 +79,7 @@
         """Fail."""
         raise PeerError(address)
 
-    async def evacuations(self, address: str) -> tuple[EvacuationState, ...]:
+    async def operator_news(self, address: str) -> OperatorNews:
         """Fail."""
         raise PeerError(address)
 
--- a/mothstand/testing/routing_instances.py
+++ b/mothstand/testing/routing_instances.py
@@ -19,8 +19,9 @@
 from ..core.placement import Placement, session_key
 from ..core.routes import GatewayService
 from ..core.warmup import Warmup, WarmupSettings
-from ..gateway.evacuations import EvacuationPolling, EvacuationTracker
+from ..gateway.evacuations import EvacuationTracker, OperatorNewsPolling
 from ..gateway.feeds import ConfigFeed
+from ..gateway.lending import BOOTSTRAP_TIMEOUT_S, BootstrapState, OperatorNews
 from ..gateway.member_feed import MemberFeed
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.upstream_feed import UpstreamFeed
@@ -40,7 +41,6 @@
 from .virtual_time import VirtualClock
 
 if TYPE_CHECKING:
-    from ..core.evacuation import EvacuationState
     from ..core.fleet import FleetView
     from ..core.prompt import Prompt
     from ..core.upstreams import RegisteredUpstream
@@ -88,12 +88,24 @@
     def __init__(self, instances: dict[str, RoutingInstance]) -> None:
         self._instances = instances
 
-    async def evacuations(self, address: str) -> tuple[EvacuationState, ...]:
+    async def operator_news(self, address: str) -> OperatorNews:
         await anyio.sleep(0.001)
         peer = self._instances.get(address.removesuffix(":1"))
         if peer is None:
             raise PeerUnreachableError(address)
-        return peer.tracker.evacuations.states
+        config = peer.config_feed.config
+        return OperatorNews(
+            peer.tracker.evacuations.states, 0 if config is None else config.version
+        )
+
+    async def bootstrap_state(
+        self, address: str, *, timeout_s: float = BOOTSTRAP_TIMEOUT_S
+    ) -> BootstrapState:
+        await anyio.sleep(0.001)
+        peer = self._instances.get(address.removesuffix(":1"))
+        if peer is None:
+            raise PeerUnreachableError(address)
+        return BootstrapState(peer.config_feed.raw, (), ())
 
 
 class _HistoryLink(StoreLink):
@@ -205,10 +217,10 @@
             NoWitness(),
             lambda u: self.warmup.note_cold(u, u.cold_s, clock.monotonic_s()),
         )
-        self.polling = EvacuationPolling(
+        self.polling = OperatorNewsPolling(
             self.tracker,
             _Peers(network.instances),
-            self.config_feed.failing_s,
+            self.config_feed,
             lambda: [m.peer.address for m in self.members.fleet.other_members()],
             clock,
         )
--- a/mothstand/tests/test_bootstrap.py
+++ b/mothstand/tests/test_bootstrap.py
@@ -14,7 +14,7 @@
 from ..gateway.bootstrap import Bootstrap
 from ..gateway.evacuations import EvacuationTracker
 from ..gateway.feeds import ConfigFeed
-from ..gateway.lending import BootstrapState
+from ..gateway.lending import BOOTSTRAP_TIMEOUT_S, BootstrapState
 from ..gateway.member_feed import MemberFeed, encode_member
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.quarantine_feed import QuarantineFeed
@@ -62,7 +62,9 @@
         self.asked_addresses: list[str] = []
         self._states = states
 
-    async def bootstrap_state(self, address: str) -> BootstrapState:
+    async def bootstrap_state(
+        self, address: str, *, timeout_s: float = BOOTSTRAP_TIMEOUT_S
+    ) -> BootstrapState:
         self.asked_addresses.append(address)
         if address not in self._states:
             raise PeerError(address)
--- a/mothstand/tests/test_config_freshness.py
+++ b/mothstand/tests/test_config_freshness.py
@@ -11,11 +11,13 @@
 
 from ..core.config_freshness import ConfigFreshness
 from ..core.evacuation import Evacuations
-from ..gateway.evacuations import EvacuationTracker
+from ..gateway.evacuations import EvacuationTracker, OperatorNewsPolling
 from ..gateway.feeds import ConfigFeed
+from ..gateway.lending import BOOTSTRAP_TIMEOUT_S, BootstrapState, OperatorNews
 from ..gateway.metrics import GatewayMetrics
 from ..log.health import PlatformHealth
 from ..platform.records import CONFIG_KEY, CONFIG_STREAM, decode_config, evacuated_data_centre
+from ..testing.fakes import UnreachablePeers
 from ..testing.gateway_fleet import CONFIGURATION_S, KEY, PREFIX, GatewayFleet
 from ..testing.memory_store import MemoryStore
 from ..testing.thin_store_link import ThinStoreLink
@@ -41,15 +43,17 @@
         self.published_s: dict[int, float] = {}
         self.in_force_s: dict[int, float] = {}
         self._store = MemoryStore()
+        self.link = ThinStoreLink(self._store, bytes_per_s)
+        self.evacuations = EvacuationTracker(Evacuations(), evacuated_data_centre, clock)
         self.feed = ConfigFeed(
-            ThinStoreLink(self._store, bytes_per_s),
+            self.link,
             CONFIG_STREAM,
             CONFIG_KEY,
             clock,
             PlatformHealth(clock),
             decode_config,
             self._note_in_force,
-            EvacuationTracker(Evacuations(), evacuated_data_centre, clock),
+            self.evacuations,
             ConfigFreshness(_MAX_AGE_S),
             GatewayMetrics(),
         )
@@ -94,6 +98,47 @@
         assert not late
 
 
+class _ReadingPeers(UnreachablePeers):
+    """Peers that read the store, which rejects the instance under test."""
+
+    version = 1
+
+    async def operator_news(self, address: str) -> OperatorNews:
+        return OperatorNews((), self.version)
+
+    async def bootstrap_state(
+        self, address: str, *, timeout_s: float = BOOTSTRAP_TIMEOUT_S
+    ) -> BootstrapState:
+        await anyio.sleep(1.0)
+        return BootstrapState(json.dumps({"version": self.version}).encode(), (), ())
+
+
+class TestPeers:
+    def test_instance_that_only_the_store_rejects_gets_newer_versions_from_peers(self) -> None:
+        """Guards against a revoked key that is served for as long as the store rejects it."""
+        reader = _ThinReader(bytes_per_s=1e9)
+        peers = _ReadingPeers()
+        polling = OperatorNewsPolling(
+            reader.evacuations, peers, reader.feed, lambda: ["b:1", "c:1"], VirtualClock()
+        )
+
+        async def run() -> None:
+            async with anyio.create_task_group() as tasks:
+                reader.publish()
+                tasks.start_soon(reader.feed.run)
+                tasks.start_soon(polling.run)
+                await anyio.sleep(3.0)
+                reader.link.is_cut_off = True
+                await anyio.sleep(2.0)
+                peers.version = 2
+                await anyio.sleep(_MAX_AGE_S)
+                tasks.cancel_scope.cancel()
+
+        run_in_virtual_time(run)
+        assert reader.feed.config is not None
+        assert reader.feed.config.version == 2
+
+
 @pytest.fixture
 def fleet(tmp_path: Path) -> Iterator[GatewayFleet]:
     with GatewayFleet(tmp_path) as fleet:
