End the refusal of an outdated instance when its read fails

A failed read now forgets that a newer version is known; service goes on by the version in force, as in any outage. The new test failed before and passes.

--- a/mothstand/core/config_freshness.py
+++ b/mothstand/core/config_freshness.py
@@ -53,6 +53,13 @@
         if not self._unread_ends:
             self._confirmed_s = max(self._confirmed_s, answered_s)
 
+    def note_read_failed(self) -> None:
+        """Record that the store could not be read: a newer version can no longer be got in time.
+
+        Service goes on by the version in force, as in any outage of the store.
+        """
+        self._unread_ends.clear()
+
     def is_confirmed(self, arrived_s: float) -> bool:
         """Return whether a request may be refused for good by the configuration in force.
 
@@ -67,8 +74,7 @@
     def is_outdated(self, now_s: float) -> bool:
         """Return whether a newer version must be in force by now, and is not.
 
-        A request could be served by a dropped route or key. While the store cannot be read, no
-        newer version is known, and the instance goes on.
+        A request could be served by a dropped route or key.
         """
         return self.outdated_s(now_s) >= max(0.0, self.max_age_s - _NEWS_DELAY_S)
 
--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -74,6 +74,7 @@
             except StoreError as error:
                 self._health.note_failure(error)
                 self._note_failure(error)
+                self.note_read_failed()
                 if self.relist_after_failure:
                     self._next_offset = None
                 await self._clock.sleep(backoff.next_jittered_s())
@@ -124,6 +125,9 @@
     async def note_read(self) -> None:  # noqa: B027 - most feeds have nothing to note
         """Note that the store answered; called before the records are applied."""
 
+    def note_read_failed(self) -> None:  # noqa: B027 - as above
+        """Note that the store did not answer, or not completely."""
+
     def note_applied(self, page: StreamPage) -> None:  # noqa: B027 - as above
         """Note that a page has been applied."""
 
@@ -232,6 +236,10 @@
         if self._next_offset is not None and end_offset > self._next_offset:
             self.freshness.note_end(end_offset, self._clock.monotonic_s())
 
+    def note_read_failed(self) -> None:
+        """Note that no newer version is being read."""
+        self.freshness.note_read_failed()
+
     def note_applied(self, page: StreamPage) -> None:
         """Note up to which record the stream is applied, and when that was all of it."""
         now_s = self._clock.monotonic_s()
--- a/mothstand/testing/thin_store_link.py
+++ b/mothstand/testing/thin_store_link.py
@@ -74,3 +74,4 @@
     async def _receive(self, page: StreamPage) -> None:
         size_bytes = sum(len(record.value or b"") for record in page.records)
         await anyio.sleep(size_bytes / self._bytes_per_s)
+        await self._require_reachable()
--- a/mothstand/tests/test_config_freshness.py
+++ b/mothstand/tests/test_config_freshness.py
@@ -97,6 +97,27 @@
         late = {v: round(delay_s, 2) for v, delay_s in delays_s.items() if delay_s > _MAX_AGE_S}
         assert not late
 
+    def test_outage_while_a_version_is_being_read_does_not_make_the_instance_outdated(self) -> None:
+        """Guards against a fleet that refuses all requests since it began to read a version."""
+        reader = _ThinReader(bytes_per_s=300_000.0)
+        clock = VirtualClock()
+
+        async def run() -> bool:
+            async with anyio.create_task_group() as tasks:
+                reader.publish()
+                tasks.start_soon(reader.feed.run)
+                await anyio.sleep(3.0)
+                reader.publish()
+                await anyio.sleep(0.5)
+                assert reader.feed.freshness.outdated_s(clock.monotonic_s()) > 0
+                reader.link.is_cut_off = True
+                await anyio.sleep(2 * _MAX_AGE_S)
+                is_outdated = reader.feed.freshness.is_outdated(clock.monotonic_s())
+                tasks.cancel_scope.cancel()
+            return is_outdated
+
+        assert not run_in_virtual_time(run)
+
 
 class _ReadingPeers(UnreachablePeers):
     """Peers that read the store, which rejects the instance under test."""
