--- a/mothstand/core/config_freshness.py
+++ b/mothstand/core/config_freshness.py
@@ -54,7 +54,7 @@
             self._confirmed_s = max(self._confirmed_s, answered_s)
 
     def note_read_failed(self) -> None:
-        """Record that the store could not be read: a newer version can no longer be got in time.
+        """Record that the store could not be read: a newer version cannot be read in time.
 
         Service goes on by the version in force, as in any outage of the store.
         """
--- a/mothstand/core/rate_limits.py
+++ b/mothstand/core/rate_limits.py
@@ -1,6 +1,6 @@
 """Rate limits that upstreams name in their answers, kept by the whole fleet together.
 
-An upstream in need names the requests a second that it accepts from all instances, for as long as
+An overloaded upstream names the requests a second that it accepts from all instances, as long as
 its answers name it. Its designated senders divide the rate among each other; all others send
 nothing there. Instances announce to each other what answers have told them, and the latest answer
 counts: so those that do not send learn when a limit begins, changes and ends.
