--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -162,7 +162,7 @@
     evacuations
         Receives the evacuations that the same stream contains.
     freshness
-        Told when the configuration in force is the newest, and when a newer one exists.
+        Notified when the configuration in force is the newest, and when a newer one exists.
     metrics
         Receives the bytes and the duration of the reads.
 
