--- a/mothstand/core/rate_limits.py
+++ b/mothstand/core/rate_limits.py
@@ -2,7 +2,7 @@
 
 An overloaded upstream names the requests a second that it accepts from all instances, as long as
 its answers name it. Its designated senders divide the rate among each other; all others send
-nothing there. Instances announce to each other what answers have told them, and the latest answer
+nothing there. Instances announce to each other the limits that answers named, and the latest answer
 counts: so those that do not send learn when a limit begins, changes and ends.
 """
 
@@ -80,7 +80,7 @@
     rate_per_s
         The limit; None if the upstream named one before and no longer does.
     age_s
-        Seconds since the latest answer that told it.
+        Age of the latest answer that named it, or that no longer did, in seconds.
     """
 
     upstream: UpstreamKey
--- a/mothstand/testing/limit_histories.py
+++ b/mothstand/testing/limit_histories.py
@@ -30,7 +30,7 @@
 #: for which an instance has passed on such an answer.
 _STABLE_WINDOW_S = 3.0
 _WINDOW_S = 4.0
-_TOLD_S = 0.5
+_PASSED_ON_S = 0.5
 
 _LATENCY_S = (0.02, 1.2)
 _UPSTREAMS = 3
@@ -91,7 +91,7 @@
     is_cut_off: bool = False
     disturbed_until_s: float = 0.0
     read_to_s: float = -1.0
-    told_s: dict[str, float] = field(default_factory=dict)
+    named_since_s: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -243,10 +243,10 @@
         self._after(0.002, lambda: self._arrive(instance, upstream))
 
     def _arrive(self, instance: _Instance, upstream: RegisteredUpstream) -> None:
-        told_s = instance.told_s.get(upstream.upstream_id)
+        named_since_s = instance.named_since_s.get(upstream.upstream_id)
         is_counted = (
-            told_s is not None
-            and self._now_s >= told_s + _TOLD_S
+            named_since_s is not None
+            and self._now_s >= named_since_s + _PASSED_ON_S
             and self._now_s >= instance.disturbed_until_s
         )
         arrivals = self._arrivals.setdefault(upstream.upstream_id, [])
@@ -276,6 +276,6 @@
         limit_per_s = self._limit_per_s(upstream)
         instance.limits.note_answer(upstream, limit_per_s, self._now_s)
         if limit_per_s is None:
-            instance.told_s.pop(upstream.upstream_id, None)
+            instance.named_since_s.pop(upstream.upstream_id, None)
         else:
-            instance.told_s.setdefault(upstream.upstream_id, self._now_s)
+            instance.named_since_s.setdefault(upstream.upstream_id, self._now_s)
