Log the prompt parts of a broken attempt and for how long it was answered

No line told which parts of their prompts the requests at a crashed upstream shared, nor which of them had not begun to be answered, so that the hypotheses on the crashing part could not be told apart. Counter attempts_broken_before_first_event. No decision changes.

--- a/mothstand/core/prompt.py
+++ b/mothstand/core/prompt.py
@@ -37,6 +37,11 @@
         """Maximum cost of the request in tokens."""
         return self.input_tokens + self.max_output_tokens
 
+    @property
+    def shareable_parts(self) -> tuple[PromptPart, ...]:
+        """Parts that other requests may have, too: all but the last one."""
+        return self.parts[:-1]
+
 
 def parse_token_counts(text: str) -> tuple[int, int]:
     """Return the prompt tokens and the maximum output tokens of ``PROMPT,OUTPUT``.
--- a/mothstand/gateway/call.py
+++ b/mothstand/gateway/call.py
@@ -18,6 +18,10 @@
     from .headers import CallerFields, RawHeaders
     from .upstream_client import OutgoingRequest
 
+#: Maximum parts of a prompt in a log line, and maximum characters of each: callers may send any.
+_MAX_LOGGED_PARTS = 16
+_MAX_LOGGED_PART_ID = 32
+
 
 class CallerGoneError(Exception):
     """The caller closed its connection before the answer was complete."""
@@ -80,6 +84,8 @@
         Longest time between two events of the answer.
     attempt_began_s
         Start of the latest attempt on the monotonic clock.
+    answering_since_s
+        Time of the first bytes of the latest attempt's body on the monotonic clock; None before.
     upstream_id, upstream_version, registrations_age_s
         Upstream of the latest attempt, the version of its software, and the age of the
         registrations at that time; None if the store had never been read.
@@ -126,6 +132,7 @@
     started_after_s: float = 0.0
     longest_gap_s: float = 0.0
     attempt_began_s: float = 0.0
+    answering_since_s: float | None = None
     upstream_id: str = ""
     upstream_version: str = ""
     registrations_age_s: float | None = None
@@ -157,6 +164,12 @@
             )
         return self._digest
 
+    @property
+    def logged_parts(self) -> list[str]:
+        """Ids of the parts of the prompt that other requests may have, shortened for the log."""
+        parts = self.fields.prompt.shareable_parts[:_MAX_LOGGED_PARTS]
+        return [part.part_id[:_MAX_LOGGED_PART_ID] for part in parts]
+
     @property
     def attempts_summary(self) -> str:
         """Summary of the attempts, for the log line of a refusal."""
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -17,7 +17,7 @@
 from ..core.retry_budget import RetryBudget
 from ..core.routes import RequestKind
 from ..errors import ErrorKind, Refusal, RefusedError
-from ..events import Event, emit
+from ..events import Event, emit, rounded
 from .call import CompleteAnswer
 from .headers import ForwardFields
 from .relay_client import RelayUnavailableError
@@ -366,6 +366,7 @@
         answer: UpstreamAnswer | None = None
         self._guard.note_attempt_began(call)
         call.attempt_began_s = self._clock.monotonic_s()
+        call.answering_since_s = None
         self._eligibility.note_sent(upstream, call.service, call.attempt_began_s)
         # Counted before sending, since an attempt that is cancelled later may have run.
         call.sent_attempts += 1
@@ -553,6 +554,8 @@
         gaps = StreamGaps()
         while piece := await answer.read_piece():
             self._placement.note_prompt_read(placed)
+            if call.answering_since_s is None:
+                call.answering_since_s = self._clock.monotonic_s()
             sent_before = call.progress.sent_events
             passed = call.progress.feed(piece)
             if not passed:
@@ -592,16 +595,23 @@
         self, call: Call, upstream: RegisteredUpstream, error: Exception, pause_s: float
     ) -> None:
         self._metrics.counts[f"attempt_{type(error).__name__}"] += 1
+        is_broken = isinstance(error, ConnectionBrokenError)
+        now_s = self._clock.monotonic_s()
+        answering_s = None if call.answering_since_s is None else now_s - call.answering_since_s
+        if is_broken and answering_s is None:
+            self._metrics.counts["attempts_broken_before_first_event"] += 1
         emit(
             Event.ATTEMPT_FAILED,
             request=call.fields.request_id,
-            digest=call.digest if isinstance(error, ConnectionBrokenError) else None,
+            digest=call.digest if is_broken else None,
+            parts=call.logged_parts if is_broken else None,
+            answering_s=rounded(answering_s),
             upstream=upstream.upstream_id,
             version=upstream.version,
             relay=call.relay,
             error=str(error),
             sent=call.sent_attempts,
             events=call.progress.sent_events,
-            elapsed_s=round(self._clock.monotonic_s() - call.arrived_s, 3),
+            elapsed_s=round(now_s - call.arrived_s, 3),
             left_alone_s=pause_s,
         )
