--- a/mothstand/standins/users_engine.py
+++ b/mothstand/standins/users_engine.py
@@ -3,10 +3,10 @@
 Run as ``python -m mothstand.standins.users_engine --address IP:PORT --upstream-id ID``. It refuses
 a request that expects another id, and continues after ``Last-Event-Id``. ``GET /journal`` lists the
 requests that it ran. With ``--crash-body TEXT`` it crashes soon after it starts a request with that
-body. With ``--rate-limit TEXT`` all its answers name that limit. With ``--arrivals PATH`` it
-appends a line for each request to a file that outlives it. The data of its events is the
-``--version`` of its software, of which a stream has ``--event-count``. ``GET /report`` tells when
-it was started, ``--born-ms``.
+body, with ``--crash-part ID`` one whose prompt has that part. With ``--rate-limit TEXT`` all its
+answers name that limit. With ``--arrivals PATH`` it appends a line for each request to a file that
+outlives it. The data of its events is the ``--version`` of its software, of which a stream has
+``--event-count``. ``GET /report`` tells when it was started, ``--born-ms``.
 """
 
 from __future__ import annotations
@@ -24,6 +24,7 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from ..core.prompt import parse_parts
 from .serving import run_app
 
 if TYPE_CHECKING:
@@ -61,6 +62,8 @@
     ----------
     crash_body
         Body of requests that crash the engine; empty for none.
+    crash_part
+        Id of a prompt part that crashes the engine; empty for none.
     rate_limit
         Requests a second that its answers name as its limit; empty for none.
     arrivals_path
@@ -78,6 +81,7 @@
         upstream_id: str,
         event_interval_s: float,
         crash_body: str,
+        crash_part: str,
         rate_limit: str,
         arrivals_path: Path | None,
         version: str,
@@ -91,6 +95,7 @@
         self._upstream_id = upstream_id
         self._event_interval_s = event_interval_s
         self._crash_body = crash_body
+        self._crash_part = crash_part
         self._arrivals_path = arrivals_path
         self._journal: list[dict[str, str]] = []
 
@@ -105,7 +110,7 @@
         first = int(request.headers.get("Last-Event-Id") or 0) + 1
 
         async def events() -> AsyncIterator[bytes]:
-            if body and body == self._crash_body:
+            if self._crashes(request, body):
                 await anyio.sleep(_CRASH_AFTER_S)
                 self._record_arrival(request_id, body, is_crash=True)
                 os._exit(1)
@@ -120,6 +125,12 @@
         }
         return StreamingResponse(events(), media_type="text/event-stream", headers=headers)
 
+    def _crashes(self, request: Request, body: str) -> bool:
+        """Return whether a request crashes the engine."""
+        parts = parse_parts(request.headers.get("X-Prompt-Prefix", ""))
+        has_crash_part = any(part.part_id == self._crash_part for part in parts)
+        return has_crash_part or (body != "" and body == self._crash_body)
+
     def _record_arrival(self, request_id: str, body: str, *, is_crash: bool = False) -> None:
         if self._arrivals_path is None:
             return
@@ -141,6 +152,7 @@
     upstream_id: str,
     event_s: float = 0.01,
     crash_body: str = "",
+    crash_part: str = "",
     rate_limit: str = "",
     arrivals: str = "",
     version: str = "word",
@@ -152,6 +164,7 @@
         upstream_id,
         event_s,
         crash_body,
+        str(crash_part),
         str(rate_limit),
         Path(arrivals) if arrivals else None,
         str(version),
--- a/mothstand/testing/gateway_fleet.py
+++ b/mothstand/testing/gateway_fleet.py
@@ -72,6 +72,7 @@
         *,
         event_s: float = 0.01,
         crash_body: str = "",
+        crash_part: str = "",
         rate_limit: str = "",
         address: str = "",
         data_centre: str = "sto-a",
@@ -87,6 +88,8 @@
         ----------
         crash_body
             Body of requests that crash the engine.
+        crash_part
+            Id of a prompt part that crashes the engine.
         rate_limit
             Requests a second that it names as its limit; empty for none.
         address
@@ -104,6 +107,7 @@
             f"--upstream-id={name}",
             f"--event-s={event_s}",
             f"--crash-body={crash_body}",
+            f"--crash-part={crash_part}",
             f"--rate-limit='{rate_limit}'",
             f"--arrivals={self.arrivals_path}",
             f"--version={version}",
@@ -318,15 +322,17 @@
         return process
 
 
-def request_headers(request_id: str, tokens: str = "100,20", key: str = KEY) -> dict[str, str]:
-    """Return the headers of a request."""
+def request_headers(
+    request_id: str, tokens: str = "100,20", key: str = KEY, parts: str = ""
+) -> dict[str, str]:
+    """Return the headers of a request, by default with a prompt of a single part."""
     return {
         "Host": HOST,
         "X-Request-Id": request_id,
         "X-Api-Key": key,
         "X-Model": "m",
         "X-Token-Counts": tokens,
-        "X-Prompt-Prefix": f"aa:{tokens.partition(',')[0]}",
+        "X-Prompt-Prefix": parts or f"aa:{tokens.partition(',')[0]}",
         "X-Deadline-Milliseconds": "4000",
     }
 
