--- a/mothstand/gateway/bootstrap.py
+++ b/mothstand/gateway/bootstrap.py
@@ -15,7 +15,7 @@
     from .feeds import ConfigFeed
     from .lending import PeerLink
     from .member_feed import MemberFeed
-    from .quarantine_feed import QuarantineFeed
+    from .quarantine.feed import QuarantineFeed
     from .upstream_feed import UpstreamFeed
 
 #: Seconds to wait for the first configuration from the store before peers are asked.
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -43,9 +43,9 @@
     from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
     from ..types import DataCentre
     from .call import Call, CallerConnection
-    from .crash_guard import CrashGuard
     from .headers import HeaderTranslator
     from .metrics import GatewayMetrics
+    from .quarantine.guard import CrashGuard
     from .reachability_probes import ReachabilityProbes
     from .relays import Relays
     from .resumptions import Resumptions
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -28,8 +28,6 @@
 from ..types import BudgetName
 from .accounts import Accounts
 from .bootstrap import Bootstrap
-from .crash_detector import CorroboratedCheck, CrashDetector, TcpLivenessCheck
-from .crash_guard import CrashGuard
 from .evacuations import EvacuationTracker, OperatorNewsPolling
 from .feeds import ConfigFeed
 from .forward import Forwarder
@@ -38,7 +36,9 @@
 from .metrics import GatewayMetrics
 from .named_limits import NamedLimits
 from .process_check import ReportedProcessCheck
-from .quarantine_feed import QuarantineFeed
+from .quarantine.crash_detector import CorroboratedCheck, CrashDetector, TcpLivenessCheck
+from .quarantine.feed import QuarantineFeed
+from .quarantine.guard import CrashGuard
 from .reachability_probes import ReachabilityProbes
 from .relay_client import RelayClient
 from .relay_finder import RelayFinder
--- /dev/null
+++ b/mothstand/gateway/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of what crashes upstreams: detection, records of the fleet, and enforcement."""
--- a/mothstand/gateway/crash_detector.py
+++ b/mothstand/gateway/quarantine/crash_detector.py
@@ -12,15 +12,15 @@
 
 import anyio
 
-from ..events import Event, emit
-from ..settings.instance import Address
+from ...events import Event, emit
+from ...settings.instance import Address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..clock import Clock
-    from ..core.request_digest import RequestDigest
-    from ..core.upstreams import RegisteredUpstream, UpstreamKey
+    from ...clock import Clock
+    from ...core.request_digest import RequestDigest
+    from ...core.upstreams import RegisteredUpstream, UpstreamKey
 
 #: A crash is attributed to a request whose connection broke at most this long before. A
 #: registration expires three heartbeats after the last one, and is read a second later.
--- a/mothstand/gateway/quarantine_feed.py
+++ b/mothstand/gateway/quarantine/feed.py
@@ -8,11 +8,12 @@
 
 import anyio
 
-from ..core.quarantine import CRASH_THRESHOLD, Quarantine, UpstreamCrash
-from ..events import Event, emit
-from .feeds import KeyedFeed
-from .quarantine_outbox import QuarantineOutbox
-from .quarantine_records import (
+from ...core.quarantine import CRASH_THRESHOLD, Quarantine, UpstreamCrash
+from ...events import Event, emit
+from ..feeds import KeyedFeed
+from ..store import KeyedRecord, Store, StoreConflictError, StoreError, Stream, StreamPage
+from .outbox import QuarantineOutbox
+from .records import (
     crash_key,
     decode_crash,
     encode_crash,
@@ -23,18 +24,17 @@
     probe_of_key,
     record_age,
 )
-from .store import KeyedRecord, Store, StoreConflictError, StoreError, Stream, StreamPage
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
-    from ..clock import Clock
-    from ..core.quarantine import ForgottenRequest, Probe
-    from ..core.request_digest import RequestDigest
-    from ..core.upstreams import RegisteredUpstream
-    from ..log.health import PlatformHealth
+    from ...clock import Clock
+    from ...core.quarantine import ForgottenRequest, Probe
+    from ...core.request_digest import RequestDigest
+    from ...core.upstreams import RegisteredUpstream
+    from ...log.health import PlatformHealth
+    from ..lending import PeerLink
     from .crash_detector import BrokenAttempt
-    from .lending import PeerLink
 
 #: The fleet's stream for crashes of upstreams and for probes.
 QUARANTINE_STREAM = Stream("keyed.mothstand-quarantine")
--- a/mothstand/gateway/crash_guard.py
+++ b/mothstand/gateway/quarantine/guard.py
@@ -5,20 +5,20 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
-from ..errors import ErrorKind, Refusal, RefusedError
+from ...errors import ErrorKind, Refusal, RefusedError
+from ..relay_client import RelayConnectionBrokenError
+from ..upstream_client import ConnectionBrokenError, MisdirectedError, RefusedByUpstreamError
 from .crash_detector import BrokenAttempt
-from .relay_client import RelayConnectionBrokenError
-from .upstream_client import ConnectionBrokenError, MisdirectedError, RefusedByUpstreamError
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from ..clock import Clock
-    from ..core.upstreams import RegisteredUpstream
-    from .call import Call
+    from ...clock import Clock
+    from ...core.upstreams import RegisteredUpstream
+    from ..call import Call
+    from ..upstream_client import UpstreamAnswer
     from .crash_detector import CrashDetector
-    from .quarantine_feed import QuarantineFeed
-    from .upstream_client import UpstreamAnswer
+    from .feed import QuarantineFeed
 
 _OK = 200
 _REDIRECT = 300
--- a/mothstand/gateway/quarantine_outbox.py
+++ b/mothstand/gateway/quarantine/outbox.py
@@ -7,17 +7,17 @@
 
 import anyio
 
-from ..core.backoff import Backoff
-from ..events import Event, emit
-from ..peers.failures import PeerError
-from .store import KeyedRecord, Store, StoreError, Stream
+from ...core.backoff import Backoff
+from ...events import Event, emit
+from ...peers.failures import PeerError
+from ..store import KeyedRecord, Store, StoreError, Stream
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from ..clock import Clock
-    from ..log.health import PlatformHealth
-    from .lending import PeerLink
+    from ...clock import Clock
+    from ...log.health import PlatformHealth
+    from ..lending import PeerLink
 
 _BACKOFF_FIRST_S = 0.1
 _BACKOFF_MAX_S = 0.2
--- a/mothstand/gateway/quarantine_records.py
+++ b/mothstand/gateway/quarantine/records.py
@@ -9,10 +9,10 @@
 import xxhash
 from pydantic import BaseModel
 
-from ..core.quarantine import Probe, UpstreamCrash
-from ..core.request_digest import RequestDigest
-from ..core.upstreams import UpstreamKey
-from .store import KeyedRecord
+from ...core.quarantine import Probe, UpstreamCrash
+from ...core.request_digest import RequestDigest
+from ...core.upstreams import UpstreamKey
+from ..store import KeyedRecord
 
 _PROBE_KEY_PREFIX = "trial"
 
--- a/mothstand/gateway/reachability_probes.py
+++ b/mothstand/gateway/reachability_probes.py
@@ -8,7 +8,7 @@
 import anyio
 
 from ..events import Event, emit
-from .crash_detector import Liveness
+from .quarantine.crash_detector import Liveness
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -16,8 +16,8 @@
     from ..clock import Clock
     from ..core.reachability import Reachability
     from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
-    from .crash_detector import LivenessCheck
     from .metrics import GatewayMetrics
+    from .quarantine.crash_detector import LivenessCheck
 
 #: Seconds between two checks whether a probe is due.
 _POLL_INTERVAL_S = 0.1
--- a/mothstand/gateway/relay_server.py
+++ b/mothstand/gateway/relay_server.py
@@ -15,7 +15,7 @@
 from ..core.relaying import RelayOffer, RelayPolicy
 from ..errors import RefusedError
 from ..events import Event, emit
-from .crash_detector import BrokenAttempt
+from .quarantine.crash_detector import BrokenAttempt
 from .relay_protocol import (
     RelayOutcome,
     read_attempt,
@@ -45,9 +45,9 @@
     from ..core.shutdown import Shutdown
     from ..core.upstreams import RegisteredUpstream
     from ..settings.gateway import GatewaySettings
-    from .crash_detector import CrashDetector
     from .headers import HeaderTranslator, RawHeaders
     from .metrics import GatewayMetrics
+    from .quarantine.crash_detector import CrashDetector
     from .reachability_probes import ReachabilityProbes
     from .relay_protocol import RelayedAttempt
     from .upstream_client import UpstreamAnswer, UpstreamClient
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -31,10 +31,10 @@
     from ..core.routes import GatewayConfig, GatewayWorkspace, RequestLimits, Route
     from ..core.shutdown import Shutdown
     from .accounts import Accounts
-    from .crash_guard import CrashGuard
     from .forward import Forwarder
     from .headers import CallerFields, HeaderTranslator, RawHeaders
     from .metrics import GatewayMetrics
+    from .quarantine.guard import CrashGuard
     from .resumptions import Resumptions
     from .startup_wait import StartupWait
 
--- a/mothstand/testing/crash_faults.py
+++ b/mothstand/testing/crash_faults.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING, Any
 
 from ..core.quarantine import Quarantine
-from ..gateway.crash_detector import Liveness, LivenessCheck
-from ..gateway.quarantine_feed import QuarantineFeed
-from ..gateway.quarantine_outbox import QuarantineOutbox
+from ..gateway.quarantine.crash_detector import Liveness, LivenessCheck
+from ..gateway.quarantine.feed import QuarantineFeed
+from ..gateway.quarantine.outbox import QuarantineOutbox
 
 if TYPE_CHECKING:
     from ..core.request_digest import RequestDigest
--- a/mothstand/testing/crash_histories.py
+++ b/mothstand/testing/crash_histories.py
@@ -23,16 +23,16 @@
 from ..core.stall_detector import StallDetector
 from ..errors import RefusedError
 from ..gateway.call import Call, CallerConnection
-from ..gateway.crash_detector import (
+from ..gateway.forward import Forwarder
+from ..gateway.headers import CallerFields, RawHeaders, UpstreamFields
+from ..gateway.metrics import GatewayMetrics
+from ..gateway.quarantine.crash_detector import (
     CorroboratedCheck,
     CrashDetector,
     Liveness,
     LivenessCheck,
 )
-from ..gateway.crash_guard import CrashGuard
-from ..gateway.forward import Forwarder
-from ..gateway.headers import CallerFields, RawHeaders, UpstreamFields
-from ..gateway.metrics import GatewayMetrics
+from ..gateway.quarantine.guard import CrashGuard
 from ..gateway.reachability_probes import ReachabilityProbes
 from ..gateway.upstream_client import (
     ConnectionBrokenError,
--- a/mothstand/tests/test_bootstrap.py
+++ b/mothstand/tests/test_bootstrap.py
@@ -17,7 +17,7 @@
 from ..gateway.lending import BOOTSTRAP_TIMEOUT_S, BootstrapState
 from ..gateway.member_feed import MemberFeed, encode_member
 from ..gateway.metrics import GatewayMetrics
-from ..gateway.quarantine_feed import QuarantineFeed
+from ..gateway.quarantine.feed import QuarantineFeed
 from ..gateway.store import KeyedRecord
 from ..gateway.upstream_feed import UpstreamFeed
 from ..log.health import PlatformHealth
--- a/mothstand/tests/test_crash_detector.py
+++ b/mothstand/tests/test_crash_detector.py
@@ -8,7 +8,7 @@
 
 from ..core.request_digest import RequestDigest
 from ..core.upstreams import RegisteredUpstream
-from ..gateway.crash_detector import (
+from ..gateway.quarantine.crash_detector import (
     BrokenAttempt,
     CorroboratedCheck,
     CrashDetector,
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -25,12 +25,12 @@
 from ..core.upstreams import RegisteredUpstream, UpstreamDirectory, UpstreamKey
 from ..errors import ErrorKind, RefusedError
 from ..gateway.call import Call, CallerConnection
-from ..gateway.crash_detector import CrashDetector, TcpLivenessCheck
-from ..gateway.crash_guard import CrashGuard
 from ..gateway.forward import Forwarder
 from ..gateway.headers import CallerFields, RawHeaders, UpstreamFields
 from ..gateway.metrics import GatewayMetrics
-from ..gateway.quarantine_feed import QuarantineFeed
+from ..gateway.quarantine.crash_detector import CrashDetector, TcpLivenessCheck
+from ..gateway.quarantine.feed import QuarantineFeed
+from ..gateway.quarantine.guard import CrashGuard
 from ..gateway.reachability_probes import ReachabilityProbes
 from ..gateway.upstream_client import (
     ConnectionBrokenError,
--- a/mothstand/tests/test_quarantine_feed.py
+++ b/mothstand/tests/test_quarantine_feed.py
@@ -10,8 +10,8 @@
 from ..core.quarantine import CRASH_THRESHOLD
 from ..core.request_digest import RequestDigest
 from ..core.upstreams import RegisteredUpstream
-from ..gateway.crash_detector import BrokenAttempt
-from ..gateway.quarantine_feed import QUARANTINE_STREAM, QuarantineFeed
+from ..gateway.quarantine.crash_detector import BrokenAttempt
+from ..gateway.quarantine.feed import QUARANTINE_STREAM, QuarantineFeed
 from ..log.health import PlatformHealth
 from ..testing.fakes import UnreachablePeers
 from ..testing.memory_store import MemoryStore, StoreCallOutcome, StoreLink
--- a/mothstand/tests/test_relay.py
+++ b/mothstand/tests/test_relay.py
@@ -19,8 +19,8 @@
 from ..core.request_digest import RequestDigest
 from ..core.shutdown import Shutdown
 from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
-from ..gateway.crash_detector import CrashDetector, TcpLivenessCheck
 from ..gateway.metrics import GatewayMetrics
+from ..gateway.quarantine.crash_detector import CrashDetector, TcpLivenessCheck
 from ..gateway.reachability_probes import ReachabilityProbes
 from ..gateway.relay_client import (
     RelayClient,
