--- a/mothstand/core/quarantine.py
+++ b/mothstand/core/quarantine.py
@@ -1,14 +1,17 @@
-"""Quarantine of requests that crash upstreams.
+"""Quarantine of requests and prompt parts that crash upstreams.
 
 A request may crash each upstream that begins to run it, and its caller sends it again with another
-id and to another instance. Each crash also breaks all other requests at that upstream, so such a
-request must be blocked in the whole fleet after a few crashes.
-
-A request that only ran at upstreams which crashed for another reason must not be blocked. A
-complete answer distinguishes it: a request that crashes every upstream never has one, so a single
-answer clears it. A popular request runs at many upstreams at once and may lose several of them to
-one other cause. If all its crashes may share a cause, the quarantine first waits for an answer. The
-request is soon probed in that case, and if other upstreams crashed without it at that time.
+id and to another instance. A prompt part may crash each upstream that begins to write an answer on
+it, whatever else the request holds. Each crash also breaks all other requests at that upstream, so
+the cause must be blocked in the whole fleet after a few crashes.
+
+A crash counts for every suspect that was there: the requests, and the parts of their prompts. A
+suspect that only ran at upstreams which crashed for another reason must not be blocked. An answer
+distinguishes it: what crashes every upstream never has one, so a single answer clears it. A
+suspect that was only there when a likelier cause was there, too, is not blocked either. A popular
+request runs at many upstreams at once and may lose several of them to one other cause. If all its
+crashes may share a cause, the quarantine first waits for an answer. The suspect is soon probed in
+that case, and if other upstreams crashed without it at that time.
 """
 
 from __future__ import annotations
@@ -17,14 +20,23 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from .survivals import Survivals
+from .suspects import is_part
+
 if TYPE_CHECKING:
-    from .request_digest import RequestDigest
+    from collections.abc import Iterable, Sequence
+
+    from .suspects import SuspectId
     from .upstreams import UpstreamKey
 
-#: Number of upstream crashes after which a request is quarantined.
+#: Number of upstream crashes after which a suspect is quarantined.
 CRASH_THRESHOLD = 3
 
-#: Maximum number of probes of a quarantined request in the whole fleet, until it is forgotten. The
+#: Number of upstream crashes from which a part is quarantined although a single request, repeated,
+#: may be the cause of all of them.
+CERTAIN_CRASHES = 5
+
+#: Maximum number of probes of a quarantined suspect in the whole fleet, until it is forgotten. The
 #: operators allow it to reach one more upstream. That one is reserved for a crash that is never
 #: reported because the instance that noticed it was killed, too.
 MAX_PROBES = 2
@@ -44,7 +56,11 @@
 #: Minimum seconds after which a caller should retry.
 _MIN_RETRY_AFTER_S = 1.0
 
-#: Seconds after the latest crash or probe until a request is forgotten, longer in quarantine.
+#: Seconds after an answer for which this instance does not enforce a quarantine of its part: more
+#: answers would clear it.
+_SURVIVAL_GRACE_S = 2.0
+
+#: Seconds after the latest crash or probe until a suspect is forgotten, longer in quarantine.
 _FORGET_CRASHES_S = 600.0
 _FORGET_QUARANTINE_S = 3600.0
 
@@ -54,47 +70,50 @@
 #: Number of upstream crashes whose times are retained; the first noted are dropped.
 _MAX_CRASH_TIMES = 500
 
-#: Number of requests that are retained; above it the one that expires first is forgotten.
+#: Number of suspects that are retained; above it the one that expires first is forgotten.
 _MAX_SUSPECTS = 2000
 
 
 @dataclass(frozen=True, slots=True)
 class UpstreamCrash:
-    """The crash of an upstream while it ran a request.
+    """The crash of an upstream while a suspect was there.
 
     Parameters
     ----------
     request_id, instance
         Identify the broken attempt in the logs.
     known_crashes
-        Number of crashes under the same request that its instance knew when it began the attempt,
+        Number of crashes under the same suspect that its instance knew when it began the attempt,
         and that no answer has cleared since.
+    label
+        Id of the suspected prompt part, shortened for the log; empty for a whole request.
     """
 
-    digest: RequestDigest
+    suspect_id: SuspectId
     upstream: UpstreamKey
     request_id: str
     instance: str
     known_crashes: int
+    label: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class Probe:
-    """One more attempt of a quarantined request.
+    """One more attempt of a request that is, or has a part that is, quarantined.
 
     Parameters
     ----------
     claim_id
-        Unique id, so that dropping a probe never drops another one.
+        Unique id of the attempt, so that dropping a probe never drops another one.
     """
 
-    digest: RequestDigest
+    suspect_id: SuspectId
     claim_id: str
 
 
 @dataclass(frozen=True, slots=True)
-class ForgottenRequest:
-    """Crashes and probes of a request that is no longer tracked."""
+class ForgottenSuspect:
+    """Crashes and probes of a suspect that is no longer tracked."""
 
     crashes: tuple[UpstreamCrash, ...]
     probes: frozenset[Probe]
@@ -102,8 +121,9 @@
 
 @dataclass(slots=True)
 class _Suspect:
-    """A request under which upstreams have crashed, without a complete answer since."""
+    """A request or part under which upstreams have crashed, without an answer since."""
 
+    suspect_id: SuspectId
     latest_event_s: float = -math.inf
     latest_crash_s: float = -math.inf
     crashes: dict[UpstreamKey, UpstreamCrash] = field(default_factory=dict)
@@ -115,6 +135,16 @@
         """Whether there are enough crashes for a quarantine."""
         return len(self.crashes) >= CRASH_THRESHOLD
 
+    @property
+    def rank(self) -> tuple[int, bool]:
+        """Order of likelihood to be the cause of crashes that it shares with another suspect.
+
+        If a request and its parts were at the same crashes, a repeated request is likelier, since
+        other requests with the parts would have crashed upstreams, too.
+        """
+        is_likelier = not is_part(self.suspect_id) and len(self.crashes) < CERTAIN_CRASHES
+        return len(self.crashes), is_likelier
+
     @property
     def may_share_cause(self) -> bool:
         """Whether all attempts may have run at once: none began with all other crashes known."""
@@ -122,28 +152,35 @@
 
     @property
     def expires_s(self) -> float:
-        """Time at which the request is forgotten."""
+        """Time at which the suspect is forgotten."""
         return self.latest_event_s + (
             _FORGET_QUARANTINE_S if self.has_reached_threshold else _FORGET_CRASHES_S
         )
 
     @property
-    def forgotten_request(self) -> ForgottenRequest:
-        """Crashes and probes of the request."""
-        return ForgottenRequest(tuple(self.crashes.values()), frozenset(self.probes))
+    def forgotten(self) -> ForgottenSuspect:
+        """Crashes and probes of the suspect."""
+        return ForgottenSuspect(tuple(self.crashes.values()), frozenset(self.probes))
 
 
 @dataclass(slots=True)
 class Quarantine:
-    """Tracks the requests under which upstreams crashed, as reported by the whole fleet."""
+    """Tracks the suspects under which upstreams crashed, as reported by the whole fleet.
+
+    Parameters
+    ----------
+    survivals
+        Prompt parts that this instance has seen answered.
+    """
 
-    _suspects: dict[RequestDigest, _Suspect] = field(default_factory=dict)
+    survivals: Survivals = field(default_factory=Survivals)
+    _suspects: dict[SuspectId, _Suspect] = field(default_factory=dict)
     _crash_times_s: dict[UpstreamKey, float] = field(default_factory=dict)
-    _forgotten: list[ForgottenRequest] = field(default_factory=list)
+    _forgotten: list[ForgottenSuspect] = field(default_factory=list)
 
     @property
     def is_empty(self) -> bool:
-        """Whether no request is tracked."""
+        """Whether no suspect is tracked."""
         return not self._suspects
 
     def add_crash(self, crash: UpstreamCrash, now_s: float, *, age_s: float = 0.0) -> bool:
@@ -154,7 +191,7 @@
         age_s
             Seconds since the crash.
         """
-        suspect = self._suspects.setdefault(crash.digest, _Suspect())
+        suspect = self._suspects.setdefault(crash.suspect_id, _Suspect(crash.suspect_id))
         crashed_s = now_s - age_s
         self._crash_times_s.setdefault(crash.upstream, crashed_s)
         if crash.upstream in suspect.crashes:
@@ -169,109 +206,178 @@
 
     def add_probe(self, probe: Probe, now_s: float, *, age_s: float = 0.0) -> None:
         """Add a probe that some instance sends now, or sent `age_s` seconds ago."""
-        suspect = self._suspects.get(probe.digest)
+        suspect = self._suspects.get(probe.suspect_id)
         if suspect is not None and probe not in suspect.probes:
             suspect.probes.add(probe)
             suspect.latest_event_s = max(suspect.latest_event_s, now_s - min(age_s, _MAX_AGE_S))
 
-    def drop_crash(self, digest: RequestDigest, upstream: UpstreamKey) -> None:
+    def drop_crash(self, suspect_id: SuspectId, upstream: UpstreamKey) -> None:
         """Remove the crash of one upstream."""
-        suspect = self._suspects.get(digest)
+        suspect = self._suspects.get(suspect_id)
         if suspect is None:
             return
         suspect.crashes.pop(upstream, None)
         if not suspect.crashes:
-            del self._suspects[digest]
+            del self._suspects[suspect_id]
 
-    def clear(self, digest: RequestDigest) -> None:
-        """Forget a request that had a complete answer."""
-        self._suspects.pop(digest, None)
+    def clear(self, suspect_id: SuspectId) -> None:
+        """Forget a suspect that had an answer."""
+        self._suspects.pop(suspect_id, None)
 
-    def crashes(self, digest: RequestDigest) -> tuple[UpstreamCrash, ...]:
-        """Return the crashes under a request, in the order in which they were added."""
-        suspect = self._suspects.get(digest)
+    def crashes(self, suspect_id: SuspectId) -> tuple[UpstreamCrash, ...]:
+        """Return the crashes under a suspect, in the order in which they were added."""
+        suspect = self._suspects.get(suspect_id)
         return () if suspect is None else tuple(suspect.crashes.values())
 
-    def is_quarantined(self, digest: RequestDigest, now_s: float) -> bool:
-        """Return whether a request must not be sent to an upstream."""
-        suspect = self._suspects.get(digest)
-        if suspect is None or not suspect.has_reached_threshold:
-            return False
-        return (
-            not suspect.may_share_cause
-            or now_s >= suspect.threshold_reached_s + COMMON_CAUSE_GRACE_S
+    def is_quarantined(self, suspect_id: SuspectId, now_s: float) -> bool:
+        """Return whether requests with a suspect must not be sent to an upstream."""
+        return bool(self.blocking((suspect_id,), now_s))
+
+    def blocking(self, suspect_ids: Iterable[SuspectId], now_s: float) -> tuple[SuspectId, ...]:
+        """Return those suspects of a request for which it must not be sent to an upstream."""
+        reached = [s for i in suspect_ids if (s := self._reached(i, now_s)) is not None]
+        if not reached:
+            return ()
+        causes = self._likely_causes(now_s)
+        return tuple(
+            suspect.suspect_id
+            for suspect in reached
+            if suspect.suspect_id in causes and self._is_grace_over(suspect, now_s)
         )
 
-    def is_probe_due(self, digest: RequestDigest, now_s: float) -> bool:
-        """Return whether a quarantined request may be probed now."""
-        suspect = self._suspects.get(digest)
-        if suspect is None or not suspect.has_reached_threshold:
-            return False
-        return now_s >= self._next_probe_s(suspect)
+    def is_probe_due(self, suspect_ids: Sequence[SuspectId], now_s: float) -> bool:
+        """Return whether a request with these suspects, some of them quarantined, may be probed."""
+        due_s = [self._next_probe_s(i, suspect_ids) for i in self.blocking(suspect_ids, now_s)]
+        return bool(due_s) and now_s >= max(due_s)
 
-    def retry_after_s(self, digest: RequestDigest, now_s: float) -> float:
+    def retry_after_s(self, suspect_ids: Sequence[SuspectId], now_s: float) -> float:
         """Return the seconds after which the caller of a quarantined request should retry.
 
         If its crashes may have another cause, the next probe soon shows whether it is harmless.
         """
-        suspect = self._suspects.get(digest)
-        if suspect is None:
-            return _MIN_RETRY_AFTER_S
-        probe_s = self._next_probe_s(suspect)
-        if probe_s < math.inf and self._may_have_other_cause(suspect):
-            return _MIN_RETRY_AFTER_S
-        return max(_MIN_RETRY_AFTER_S, min(probe_s, suspect.expires_s) - now_s)
-
-    def probes(self, digest: RequestDigest) -> frozenset[Probe]:
-        """Return the probes of a request."""
-        suspect = self._suspects.get(digest)
+        waits_s = [
+            self._retry_after_s(suspect_id, suspect_ids, now_s)
+            for suspect_id in self.blocking(suspect_ids, now_s)
+        ]
+        return max(waits_s, default=_MIN_RETRY_AFTER_S)
+
+    def probes(self, suspect_id: SuspectId) -> frozenset[Probe]:
+        """Return the probes of a suspect."""
+        suspect = self._suspects.get(suspect_id)
         return frozenset() if suspect is None else frozenset(suspect.probes)
 
-    def forget_expired(self, now_s: float) -> list[ForgottenRequest]:
-        """Forget expired requests, and return their crashes and probes.
+    def forget_expired(self, now_s: float) -> list[ForgottenSuspect]:
+        """Forget expired suspects, and return their crashes and probes.
 
-        Requests that were forgotten since the last call because there were too many are returned,
+        Suspects that were forgotten since the last call because there were too many are returned,
         too.
         """
-        for digest in [d for d, s in self._suspects.items() if now_s >= s.expires_s]:
-            self._forgotten.append(self._suspects.pop(digest).forgotten_request)
+        for suspect_id in [i for i, s in self._suspects.items() if now_s >= s.expires_s]:
+            self._forgotten.append(self._suspects.pop(suspect_id).forgotten)
         forgotten, self._forgotten = self._forgotten, []
         return forgotten
 
     def all_crashes(self) -> list[UpstreamCrash]:
-        """Return the crashes of all requests."""
+        """Return the crashes of all suspects."""
         return [crash for suspect in self._suspects.values() for crash in suspect.crashes.values()]
 
     def all_probes(self) -> list[Probe]:
-        """Return the probes of all requests."""
+        """Return the probes of all suspects."""
         return [probe for suspect in self._suspects.values() for probe in suspect.probes]
 
     def drop_probe(self, probe: Probe) -> None:
         """Remove a probe that reached no upstream."""
-        suspect = self._suspects.get(probe.digest)
+        suspect = self._suspects.get(probe.suspect_id)
         if suspect is not None:
             suspect.probes.discard(probe)
 
-    def _may_have_other_cause(self, suspect: _Suspect) -> bool:
-        """Return whether something other than the request may have crashed its upstreams."""
-        return suspect.may_share_cause or any(
-            upstream not in suspect.crashes
-            and abs(crashed_s - suspect.latest_crash_s) <= _OTHER_CRASHES_WITHIN_S
-            for upstream, crashed_s in self._crash_times_s.items()
+    def quarantined(self, now_s: float) -> tuple[SuspectId, ...]:
+        """Return all suspects that are quarantined."""
+        return self.blocking(list(self._suspects), now_s)
+
+    def _reached(self, suspect_id: SuspectId, now_s: float) -> _Suspect | None:
+        """Return a suspect that has enough crashes and no recent answer at this instance."""
+        suspect = self._suspects.get(suspect_id)
+        if suspect is None or not suspect.has_reached_threshold:
+            return None
+        if now_s - self.survivals.latest_s(suspect_id) <= _SURVIVAL_GRACE_S:
+            return None
+        return suspect
+
+    def _likely_causes(self, now_s: float) -> set[SuspectId]:
+        """Return the suspects with enough crashes, but for those explained by likelier causes."""
+        reached = [s for i in self._suspects if (s := self._reached(i, now_s)) is not None]
+        reached.sort(key=lambda suspect: suspect.rank, reverse=True)
+        causes: list[_Suspect] = []
+        for suspect in reached:
+            explained = {
+                upstream
+                for cause in causes
+                if cause.rank > suspect.rank
+                for upstream in cause.crashes
+            }
+            if not suspect.crashes.keys() <= explained:
+                causes.append(suspect)
+        return {cause.suspect_id for cause in causes}
+
+    def _is_grace_over(self, suspect: _Suspect, now_s: float) -> bool:
+        return (
+            not suspect.may_share_cause
+            or now_s >= suspect.threshold_reached_s + COMMON_CAUSE_GRACE_S
         )
 
-    def _next_probe_s(self, suspect: _Suspect) -> float:
+    def _retry_after_s(
+        self, suspect_id: SuspectId, suspect_ids: Sequence[SuspectId], now_s: float
+    ) -> float:
+        suspect = self._suspects[suspect_id]
+        probe_s = self._next_probe_s(suspect_id, suspect_ids)
+        if probe_s < math.inf and self._may_have_other_cause(suspect, suspect_ids):
+            return _MIN_RETRY_AFTER_S
+        return max(_MIN_RETRY_AFTER_S, min(probe_s, suspect.expires_s) - now_s)
+
+    def _next_probe_s(self, suspect_id: SuspectId, suspect_ids: Sequence[SuspectId]) -> float:
         """Return the time from which the next probe may be sent, infinite after the last one."""
+        suspect = self._suspects[suspect_id]
         probe_count = len(suspect.probes)
         if probe_count >= MAX_PROBES:
             return math.inf
-        may_have_other_cause = self._may_have_other_cause(suspect)
-        pauses_s = _OTHER_CAUSE_PROBE_PAUSES_S if may_have_other_cause else _PROBE_PAUSES_S
+        has_other_cause = self._may_have_other_cause(suspect, suspect_ids)
+        pauses_s = _OTHER_CAUSE_PROBE_PAUSES_S if has_other_cause else _PROBE_PAUSES_S
         return suspect.latest_event_s + pauses_s[probe_count]
 
+    def _may_have_other_cause(self, suspect: _Suspect, suspect_ids: Sequence[SuspectId]) -> bool:
+        """Return whether something other than a suspect may have crashed its upstreams.
+
+        Parameters
+        ----------
+        suspect_ids
+            All suspects of the request, which a probe cannot tell apart.
+        """
+        return (
+            suspect.may_share_cause
+            or self._has_crashes_without(suspect)
+            or self._has_alternative(suspect, suspect_ids)
+        )
+
+    def _has_crashes_without(self, suspect: _Suspect) -> bool:
+        """Return whether other upstreams crashed without a suspect at that time."""
+        return any(
+            upstream not in suspect.crashes
+            and abs(crashed_s - suspect.latest_crash_s) <= _OTHER_CRASHES_WITHIN_S
+            for upstream, crashed_s in self._crash_times_s.items()
+        )
+
+    def _has_alternative(self, suspect: _Suspect, suspect_ids: Sequence[SuspectId]) -> bool:
+        """Return whether a suspect that the request lacks was at all of the crashes, too."""
+        return any(
+            other.has_reached_threshold and suspect.crashes.keys() <= other.crashes.keys()
+            for other_id, other in self._suspects.items()
+            if other_id not in suspect_ids
+        )
+
     def _enforce_limits(self) -> None:
         while len(self._crash_times_s) > _MAX_CRASH_TIMES:
             del self._crash_times_s[next(iter(self._crash_times_s))]
         if len(self._suspects) > _MAX_SUSPECTS:
-            oldest = min(self._suspects, key=lambda d: self._suspects[d].expires_s)
-            self._forgotten.append(self._suspects.pop(oldest).forgotten_request)
+            oldest = min(self._suspects, key=lambda i: self._suspects[i].expires_s)
+            self._forgotten.append(self._suspects.pop(oldest).forgotten)
--- a/mothstand/core/request_digest.py
+++ b/mothstand/core/request_digest.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import hashlib
-from typing import NewType
 
-#: Digest for comparing requests; it does not reveal their content.
-RequestDigest = NewType("RequestDigest", str)
+from .suspects import SuspectId
 
 _DIGEST_BYTES = 16
 
 
 def request_digest(
     *, workspace: str, host: str, method: str, target: str, body: bytes
-) -> RequestDigest:
+) -> SuspectId:
     """Return the digest of the parts that stay the same when a caller sends a request again.
 
     Id, deadline, priority and last received event change each time and are not included.
@@ -33,4 +31,4 @@
         # The length prefix separates parts that are equal only when joined.
         hashed.update(len(encoded).to_bytes(4, "big") + encoded)
     hashed.update(body)
-    return RequestDigest(hashed.hexdigest())
+    return SuspectId(hashed.hexdigest())
--- a/mothstand/gateway/call.py
+++ b/mothstand/gateway/call.py
@@ -8,7 +8,8 @@
 
 from ..core.claims import NO_USAGE, Usage
 from ..core.event_stream import StreamProgress
-from ..core.request_digest import RequestDigest, request_digest
+from ..core.request_digest import request_digest
+from ..core.suspects import Suspect, SuspectId, part_suspects
 
 if TYPE_CHECKING:
     from ..core.quarantine import Probe
@@ -90,14 +91,16 @@
         Upstream of the latest attempt, the version of its software, and the age of the
         registrations at that time; None if the store had never been read.
     known_crashes
-        Number of upstreams that were known to have crashed during the same request when the latest
-        attempt began.
+        Number of upstreams that were known to have crashed under each suspect of the request when
+        the latest attempt began; suspects without any are not contained.
+    has_survived
+        Whether the latest attempt has shown that the parts of its prompt crash no upstream.
     is_connection_broken
         Whether the connection broke in the latest attempt.
     is_upstream_full
         Whether the upstream of the latest attempt had no capacity.
-    probe
-        The probe as which a quarantined request is sent; None for other requests.
+    probes
+        The probes as which a quarantined request is sent, one for each quarantined suspect.
     permitted_regions
         Regions in which the request may run; None for any.
     origin
@@ -136,15 +139,17 @@
     upstream_id: str = ""
     upstream_version: str = ""
     registrations_age_s: float | None = None
-    known_crashes: int = 0
+    known_crashes: dict[SuspectId, int] = field(default_factory=dict)
+    has_survived: bool = False
     is_connection_broken: bool = False
     is_upstream_full: bool = False
-    probe: Probe | None = None
+    probes: tuple[Probe, ...] = ()
     permitted_regions: frozenset[Region] | None = None
     origin: StreamOrigin | None = None
     exclusions: str = ""
     rate_limit_retry_s: float | None = None
-    _digest: RequestDigest | None = None
+    _digest: SuspectId | None = None
+    _part_suspects: tuple[Suspect, ...] | None = None
 
     @property
     def is_resumption(self) -> bool:
@@ -152,7 +157,7 @@
         return self.route.is_resumable and bool(self.fields.last_event_id)
 
     @property
-    def digest(self) -> RequestDigest:
+    def digest(self) -> SuspectId:
         """Digest that is the same for repetitions of a request."""
         if self._digest is None:
             self._digest = request_digest(
@@ -164,6 +169,18 @@
             )
         return self._digest
 
+    @property
+    def part_suspects(self) -> tuple[Suspect, ...]:
+        """Parts of the prompt that may crash upstreams."""
+        if self._part_suspects is None:
+            self._part_suspects = part_suspects(self.fields.prompt)
+        return self._part_suspects
+
+    @property
+    def suspects(self) -> tuple[Suspect, ...]:
+        """What may crash upstreams: first the request itself."""
+        return (Suspect(self.digest), *self.part_suspects)
+
     @property
     def logged_parts(self) -> list[str]:
         """Ids of the parts of the prompt that other requests may have, shortened for the log."""
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -366,7 +366,6 @@
         answer: UpstreamAnswer | None = None
         self._guard.note_attempt_began(call)
         call.attempt_began_s = self._clock.monotonic_s()
-        call.answering_since_s = None
         self._eligibility.note_sent(upstream, call.service, call.attempt_began_s)
         # Counted before sending, since an attempt that is cancelled later may have run.
         call.sent_attempts += 1
@@ -379,7 +378,7 @@
                 self._reachability.note_reached(upstream, call.attempt_began_s)
             await self._pass_on(call, answer, placed, caller)
             self._placement.note_success(upstream)
-            self._guard.note_answered(call, answer)
+            self._guard.note_answered(call, upstream, answer)
         except (NotRunError, MayHaveRunError) as error:
             if isinstance(error, NotRunError):
                 call.sent_attempts -= 1
@@ -437,7 +436,7 @@
             sending = self._client.send(upstream, call.request, headers)
         else:
             sending = self._relays.send(hop.relay, upstream, call, headers)
-        is_last = call.sent_attempts >= call.route.attempts or call.probe is not None
+        is_last = call.sent_attempts >= call.route.attempts or bool(call.probes)
         if not call.route.may_run_twice or is_last:
             return await self._record_head_time(call, sending)
         return await self._send_with_early_retry(call, sending)
@@ -554,8 +553,7 @@
         gaps = StreamGaps()
         while piece := await answer.read_piece():
             self._placement.note_prompt_read(placed)
-            if call.answering_since_s is None:
-                call.answering_since_s = self._clock.monotonic_s()
+            self._guard.note_answering(call)
             sent_before = call.progress.sent_events
             passed = call.progress.feed(piece)
             if not passed:
--- a/mothstand/gateway/quarantine/crash_detector.py
+++ b/mothstand/gateway/quarantine/crash_detector.py
@@ -19,7 +19,7 @@
     from collections.abc import Callable
 
     from ...clock import Clock
-    from ...core.request_digest import RequestDigest
+    from ...core.suspects import Suspect, SuspectId
     from ...core.upstreams import RegisteredUpstream, UpstreamKey
 
 #: A crash is attributed to a request whose connection broke at most this long before. A
@@ -103,21 +103,37 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BrokenAttempt:
-    """Attempt whose connection broke before its answer was complete.
+class AttemptSuspect:
+    """Suspect of an attempt: the request, or a part of its prompt.
 
     Parameters
     ----------
     known_crashes
-        Number of upstreams that were known to have crashed during the same request when the attempt
+        Number of upstreams that were known to have crashed under the same suspect when the attempt
         began.
     """
 
-    request_id: str
-    digest: RequestDigest
+    suspect: Suspect
     known_crashes: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenAttempt:
+    """Attempt whose connection broke before its answer was known to be complete.
+
+    Parameters
+    ----------
+    digest
+        Digest of the request.
+    suspects
+        What may have crashed the upstream if it crashed.
+    """
+
+    request_id: str
+    digest: SuspectId
+    suspects: tuple[AttemptSuspect, ...]
+
+
 @dataclass(slots=True)
 class _SuspectedUpstream:
     """Upstream to which connections broke.
--- a/mothstand/gateway/quarantine/feed.py
+++ b/mothstand/gateway/quarantine/feed.py
@@ -1,15 +1,18 @@
-"""Shares the crashes of upstreams that requests caused among all instances of the fleet."""
+"""Shares the crashes of upstreams, and what may have caused them, among all instances."""
 
 from __future__ import annotations
 
 import random
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
 
 from ...core.quarantine import CRASH_THRESHOLD, Quarantine, UpstreamCrash
+from ...core.suspects import is_part
 from ...events import Event, emit
+from ..delayed_calls import DelayedCalls
 from ..feeds import KeyedFeed
 from ..store import KeyedRecord, Store, StoreConflictError, StoreError, Stream, StreamPage
 from .outbox import QuarantineOutbox
@@ -19,7 +22,7 @@
     encode_crash,
     encode_probe,
     is_probe_key,
-    new_probe,
+    new_probes,
     probe_key,
     probe_of_key,
     record_age,
@@ -29,12 +32,12 @@
     from collections.abc import Callable, Iterable, Sequence
 
     from ...clock import Clock
-    from ...core.quarantine import ForgottenRequest, Probe
-    from ...core.request_digest import RequestDigest
+    from ...core.quarantine import ForgottenSuspect, Probe
+    from ...core.suspects import Suspect, SuspectId
     from ...core.upstreams import RegisteredUpstream
     from ...log.health import PlatformHealth
     from ..lending import PeerLink
-    from .crash_detector import BrokenAttempt
+    from .crash_detector import AttemptSuspect, BrokenAttempt
 
 #: The fleet's stream for crashes of upstreams and for probes.
 QUARANTINE_STREAM = Stream("keyed.mothstand-quarantine")
@@ -55,6 +58,14 @@
 _SOURCE_OWN = "own"
 _SOURCE_LISTING = "listing"
 
+#: Seconds for which a part that was answered is taken for sound unless it is not answered again,
+#: and seconds to wait for that answer after a crash.
+_SURVIVAL_MEMORY_S = 60.0
+_SURVIVAL_WAIT_S = 1.0
+
+#: Maximum delay before the records of a cleared part are dropped, in pauses between reads.
+_CLEAR_DELAY_PAUSES = 2.0
+
 #: Seconds between two checks for expired crashes.
 _EXPIRY_CHECK_INTERVAL_S = 10.0
 
@@ -102,7 +113,9 @@
         self._instance = instance
         self._outbox = self.outbox_type(store, QUARANTINE_STREAM, clock, health, link, peers)
         self._fleet_size = fleet_size
+        self._delayed_calls = DelayedCalls(clock)
         self._known_crashes: dict[str, _KnownCrash] = {}
+        self._cleared_keys: set[str] = set()
 
     @property
     def pause_s(self) -> float:
@@ -118,53 +131,118 @@
         """Read the stream and append to it until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._outbox.run)
+            tasks.start_soon(self._delayed_calls.run)
             tasks.start_soon(self._forget_expired)
             await super().run()
 
     def report(self, upstream: RegisteredUpstream, attempt: BrokenAttempt) -> None:
-        """Report that an upstream crashed during a request of this instance."""
-        known_crashes = min(attempt.known_crashes, len(self.quarantine.crashes(attempt.digest)))
+        """Report that an upstream crashed during an attempt of this instance.
+
+        A part that was answered here lately is most likely sound, so its next answer is awaited
+        first: a part of many requests would else cost the fleet records for each crash.
+        """
+        now_s = self._clock.monotonic_s()
+        for each in attempt.suspects:
+            report = partial(self._report_suspect, upstream, attempt.request_id, each, now_s)
+            answered_s = self.quarantine.survivals.latest_s(each.suspect.suspect_id)
+            if now_s - answered_s <= _SURVIVAL_MEMORY_S:
+                self._delayed_calls.schedule(_SURVIVAL_WAIT_S, report)
+            else:
+                report()
+
+    def _report_suspect(
+        self,
+        upstream: RegisteredUpstream,
+        request_id: str,
+        attempt_suspect: AttemptSuspect,
+        crashed_s: float,
+    ) -> None:
+        """Report a suspect of a crash, unless it was answered after the crash."""
+        suspect_id = attempt_suspect.suspect.suspect_id
+        if self.quarantine.survivals.latest_s(suspect_id) > crashed_s:
+            return
+        known_crashes = min(attempt_suspect.known_crashes, len(self.quarantine.crashes(suspect_id)))
         crash = UpstreamCrash(
-            attempt.digest, upstream.key, attempt.request_id, self._instance, known_crashes
+            suspect_id,
+            upstream.key,
+            request_id,
+            self._instance,
+            known_crashes,
+            attempt_suspect.suspect.label,
         )
         record = encode_crash(crash, self._clock.now())
         if self._add_crash(crash, record, source=_SOURCE_OWN):
             self._outbox.enqueue(record)
 
-    def clear(self, digest: RequestDigest) -> None:
-        """Clear a request after a complete answer, which shows that it does not crash upstreams."""
-        crashes = self.quarantine.crashes(digest)
+    def note_survived(self, suspects: Iterable[Suspect]) -> None:
+        """Record that parts were answered and their upstream lives on, which clears them."""
+        now_s = self._clock.monotonic_s()
+        for suspect in suspects:
+            self.quarantine.survivals.add(suspect.suspect_id, now_s)
+            if not self.quarantine.is_empty:
+                self.clear(suspect.suspect_id)
+
+    def clear(self, suspect_id: SuspectId) -> None:
+        """Clear a suspect after an answer, which shows that it does not crash upstreams."""
+        crashes = self.quarantine.crashes(suspect_id)
         if not crashes:
             return
-        emit(Event.QUARANTINE_CLEARED, digest=digest, ends=len(crashes), reason="answered")
-        probes = self.quarantine.probes(digest)
-        self.quarantine.clear(digest)
-        self._drop_records(crashes, probes)
+        emit(
+            Event.QUARANTINE_CLEARED,
+            digest=suspect_id,
+            part=crashes[0].label,
+            ends=len(crashes),
+            reason="answered",
+        )
+        probes = self.quarantine.probes(suspect_id)
+        self.quarantine.clear(suspect_id)
+        keys = _record_keys(crashes, probes)
+        if not is_part(suspect_id):
+            self._drop_records(keys)
+            return
+        # Many instances may see answers on a part before the first of them has told the others.
+        self._cleared_keys.update(keys)
+        delay_s = random.uniform(0.0, _CLEAR_DELAY_PAUSES * self.pause_s)
+        self._delayed_calls.schedule(delay_s, partial(self._drop_cleared, keys))
+
+    def _drop_cleared(self, keys: Sequence[str]) -> None:
+        """Drop the records of a cleared part that no other instance has dropped meanwhile."""
+        self._drop_records([key for key in keys if key in self._cleared_keys])
+        self._cleared_keys.difference_update(keys)
 
-    async def claim_probe(self, digest: RequestDigest) -> Probe | None:
-        """Return a probe that this instance may send, or None.
+    async def claim_probes(self, suspect_ids: Sequence[SuspectId]) -> tuple[Probe, ...]:
+        """Return the probes as which this instance may send a request; empty if it may not.
 
         The append is conditional on the offset, so the store accepts only one of the instances
-        that claim a probe at the same time.
+        that claim probes at the same time.
+
+        Parameters
+        ----------
+        suspect_ids
+            All suspects of the request, some of them quarantined.
         """
-        if not self.quarantine.is_probe_due(digest, self._clock.monotonic_s()):
-            return None
+        now_s = self._clock.monotonic_s()
+        if not self.quarantine.is_probe_due(suspect_ids, now_s):
+            return ()
         if self._next_offset is None or self._health.is_failing:
-            return None
-        probe = new_probe(digest)
-        record = encode_probe(probe, self._instance, self._clock.now())
+            return ()
+        probes = new_probes(self.quarantine.blocking(suspect_ids, now_s))
+        now = self._clock.now()
+        records = tuple(encode_probe(probe, self._instance, now) for probe in probes)
         try:
-            await self._store.append(self._stream, (record,), at_offset=self._next_offset)
+            await self._store.append(self._stream, records, at_offset=self._next_offset)
         except StoreConflictError:
-            return None
+            return ()
         except StoreError as error:
             self._health.note_failure(error)
-            # The append may have succeeded, and the probe would then count as sent.
-            self.return_probe(probe)
-            return None
-        self.quarantine.add_probe(probe, self._clock.monotonic_s())
-        emit(Event.QUARANTINE_TRIAL, digest=digest, claim=probe.claim_id)
-        return probe
+            # The append may have succeeded, and the probes would then count as sent.
+            for probe in probes:
+                self.return_probe(probe)
+            return ()
+        for probe in probes:
+            self.quarantine.add_probe(probe, self._clock.monotonic_s())
+            emit(Event.QUARANTINE_TRIAL, digest=probe.suspect_id, claim=probe.claim_id)
+        return probes
 
     def return_probe(self, probe: Probe) -> None:
         """Give back a probe that reached no upstream or was answered."""
@@ -214,6 +292,7 @@
             if is_probe_key(record.key):
                 return self._apply_probe(record, source=source)
             if record.value is None:
+                self._cleared_keys.discard(record.key)
                 return self._drop_crash(record.key)
             return self._add_crash(decode_crash(record), record, source=source)
         except ValueError as error:
@@ -234,7 +313,7 @@
         """Drop a crash whose key was dropped; return whether it was known."""
         known = self._known_crashes.pop(key, None)
         if known is not None:
-            self.quarantine.drop_crash(known.crash.digest, known.crash.upstream)
+            self.quarantine.drop_crash(known.crash.suspect_id, known.crash.upstream)
         return known is not None
 
     def _age_s(self, record: KeyedRecord, source: str) -> float:
@@ -248,13 +327,14 @@
         if not self.quarantine.add_crash(crash, now_s, age_s=self._age_s(record, source)):
             return False
         self._known_crashes[crash_key(crash)] = _KnownCrash(crash, record)
-        crashes = self.quarantine.crashes(crash.digest)
+        crashes = self.quarantine.crashes(crash.suspect_id)
         # If the first crash reported by other instances were logged too, each broken request would
         # be a line at every instance.
         if source == _SOURCE_OWN or len(crashes) > 1:
             emit(
                 Event.END_NOTED,
-                digest=crash.digest,
+                digest=crash.suspect_id,
+                part=crash.label,
                 upstream=crash.upstream.upstream_id,
                 request=crash.request_id,
                 instance=crash.instance,
@@ -264,7 +344,13 @@
             )
         if len(crashes) == CRASH_THRESHOLD:
             upstreams = [known.upstream.upstream_id for known in crashes]
-            emit(Event.QUARANTINE_BEGAN, digest=crash.digest, upstreams=upstreams)
+            emit(
+                Event.QUARANTINE_BEGAN,
+                digest=crash.suspect_id,
+                part=crash.label,
+                upstreams=upstreams,
+                requests=[known.request_id for known in crashes],
+            )
         return True
 
     async def _forget_expired(self) -> None:
@@ -272,30 +358,31 @@
         async with anyio.create_task_group() as tasks:
             while True:
                 await self._clock.sleep(_EXPIRY_CHECK_INTERVAL_S)
-                requests = self.quarantine.forget_expired(self._clock.monotonic_s())
-                if requests:
-                    crashes = sum(len(request.crashes) for request in requests)
+                suspects = self.quarantine.forget_expired(self._clock.monotonic_s())
+                if suspects:
+                    crashes = sum(len(suspect.crashes) for suspect in suspects)
                     emit(Event.QUARANTINE_CLEARED, ends=crashes, reason="too old or too many")
-                    tasks.start_soon(self._drop_forgotten, requests)
+                    tasks.start_soon(self._drop_forgotten, suspects)
 
-    async def _drop_forgotten(self, requests: Sequence[ForgottenRequest]) -> None:
+    async def _drop_forgotten(self, suspects: Sequence[ForgottenSuspect]) -> None:
         """Drop expired crashes from the store unless another instance has done so meanwhile."""
         await self._clock.sleep(random.uniform(0.0, _MAX_DROP_DELAY_S))
-        for request in requests:
-            crashes = [crash for crash in request.crashes if self._is_known(crash)]
+        for suspect in suspects:
+            crashes = [crash for crash in suspect.crashes if self._is_known(crash)]
             if crashes:
-                self._drop_records(crashes, request.probes, is_relayed=False)
+                self._drop_records(_record_keys(crashes, suspect.probes), is_relayed=False)
 
     def _is_known(self, crash: UpstreamCrash) -> bool:
         known = self._known_crashes.get(crash_key(crash))
         return known is not None and known.crash is crash
 
-    def _drop_records(
-        self, crashes: Iterable[UpstreamCrash], probes: Iterable[Probe], *, is_relayed: bool = True
-    ) -> None:
-        """Drop a request's records from the store, probes before the crashes they belong to."""
-        keys = [probe_key(probe) for probe in probes]
-        keys += [crash_key(crash) for crash in crashes]
+    def _drop_records(self, keys: Iterable[str], *, is_relayed: bool = True) -> None:
+        """Drop records of a suspect from the store."""
         for key in keys:
             self._known_crashes.pop(key, None)
             self._outbox.enqueue(KeyedRecord(key, None), is_relayed=is_relayed)
+
+
+def _record_keys(crashes: Iterable[UpstreamCrash], probes: Iterable[Probe]) -> list[str]:
+    """Return the keys of a suspect's records, probes before the crashes they belong to."""
+    return [*map(probe_key, probes), *map(crash_key, crashes)]
--- a/mothstand/gateway/quarantine/records.py
+++ b/mothstand/gateway/quarantine/records.py
@@ -5,15 +5,19 @@
 import random
 import re
 from datetime import datetime, timedelta
+from typing import TYPE_CHECKING
 
 import xxhash
 from pydantic import BaseModel
 
 from ...core.quarantine import Probe, UpstreamCrash
-from ...core.request_digest import RequestDigest
+from ...core.suspects import SuspectId
 from ...core.upstreams import UpstreamKey
 from ..store import KeyedRecord
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 _PROBE_KEY_PREFIX = "trial"
 
 _CLAIM_BYTES = 8
@@ -27,36 +31,38 @@
 
 
 class _CrashValue(_DatedValue):
-    """Crash of an upstream during a request; the key begins with the request's digest."""
+    """Crash of an upstream; the key begins with the id of the suspect."""
 
     upstream: str
     born_ms: int
     request: str
     instance: str
     known_ends: int
+    part: str = ""
 
 
 class _ProbeValue(_DatedValue):
-    """Probe of a quarantined request; the key ends with its claim."""
+    """Probe of a quarantined suspect; the key ends with its claim."""
 
     instance: str
 
 
-def new_probe(digest: RequestDigest) -> Probe:
-    """Return a probe with a new random claim."""
-    return Probe(digest, random.randbytes(_CLAIM_BYTES).hex())
+def new_probes(suspect_ids: Iterable[SuspectId]) -> tuple[Probe, ...]:
+    """Return a probe of each suspect of one attempt, with a new random claim."""
+    claim_id = random.randbytes(_CLAIM_BYTES).hex()
+    return tuple(Probe(suspect_id, claim_id) for suspect_id in suspect_ids)
 
 
 def crash_key(crash: UpstreamCrash) -> str:
     """Return a key of limited length that is the same at all instances that report a crash."""
     upstream = crash.upstream
     hashed = xxhash.xxh3_64_hexdigest(f"{upstream.upstream_id} {upstream.born_ms}".encode())
-    return f"{crash.digest}/end-{hashed}"
+    return f"{crash.suspect_id}/end-{hashed}"
 
 
 def probe_key(probe: Probe) -> str:
     """Return the key of a probe's record."""
-    return f"{probe.digest}/{_PROBE_KEY_PREFIX}-{probe.claim_id}"
+    return f"{probe.suspect_id}/{_PROBE_KEY_PREFIX}-{probe.claim_id}"
 
 
 def is_probe_key(key: str) -> bool:
@@ -72,10 +78,10 @@
     ValueError
         If the key is not that of a probe.
     """
-    digest, _, claim = key.partition(f"/{_PROBE_KEY_PREFIX}-")
+    suspect_id, _, claim = key.partition(f"/{_PROBE_KEY_PREFIX}-")
     if not _CLAIM_PATTERN.fullmatch(claim):
         raise ValueError(f"the key must end with a claim of 16 hex digits, not {claim!r}")
-    return Probe(RequestDigest(digest), claim)
+    return Probe(SuspectId(suspect_id), claim)
 
 
 def encode_crash(crash: UpstreamCrash, at: datetime) -> KeyedRecord:
@@ -87,6 +93,7 @@
         request=crash.request_id,
         instance=crash.instance,
         known_ends=crash.known_crashes,
+        part=crash.label,
     )
     return KeyedRecord(crash_key(crash), value.model_dump_json().encode())
 
@@ -107,11 +114,12 @@
     """
     value = _CrashValue.model_validate_json(record.value or b"")
     return UpstreamCrash(
-        RequestDigest(record.key.partition("/")[0]),
+        SuspectId(record.key.partition("/")[0]),
         UpstreamKey(value.upstream, value.born_ms),
         value.request,
         value.instance,
         value.known_ends,
+        value.part,
     )
 
 
--- a/mothstand/gateway/relay_protocol.py
+++ b/mothstand/gateway/relay_protocol.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 from urllib.parse import quote, unquote
 
-from ..core.request_digest import RequestDigest
+from ..core.suspects import SuspectId
 from ..core.upstreams import UpstreamKey
 from .headers import without_headers
 
@@ -70,7 +70,7 @@
 
     upstream: UpstreamKey
     sender: str
-    digest: RequestDigest
+    digest: SuspectId
     known_crashes: int
     version: str | None = None
 
@@ -103,7 +103,7 @@
         return RelayedAttempt(
             key,
             values[_SENDER.lower()],
-            RequestDigest(values[_DIGEST.lower()]),
+            SuspectId(values[_DIGEST.lower()]),
             int(values[_KNOWN_CRASHES.lower()]),
             unquote(values[_VERSION.lower()]) if _VERSION.lower() in values else None,
         )
--- a/mothstand/gateway/relay_server.py
+++ b/mothstand/gateway/relay_server.py
@@ -13,9 +13,10 @@
 from multidict import CIMultiDict
 
 from ..core.relaying import RelayOffer, RelayPolicy
+from ..core.suspects import Suspect, has_lived_on, part_suspects
 from ..errors import RefusedError
 from ..events import Event, emit
-from .quarantine.crash_detector import BrokenAttempt
+from .quarantine.crash_detector import AttemptSuspect, BrokenAttempt
 from .relay_protocol import (
     RelayOutcome,
     read_attempt,
@@ -45,7 +46,7 @@
     from ..core.shutdown import Shutdown
     from ..core.upstreams import RegisteredUpstream
     from ..settings.gateway import GatewaySettings
-    from .headers import HeaderTranslator, RawHeaders
+    from .headers import CallerFields, HeaderTranslator, RawHeaders
     from .metrics import GatewayMetrics
     from .quarantine.crash_detector import CrashDetector
     from .reachability_probes import ReachabilityProbes
@@ -181,8 +182,8 @@
             if not accepts:
                 raise _Failure(RelayOutcome.REJECTED, f"{self.running_requests - 1} are running")
             upstream = self._upstream(attempt)
-            answer = await self._send(attempt, upstream, outgoing, headers, arrived_s)
-            return await self._pass_on(request, attempt, upstream, outgoing, answer, arrived_s)
+            answer = await self._send(attempt, upstream, outgoing, headers, fields, arrived_s)
+            return await self._pass_on(request, attempt, upstream, fields, answer, arrived_s)
         except _Failure as failure:
             return self._log_outcome(
                 fields.request_id, attempt, failure.outcome, str(failure), arrived_s
@@ -233,6 +234,7 @@
         upstream: RegisteredUpstream,
         outgoing: OutgoingRequest,
         headers: RawHeaders,
+        fields: CallerFields,
         arrived_s: float,
     ) -> UpstreamAnswer:
         began_s = self._clock.monotonic_s()
@@ -251,7 +253,7 @@
         except NotRunError as error:
             raise _Failure(RelayOutcome.REJECTED, str(error)) from error
         except ConnectionBrokenError as error:
-            self._note_broken(attempt, upstream, outgoing)
+            self._note_broken(attempt, upstream, fields)
             raise _Failure(RelayOutcome.BROKEN, str(error)) from error
         except MayHaveRunError as error:
             raise _Failure(RelayOutcome.UNKNOWN, str(error)) from error
@@ -259,11 +261,28 @@
         return answer
 
     def _note_broken(
-        self, attempt: RelayedAttempt, upstream: RegisteredUpstream, outgoing: OutgoingRequest
+        self,
+        attempt: RelayedAttempt,
+        upstream: RegisteredUpstream,
+        fields: CallerFields,
+        answering_since_s: float | None = None,
     ) -> None:
         self._probes.reachability.note_broken(upstream)
+        self._report_broken(attempt, upstream, fields, answering_since_s)
+
+    def _report_broken(
+        self,
+        attempt: RelayedAttempt,
+        upstream: RegisteredUpstream,
+        fields: CallerFields,
+        answering_since_s: float | None,
+    ) -> None:
+        suspects = [AttemptSuspect(Suspect(attempt.digest), attempt.known_crashes)]
+        if not has_lived_on(answering_since_s, self._clock.monotonic_s()):
+            # The sender does not tell which crashes of the parts it knew.
+            suspects += [AttemptSuspect(suspect) for suspect in part_suspects(fields.prompt)]
         self._crash_detector.note_broken_attempt(
-            upstream, BrokenAttempt(outgoing.request_id, attempt.digest, attempt.known_crashes)
+            upstream, BrokenAttempt(fields.request_id, attempt.digest, tuple(suspects))
         )
 
     async def _pass_on(
@@ -271,7 +290,7 @@
         request: web.BaseRequest,
         attempt: RelayedAttempt,
         upstream: RegisteredUpstream,
-        outgoing: OutgoingRequest,
+        fields: CallerFields,
         answer: UpstreamAnswer,
         arrived_s: float,
     ) -> web.StreamResponse:
@@ -282,19 +301,25 @@
         response = web.StreamResponse(
             status=answer.status, reason=answer.reason, headers=CIMultiDict(headers)
         )
-        self._log_outcome(outgoing.request_id, attempt, outcome, "", arrived_s)
+        self._log_outcome(fields.request_id, attempt, outcome, "", arrived_s)
+        answering_since_s: float | None = None
         try:
             await response.prepare(request)
             while piece := await answer.read_piece():
+                if answering_since_s is None:
+                    answering_since_s = self._clock.monotonic_s()
                 await response.write(piece)
+            if answer.ends_with_connection:
+                # The end of the connection may be a crash.
+                self._report_broken(attempt, upstream, fields, answering_since_s)
             await response.write_eof()
         except ConnectionBrokenError:
             # The body has no end, so the other instance knows that it is not complete.
-            self._note_broken(attempt, upstream, outgoing)
+            self._note_broken(attempt, upstream, fields, answering_since_s)
             if request.transport is not None:
                 request.transport.abort()
         except (ConnectionResetError, aiohttp.ClientError) as error:
-            emit(Event.RELAY_LEFT, request=outgoing.request_id, error=repr(error))
+            emit(Event.RELAY_LEFT, request=fields.request_id, error=repr(error))
         return response
 
     def _log_outcome(
--- a/mothstand/gateway/relays.py
+++ b/mothstand/gateway/relays.py
@@ -99,7 +99,7 @@
             upstream.key,
             self._finder.peers.local_name,
             call.digest,
-            call.known_crashes,
+            call.known_crashes.get(call.digest, 0),
             upstream.version,
         )
         answer = await self._client.send(peer, attempt, call.request, headers)
--- a/mothstand/testing/crash_faults.py
+++ b/mothstand/testing/crash_faults.py
@@ -11,7 +11,9 @@
 from ..gateway.quarantine.outbox import QuarantineOutbox
 
 if TYPE_CHECKING:
-    from ..core.request_digest import RequestDigest
+    from collections.abc import Iterable
+
+    from ..core.suspects import SuspectId
     from ..gateway.store import KeyedRecord
 
 
@@ -50,16 +52,16 @@
 class _NeverClearingFeed(QuarantineFeed):
     """Never clears a request."""
 
-    def clear(self, digest: RequestDigest) -> None:
+    def clear(self, suspect_id: SuspectId) -> None:
         """Ignore the complete answer, so that the request stays quarantined."""
 
 
 class _IdleQuarantine(Quarantine):
     """Quarantines no request."""
 
-    def is_quarantined(self, digest: RequestDigest, now_s: float) -> bool:
-        """Return False."""
-        return False
+    def blocking(self, suspect_ids: Iterable[SuspectId], now_s: float) -> tuple[SuspectId, ...]:
+        """Return no suspect."""
+        return ()
 
 
 class _IdleFeed(QuarantineFeed):
--- a/mothstand/testing/crash_histories.py
+++ b/mothstand/testing/crash_histories.py
@@ -2,8 +2,8 @@
 
 The real forwarding, placement, crash detector and quarantine run in virtual time against a store in
 memory and simulated engines. One request crashes each engine that starts to run it and is repeated
-at any instance. Other requests are distinct, or repeat one popular body. Arrivals are counted as
-the operators count them.
+at any instance, or distinct requests that share one prompt part do so. Other requests are distinct,
+or repeat one popular body. Arrivals are counted as the operators count them.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 import anyio
 
 from ..core.placement import Placement
+from ..core.prompt import Prompt, PromptPart
 from ..core.reachability import Reachability
 from ..core.routes import Destination, GatewayService, RequestKind, Route
 from ..core.stall_detector import StallDetector
@@ -50,7 +51,7 @@
 from ..platform.records import decode_upstream
 from ..types import DataCentre
 from .crash_faults import InjectedFault, choose_check, choose_feed_type
-from .crash_fleet import CRASH_THRESHOLD, STABLE_WINDOW_S
+from .crash_fleet import CRASH_THRESHOLD, PART_CRASH_THRESHOLD, STABLE_WINDOW_S, CrashCause
 from .eligibility import lone_resumptions, unrestricted_eligibility
 from .fakes import RETRIES, NoRelays, NoWitness, UnreachablePeers
 from .frozen_processes import FreezableClock, FreezableStoreLink, FrozenProcesses
@@ -71,6 +72,15 @@
 CRASHING = b"crashing"
 POPULAR = b"popular"
 
+#: Parts of prompts: that of all requests, the one that crashes engines, and a rare one that most
+#: requests with the latter have, too.
+_SHARED_PART = "shared"
+_CRASHING_PART = "crashing"
+_COMPANION_PART = "companion"
+
+_SESSIONS = 40
+_PART_TOKENS = 100
+
 #: Seconds from the processes' start to the first callers.
 _WARM_UP_S = 5.0
 
@@ -82,6 +92,9 @@
 
 _REQUESTS_PER_S = 20.0
 
+#: Share of the requests that are neither crashing nor popular and have the companion part.
+_COMPANION_REQUESTS_SHARE = 0.05
+
 #: Seconds by which a machine's time of day may be ahead.
 _SKEWS_S = (0.0, 0.0, 0.1, -0.3, -3600.0, 86_400.0)
 
@@ -323,6 +336,12 @@
         How often callers repeat a failed request, each time at a random instance.
     order
         Seed of the order of tasks that wake at the same time.
+    cause
+        What crashes engines. Requests with a crashing prompt part are all distinct.
+    has_prompts
+        Whether requests have prompts; always if a part of them crashes engines.
+    companion_share
+        Share of the crashing requests whose prompts have the companion part, too.
     """
 
     seed: int
@@ -337,6 +356,9 @@
     engine_count: int = 9
     duration_s: float = 40.0
     order: int = 0
+    cause: CrashCause = CrashCause.BODY
+    has_prompts: bool = False
+    companion_share: float = 0.0
     alive: dict[str, _Instance] = field(default_factory=dict)
     engines: dict[str, _Engine] = field(default_factory=dict)
     frozen: FrozenProcesses = field(default_factory=FrozenProcesses)
@@ -351,7 +373,8 @@
 
     def run(self) -> CrashResult:
         """Simulate the history in virtual time."""
-        self._result.outcomes = {k: Counter() for k in ("crashing", "popular", "distinct")}
+        kinds = ("crashing", "popular", "distinct", "companion")
+        self._result.outcomes = {kind: Counter() for kind in kinds}
         run_in_virtual_time(self._simulate, order=self.order)
         return self._result
 
@@ -371,7 +394,7 @@
             If the engine crashes or the connection is reset before the answer is complete.
         """
         rng = self._make_rng("run", request.request_id, engine.upstream_id)
-        if request.body == CRASHING:
+        if request.body.startswith(CRASHING):
             self._count_arrival(instance)
             await anyio.sleep(_RUN_TO_CRASH_S)
             if engine.is_up:
@@ -387,12 +410,12 @@
             raise ConnectionBrokenError("reset")
 
     def _count_arrival(self, instance: _Instance) -> None:
-        if len(self._crashed_s) < CRASH_THRESHOLD:
+        is_body = self.cause is CrashCause.BODY
+        threshold = CRASH_THRESHOLD if is_body else PART_CRASH_THRESHOLD
+        if len(self._crashed_s) < threshold:
             return
-        now_s = anyio.current_time()
-        if now_s > self._crashed_s[CRASH_THRESHOLD - 1] + STABLE_WINDOW_S and self._is_undisturbed(
-            instance
-        ):
+        is_late = anyio.current_time() > self._crashed_s[threshold - 1] + STABLE_WINDOW_S
+        if is_late and self._is_undisturbed(instance):
             self._result.late_arrivals += 1
 
     def _is_undisturbed(self, instance: _Instance) -> bool:
@@ -441,7 +464,10 @@
         while True:
             await anyio.sleep(rng.choice([0.1, 0.5, 1.0, 3.0]))
             for _ in range(rng.choice([1, 1, 1, 3])):
-                self._send("crashing", CRASHING, rng)
+                body = CRASHING
+                if self.cause is CrashCause.PROMPT_PART:
+                    body += f" {self._requests}".encode()
+                self._send("crashing", body, rng)
 
     async def _send_others(self) -> None:
         rng = self._make_rng("others")
@@ -449,6 +475,8 @@
             await anyio.sleep(rng.expovariate(_REQUESTS_PER_S))
             if rng.random() < self.popular_share:
                 self._send("popular", POPULAR, rng)
+            elif self.companion_share and rng.random() < _COMPANION_REQUESTS_SHARE:
+                self._send("companion", f"companion {self._requests}".encode(), rng)
             else:
                 self._send("distinct", f"distinct {self._requests}".encode(), rng)
 
@@ -466,7 +494,8 @@
         for number in range(1 + self.repeats):
             await self.frozen.wait_until_thawed(instance.name)
             if self.alive.get(instance.name) is instance:
-                outcome = await self._forward(body, instance, f"{request_id}-{number}")
+                call = _call(body, f"{request_id}-{number}", self._prompt(kind, request_id))
+                outcome = await self._forward(call, instance)
             if outcome == "answered":
                 break
             await anyio.sleep(rng.uniform(0.02, 0.3))
@@ -474,8 +503,21 @@
                 instance = self.alive[rng.choice(list(self.alive))]
         self._result.outcomes[kind][outcome] += 1
 
-    async def _forward(self, body: bytes, instance: _Instance, request_id: str) -> str:
-        call = _call(body, request_id)
+    def _prompt(self, kind: str, request_id: str) -> Prompt:
+        if not self.has_prompts and self.cause is CrashCause.BODY:
+            return Prompt()
+        rng = self._make_rng("prompt", request_id)
+        ids = [_SHARED_PART, "popular" if kind == "popular" else f"s{rng.randrange(_SESSIONS)}"]
+        has_companion = kind == "crashing" and rng.random() < self.companion_share
+        if kind == "companion" or has_companion:
+            ids.append(_COMPANION_PART)
+        if kind == "crashing" and self.cause is CrashCause.PROMPT_PART:
+            ids.append(_CRASHING_PART)
+        ids.append(request_id)
+        parts = tuple(PromptPart(part_id, _PART_TOKENS) for part_id in ids)
+        return Prompt("m", _PART_TOKENS * len(parts), 20, parts)
+
+    async def _forward(self, call: Call, instance: _Instance) -> str:
         try:
             async with instance.crash_guard.admit(call):
                 await instance.forwarder.run(call, _Caller())
@@ -553,7 +595,7 @@
         await instance.run()
 
 
-def _call(body: bytes, request_id: str) -> Call:
+def _call(body: bytes, request_id: str, prompt: Prompt) -> Call:
     """Return an idempotent request on a route with two attempts."""
     route = Route(
         "r",
@@ -570,7 +612,7 @@
     )
     now_s = anyio.current_time()
     return Call(
-        fields=CallerFields(request_id, "h", "", 5.0, ""),
+        fields=CallerFields(request_id, "h", "", 5.0, "", prompt),
         headers=(("X-Request-Id", request_id),),
         route=route,
         service=GatewayService(_SERVICE),
--- a/mothstand/tests/test_crash_detector.py
+++ b/mothstand/tests/test_crash_detector.py
@@ -6,9 +6,10 @@
 
 import anyio
 
-from ..core.request_digest import RequestDigest
+from ..core.suspects import Suspect, SuspectId
 from ..core.upstreams import RegisteredUpstream
 from ..gateway.quarantine.crash_detector import (
+    AttemptSuspect,
     BrokenAttempt,
     CorroboratedCheck,
     CrashDetector,
@@ -25,7 +26,8 @@
 
 
 def attempt(request_id: str) -> BrokenAttempt:
-    return BrokenAttempt(request_id, RequestDigest(f"digest-{request_id}"))
+    digest = SuspectId(f"digest-{request_id}")
+    return BrokenAttempt(request_id, digest, (AttemptSuspect(Suspect(digest)),))
 
 
 class ScriptedCheck(LivenessCheck):
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -22,6 +22,7 @@
 from ..core.retry_budget import RetryBudgetSettings
 from ..core.routes import Destination, GatewayService, RequestKind, Route
 from ..core.stall_detector import StallDetector
+from ..core.suspects import is_part, part_suspect
 from ..core.upstreams import RegisteredUpstream, UpstreamDirectory, UpstreamKey
 from ..errors import ErrorKind, RefusedError
 from ..gateway.call import Call, CallerConnection
@@ -145,6 +146,15 @@
         await self.finish()
 
 
+class SkippingClock(SystemClock):
+    """Clock of the machine, ahead by a time that a test sets."""
+
+    advance_s = 0.0
+
+    def monotonic_s(self) -> float:
+        return super().monotonic_s() + self.advance_s
+
+
 class ForwarderHarness:
     """Forwarder with three engines."""
 
@@ -153,6 +163,7 @@
         *script: FakeAnswer | Exception | None,
         burst: float = 60,
         relays: Relays | None = None,
+        clock: SkippingClock | None = None,
     ) -> None:
         self.client = FakeClient(list(script))
         self.directory = UpstreamDirectory()
@@ -164,7 +175,7 @@
             )
         self.evacuations = Evacuations()
         self.region_map = RegionMap({_LOCAL_DATA_CENTRE: Region("se-east")})
-        self.clock = SystemClock()
+        self.clock = SkippingClock() if clock is None else clock
         self.caller = FakeCaller()
         feed = QuarantineFeed(
             StoreLink(MemoryStore()),
@@ -204,7 +215,7 @@
         route = Route(
             "r", "h", "/", kind, timeout_s, 0.1, 1, (Destination("llm", 1),), 2, False, resumable
         )
-        prompt = Prompt("m", 100, 40, (PromptPart("p", 100),))
+        prompt = Prompt("m", 100, 40, (PromptPart("p", 60), PromptPart("own", 40)))
         now_s = self.clock.monotonic_s()
         return Call(
             fields=CallerFields("r", "h", "", timeout_s, "", prompt),
@@ -218,6 +229,11 @@
             deadline_s=now_s + timeout_s,
         )
 
+    def last_upstream(self) -> RegisteredUpstream:
+        """Return the upstream of the latest attempt."""
+        upstream_id = self.client.sent_headers[-1]["X-Expected-Instance"]
+        return self.directory.upstreams[upstream_id]
+
     def run(self, call: Call) -> ErrorKind | None:
         """Forward a call and return the kind of its refusal, or None."""
 
@@ -494,6 +510,42 @@
         world.run(world.call(RequestKind.NON_IDEMPOTENT))
         assert world.quarantine.is_empty is is_cleared
 
+    def test_answer_that_ends_with_its_connection_is_checked_for_a_crash(self) -> None:
+        # Guards against crashes that end an answer without a length, so that it looks whole.
+        answer = FakeAnswer(200, [b"half"], ends_with_connection=True)
+        world = ForwarderHarness(answer)
+        world.run(world.call(RequestKind.NON_IDEMPOTENT))
+        world.crash_detector.note_process_ended(world.last_upstream())
+        assert not world.quarantine.is_empty
+
+    def test_running_answer_clears_the_parts_of_its_prompt(self) -> None:
+        # Guards against blaming a part on which the upstream has been writing for long.
+        def wait() -> bytes:
+            world.clock.advance_s += 2.0
+            return event(2)
+
+        world = ForwarderHarness(
+            FakeAnswer(200, [event(1), wait, ConnectionBrokenError("reset")]),
+            clock=SkippingClock(),
+        )
+        world.run(world.call(RequestKind.STREAMING))
+        world.crash_detector.note_process_ended(world.last_upstream())
+        crashes = world.quarantine.all_crashes()
+        assert crashes
+        assert not any(is_part(crash.suspect_id) for crash in crashes)
+        part = part_suspect("p").suspect_id
+        assert world.quarantine.survivals.latest_s(part) > 0.0
+
+    def test_broken_request_with_a_suspected_part_is_not_retried(self) -> None:
+        # Guards against a request whose prompt crashes two upstreams each time it is sent.
+        world = ForwarderHarness(ConnectionBrokenError("reset"), FakeAnswer(200, [b"ok"]))
+        crash = UpstreamCrash(
+            part_suspect("p").suspect_id, UpstreamKey("gone", 1), "r0", "other", 0
+        )
+        world.quarantine.add_crash(crash, world.clock.monotonic_s())
+        assert world.run(world.call(RequestKind.IDEMPOTENT)) is ErrorKind.OUTCOME_UNKNOWN
+        assert len(world.client.sent_headers) == 1
+
 
 class TestSoftwareVersions:
     @staticmethod
--- a/mothstand/tests/test_quarantine_feed.py
+++ b/mothstand/tests/test_quarantine_feed.py
@@ -8,9 +8,9 @@
 import anyio
 
 from ..core.quarantine import CRASH_THRESHOLD
-from ..core.request_digest import RequestDigest
+from ..core.suspects import Suspect, SuspectId, part_suspect
 from ..core.upstreams import RegisteredUpstream
-from ..gateway.quarantine.crash_detector import BrokenAttempt
+from ..gateway.quarantine.crash_detector import AttemptSuspect, BrokenAttempt
 from ..gateway.quarantine.feed import QUARANTINE_STREAM, QuarantineFeed
 from ..log.health import PlatformHealth
 from ..testing.fakes import UnreachablePeers
@@ -24,7 +24,12 @@
     from ..core.quarantine import Probe
     from ..gateway.store import KeyedRecord
 
-DIGEST = RequestDigest("0123456789abcdef")
+DIGEST = SuspectId("0123456789abcdef")
+
+
+def broken_attempt(request_id: str, digest: SuspectId, known_crashes: int) -> BrokenAttempt:
+    suspects = (AttemptSuspect(Suspect(digest), known_crashes),)
+    return BrokenAttempt(request_id, digest, suspects)
 
 
 def upstream(number: int) -> RegisteredUpstream:
@@ -76,7 +81,7 @@
     def report(self, name: str, *numbers: int, known_crashes: int | None = None) -> None:
         for number in numbers:
             known = number if known_crashes is None else known_crashes
-            attempt = BrokenAttempt(f"r{number}", DIGEST, known_crashes=known)
+            attempt = broken_attempt(f"r{number}", DIGEST, known)
             self.feeds[name].report(upstream(number), attempt)
 
     def is_quarantined(self, name: str) -> bool:
@@ -140,7 +145,7 @@
 
         async def steps() -> None:
             for number in range(CRASH_THRESHOLD):
-                crowd = BrokenAttempt(f"crowd{number}", RequestDigest("e" * 16))
+                crowd = broken_attempt(f"crowd{number}", SuspectId("e" * 16), 0)
                 fleet.feeds["a"].report(upstream(10 + number), crowd)
                 fleet.report("a", number)
             await anyio.sleep(0.5)
@@ -148,7 +153,7 @@
             with anyio.move_on_after(1.5):
                 await late.run()
             assert fleet.is_quarantined("b")
-            assert late.quarantine.is_probe_due(DIGEST, anyio.current_time())
+            assert late.quarantine.is_probe_due((DIGEST,), anyio.current_time())
 
         fleet.play(steps)
 
@@ -163,7 +168,7 @@
             late = fleet.start("b")
             with anyio.move_on_after(6.0):
                 await late.run()
-            assert late.quarantine.is_probe_due(DIGEST, anyio.current_time())
+            assert late.quarantine.is_probe_due((DIGEST,), anyio.current_time())
 
         fleet.play(steps)
 
@@ -240,10 +245,10 @@
         fleet = Fleet()
         for name in "abcdef":
             fleet.start(name)
-        claimed: list[Probe | None] = []
+        claimed: list[tuple[Probe, ...]] = []
 
         async def claim(name: str) -> None:
-            claimed.append(await fleet.feeds[name].claim_probe(DIGEST))
+            claimed.append(await fleet.feeds[name].claim_probes((DIGEST,)))
 
         async def steps() -> None:
             fleet.report("a", *range(CRASH_THRESHOLD))
@@ -255,7 +260,7 @@
             async with anyio.create_task_group() as tasks:
                 for name in "abcdef":
                     tasks.start_soon(claim, name)
-            assert len([probe for probe in claimed if probe is not None]) == 1
+            assert len([probe for probe in claimed if probe]) == 1
 
         fleet.play(steps)
 
@@ -269,9 +274,9 @@
             fleet.report("a", *range(CRASH_THRESHOLD), known_crashes=0)
             await anyio.sleep(1.5)
             fleet.outcomes["a"] = [StoreCallOutcome.UNANSWERED]
-            assert await fleet.feeds["a"].claim_probe(DIGEST) is None
+            assert await fleet.feeds["a"].claim_probes((DIGEST,)) == ()
             await anyio.sleep(2.5)
-            assert await fleet.feeds["b"].claim_probe(DIGEST) is not None
+            assert await fleet.feeds["b"].claim_probes((DIGEST,))
 
         fleet.play(steps)
 
@@ -284,15 +289,15 @@
         async def steps() -> None:
             fleet.report("a", *range(CRASH_THRESHOLD), known_crashes=0)
             await anyio.sleep(1.5)
-            first = await fleet.feeds["a"].claim_probe(DIGEST)
-            assert first is not None
+            first = await fleet.feeds["a"].claim_probes((DIGEST,))
+            assert first
             (first_key,) = fleet.probe_keys()
-            fleet.feeds["a"].return_probe(first)
+            fleet.feeds["a"].return_probe(first[0])
             await anyio.sleep(2.0)
-            assert await fleet.feeds["b"].claim_probe(DIGEST) is not None
+            assert await fleet.feeds["b"].claim_probes((DIGEST,))
             fleet.store.put(QUARANTINE_STREAM, first_key, None)
             await anyio.sleep(2.0)
-            assert await fleet.feeds["c"].claim_probe(DIGEST) is None
+            assert await fleet.feeds["c"].claim_probes((DIGEST,)) == ()
 
         fleet.play(steps)
 
@@ -305,11 +310,11 @@
         async def steps() -> None:
             fleet.report("a", *range(CRASH_THRESHOLD), known_crashes=0)
             await anyio.sleep(1.5)
-            claimed = await fleet.feeds["a"].claim_probe(DIGEST)
-            assert claimed is not None
+            claimed = await fleet.feeds["a"].claim_probes((DIGEST,))
+            assert claimed
             await anyio.sleep(0.5)
             fleet.links["a"].is_cut_off = True
-            fleet.feeds["a"].return_probe(claimed)
+            fleet.feeds["a"].return_probe(claimed[0])
             await anyio.sleep(1.0)
             assert fleet.probe_keys() == []
 
@@ -346,3 +351,63 @@
             assert fleet.keys() == []
 
         fleet.play(steps)
+
+
+PART = part_suspect("part")
+
+
+def part_attempt(request_id: str) -> BrokenAttempt:
+    return BrokenAttempt(request_id, DIGEST, (AttemptSuspect(PART),))
+
+
+class TestParts:
+    def test_part_of_many_requests_costs_no_record(self) -> None:
+        # Guards against records for each crash and answer of a part that all requests share.
+        fleet = Fleet()
+        feed = fleet.start("a")
+
+        async def steps() -> None:
+            feed.note_survived([PART])
+            feed.report(upstream(0), part_attempt("r0"))
+            await anyio.sleep(0.5)
+            feed.note_survived([PART])
+            await anyio.sleep(5.0)
+            assert fleet.keys() == []
+            assert feed.quarantine.is_empty
+
+        fleet.play(steps)
+
+    def test_answered_part_that_begins_to_crash_upstreams_is_quarantined(self) -> None:
+        # Guards against a part that is taken for sound for good after an answer.
+        fleet = Fleet()
+        feed = fleet.start("a")
+
+        async def steps() -> None:
+            feed.note_survived([PART])
+            for number in range(CRASH_THRESHOLD):
+                feed.report(upstream(number), part_attempt(f"r{number}"))
+                await anyio.sleep(0.5)
+            await anyio.sleep(2.0)
+            assert feed.quarantine.is_quarantined(PART.suspect_id, anyio.current_time())
+
+        fleet.play(steps)
+
+    def test_one_instance_drops_the_records_of_a_part_that_many_see_answered(self) -> None:
+        # Guards against an append from each instance that sees an answer on the same part.
+        fleet = Fleet()
+        names = "abcdefgh"
+        for name in names:
+            fleet.start(name)
+
+        async def steps() -> None:
+            fleet.feeds["a"].report(upstream(0), part_attempt("r0"))
+            await anyio.sleep(0.5)
+            for name in names:
+                fleet.feeds[name].note_survived([PART])
+            await anyio.sleep(2.0)
+            assert fleet.keys() == []
+            assert all(feed.quarantine.is_empty for feed in fleet.feeds.values())
+            written = fleet.store.read(QUARANTINE_STREAM, 0).records
+            assert len(written) <= 1 + len(names) // 2
+
+        fleet.play(steps)
--- a/mothstand/tests/test_relay.py
+++ b/mothstand/tests/test_relay.py
@@ -16,8 +16,8 @@
 from ..core.loans import Peer
 from ..core.reachability import Reachability
 from ..core.relaying import RelayOffer, RelayPeer, RelayPolicy
-from ..core.request_digest import RequestDigest
 from ..core.shutdown import Shutdown
+from ..core.suspects import SuspectId
 from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.quarantine.crash_detector import CrashDetector, TcpLivenessCheck
@@ -109,7 +109,7 @@
 
     async def send(self, body: bytes = b"body", *, version: str | None = None) -> bytes:
         """Send a request and return the body of its answer."""
-        attempt = RelayedAttempt(self.upstream.key, "me", RequestDigest("d"), 0, version)
+        attempt = RelayedAttempt(self.upstream.key, "me", SuspectId("d"), 0, version)
         request = OutgoingRequest("POST", "/ask/?q=%20x", "r", body)
         answer = await self.client.send(self.peer, attempt, request, _HEADERS)
         try:
@@ -190,7 +190,7 @@
             return response
 
         async with _relay(handler) as relay:
-            attempt = RelayedAttempt(relay.upstream.key, "me", RequestDigest("d"), 0)
+            attempt = RelayedAttempt(relay.upstream.key, "me", SuspectId("d"), 0)
             request = OutgoingRequest("POST", "/ask/", "r", b"")
             with anyio.fail_after(2.0):
                 answer = await relay.client.send(relay.peer, attempt, request, _HEADERS)
--- a/mothstand/tests/test_request_digest.py
+++ b/mothstand/tests/test_request_digest.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
-from ..core.request_digest import RequestDigest, request_digest
+from ..core.request_digest import request_digest
+
+if TYPE_CHECKING:
+    from ..core.suspects import SuspectId
 
 
-def digest(**changed: str | bytes) -> RequestDigest:
+def digest(**changed: str | bytes) -> SuspectId:
     fields = {
         "workspace": "w",
         "host": "h.example",
@@ -18,7 +23,7 @@
     return request_digest(**{**fields, **changed})  # type: ignore[arg-type]
 
 
-class TestRequestDigest:
+class TestSuspectId:
     @pytest.mark.parametrize(
         "changed",
         [{"workspace": "v"}, {"host": "g"}, {"method": "PUT"}, {"target": "/a"}, {"body": b""}],
