Bound what is read of an answer: bodies, events, refusals, reports, the store

What callers see: an upstream in trouble may send bytes without end, in a head or a body, until its caller closes.

Limits stand in core/answer_limits.py. Heads were bounded by the library already.

Not bounded: messages of peers (grpclib); the chat interface's client.

--- a/mothstand/core/event_stream.py
+++ b/mothstand/core/event_stream.py
@@ -5,10 +5,20 @@
 import re
 from dataclasses import dataclass, field
 
+from .answer_limits import MAX_EVENT_BYTES
+
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+
+#: Bytes of the longest end of an event that may have arrived before its last byte.
+_PARTIAL_END_BYTES = 3
+
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 
 
+class EventTooLongError(Exception):
+    """Raised if an event does not end within the maximum size."""
+
+
 @dataclass(frozen=True, slots=True)
 class ServerEvent:
     """One complete event as received, with its trailing blank line.
@@ -33,19 +43,29 @@
     would hold a partial event, and events of another upstream could not follow it.
     """
 
-    _buffer: bytes = b""
+    max_event_bytes: int = MAX_EVENT_BYTES
+    _buffer: bytearray = field(default_factory=bytearray)
 
     def feed(self, data: bytes) -> list[ServerEvent]:
-        """Add a chunk and return the events that are now complete."""
+        """Add a chunk and return the events that are now complete.
+
+        Raises
+        ------
+        EventTooLongError
+            If the chunk has no complete event and the partial one is too long.
+        """
+        searched_bytes = max(0, len(self._buffer) - _PARTIAL_END_BYTES)
         self._buffer += data
         events = []
         start = 0
-        for end in _EVENT_END.finditer(self._buffer):
-            raw = self._buffer[start : end.end()]
+        for end in _EVENT_END.finditer(self._buffer, searched_bytes):
+            raw = bytes(self._buffer[start : end.end()])
             id_match = _EVENT_ID.search(raw)
             events.append(ServerEvent(raw, id_match.group(1).decode("latin-1") if id_match else ""))
             start = end.end()
-        self._buffer = self._buffer[start:]
+        del self._buffer[:start]
+        if not events and len(self._buffer) > self.max_event_bytes:
+            raise EventTooLongError(f"an event of over {self.max_event_bytes} bytes")
         return events
 
     @property
--- a/mothstand/core/stream_check.py
+++ b/mothstand/core/stream_check.py
@@ -11,13 +11,12 @@
 
 from pydantic_core import from_json, to_json
 
+from .answer_limits import MAX_EVENT_BYTES
+
 _END_MARKER = b"data: [DONE]"
 _DATA_FIELD = b"data:"
 _EVENT_END = b"\n\n"
 
-#: Maximum size of a buffered event; an engine that sends more without an end is broken.
-MAX_EVENT_BYTES = 1_000_000
-
 
 class BrokenStreamError(Exception):
     """Raised if an engine's stream is not a single, complete answer.
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -12,16 +12,19 @@
 
 from ..core.adaptive_timeout import AdaptiveTimeout
 from ..core.admission import Admission, random_retry_after_s
+from ..core.event_stream import EventTooLongError
 from ..core.pace import StreamGaps
 from ..core.placement import session_key
 from ..core.retry_budget import RetryBudget
 from ..core.routes import RequestKind
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..events import Event, emit, rounded
+from .answer_bodies import AnswerBodies
 from .call import CompleteAnswer
 from .headers import ForwardFields
 from .relay_client import RelayUnavailableError
 from .upstream_client import (
+    AnswerTooLongError,
     ConnectionBrokenError,
     MayHaveRunError,
     MisdirectedError,
@@ -132,6 +135,7 @@
         self._metrics = metrics
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._adaptive_timeout = AdaptiveTimeout()
+        self._bodies = AnswerBodies()
         self._admissions: defaultdict[str, Admission] = defaultdict(Admission)
 
     def admit(self, call: Call) -> None:
@@ -533,7 +537,12 @@
         if call.route.kind is RequestKind.STREAMING and answer.status == _OK:
             await self._pass_stream(call, answer, placed, caller)
             return
-        body = await answer.read_all()
+        async with self._bodies.read(answer) as body:
+            await self._pass_whole(call, answer, body, caller)
+
+    async def _pass_whole(
+        self, call: Call, answer: UpstreamAnswer, body: bytes, caller: CallerConnection
+    ) -> None:
         headers = self._translator.to_caller(answer.headers)
         complete = CompleteAnswer(answer.status, answer.reason, headers, body)
         if caller.is_started:
@@ -555,7 +564,10 @@
             self._placement.note_prompt_read(placed)
             self._guard.note_answering(call)
             sent_before = call.progress.sent_events
-            passed = call.progress.feed(piece)
+            try:
+                passed = call.progress.feed(piece)
+            except EventTooLongError as error:
+                raise AnswerTooLongError(str(error)) from error
             if not passed:
                 continue
             gaps.note_events(call.progress.sent_events - sent_before, self._clock.monotonic_s())
--- a/mothstand/gateway/sockets.py
+++ b/mothstand/gateway/sockets.py
@@ -10,6 +10,8 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from ..core.answer_limits import MAX_UNREAD_ANSWERS
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from typing import Any
@@ -45,9 +47,16 @@
     -----
     The library treats any end of the connection, even a reset, as the end of a body without a
     length: an answer truncated by a crash would reach its caller as complete. It also reuses an
-    idle connection that has received bytes, which would be read as the answer to the next request.
+    idle connection that has received bytes, which would be read as the answer to the next request,
+    and keeps all answers that arrive, also interim ones and those that nobody asked for.
     """
 
+    def data_received(self, data: bytes) -> None:
+        """Handle received bytes; close a connection on which too many answers wait."""
+        super().data_received(data)
+        if len(self._buffer) > MAX_UNREAD_ANSWERS and self.transport is not None:
+            self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the body that is being read if the connection ended with an error."""
         payload = self._payload
--- a/mothstand/gateway/upstream_client.py
+++ b/mothstand/gateway/upstream_client.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import aiohttp
+import anyio
 from multidict import CIMultiDict
 from yarl import URL
 
+from ..core.answer_limits import MAX_REFUSAL_BYTES, MAX_REPORT_BYTES
 from .sockets import close_idle, connector
 
 if TYPE_CHECKING:
@@ -24,6 +27,9 @@
 #: Idle connections are reused within this time; upstreams close theirs after some seconds.
 _IDLE_REUSE_S = 4.0
 
+#: Time in which the body of a refusal must have arrived.
+_REFUSAL_TIMEOUT_S = 0.2
+
 #: Time for an upstream to say something of itself; a caller waits meanwhile.
 _REPORT_TIMEOUT_S = 0.4
 
@@ -50,6 +56,10 @@
     """The request was sent, and no complete answer was received."""
 
 
+class AnswerTooLongError(MayHaveRunError):
+    """The answer is longer than any sound one; the rest of it is not read."""
+
+
 class ConnectionBrokenError(MayHaveRunError):
     """The connection ended before the answer was complete; the upstream may have crashed."""
 
@@ -99,19 +109,6 @@
         except (aiohttp.ClientError, OSError) as error:
             raise ConnectionBrokenError(f"broke off: {error!r}") from error
 
-    async def read_all(self) -> bytes:
-        """Return the complete body.
-
-        Raises
-        ------
-        ConnectionBrokenError
-            If the answer broke off.
-        """
-        pieces = []
-        while piece := await self.read_piece():
-            pieces.append(piece)
-        return b"".join(pieces)
-
     def close(self) -> None:
         """Return the connection to the pool if the answer was read completely, else close it.
 
@@ -208,7 +205,10 @@
             async with self._http.get(url, timeout=timeout) as response:
                 if response.status != _OK:
                     raise MayHaveRunError(f"status {response.status}")
-                return await response.read()
+                report = await read_at_most(response, MAX_REPORT_BYTES)
+                if report is None:
+                    raise AnswerTooLongError(f"a report of over {MAX_REPORT_BYTES} bytes")
+                return report
         except aiohttp.ClientConnectorError as error:
             raise NotConnectedError(f"not connected: {error!r}") from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
@@ -256,9 +256,24 @@
 
 
 async def close_refused(response: aiohttp.ClientResponse) -> None:
-    """Read a refusal to its end, so that its connection can be used again."""
-    try:
-        await response.read()
-    except (aiohttp.ClientError, OSError):
-        # Only the refusal's head matters; the connection cannot be reused.
+    """Read a refusal to its end, so that its connection can be used again.
+
+    Only its head matters, so the connection is closed if the body is long or late.
+    """
+    body: bytes | None = None
+    with suppress(aiohttp.ClientError, OSError), anyio.move_on_after(_REFUSAL_TIMEOUT_S):
+        body = await read_at_most(response, MAX_REFUSAL_BYTES)
+    if body is None:
         response.close()
+    else:
+        response.release()
+
+
+async def read_at_most(response: aiohttp.ClientResponse, max_bytes: int) -> bytes | None:
+    """Return the rest of a body, or None if it is longer than `max_bytes`."""
+    body = bytearray()
+    while piece := await response.content.readany():
+        body += piece
+        if len(body) > max_bytes:
+            return None
+    return bytes(body)
--- a/mothstand/platform/store.py
+++ b/mothstand/platform/store.py
@@ -10,6 +10,7 @@
 import aiohttp
 from pydantic import BaseModel, Field, ValidationError
 
+from ..core.answer_limits import MAX_STORE_BYTES
 from ..gateway.sockets import close_idle, connector
 from ..gateway.store import (
     KeyedRecord,
@@ -21,6 +22,7 @@
     Stream,
     StreamPage,
 )
+from ..gateway.upstream_client import read_at_most
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -233,11 +235,11 @@
                 method, self._base_url + path, params=params, data=body, timeout=timeout
             ) as response:
                 if response.status != _OK:
-                    return response.status, await response.read()
+                    return response.status, await _read_rest(response)
                 head = await _read_head(response)
                 if len(head) == _PAGE_HEAD.size:
                     on_page_head(head)
-                return response.status, head + await response.content.read()
+                return response.status, head + await _read_rest(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             # Nothing was sent. Connections that are idle now are newer; the next call may use them.
             raise StoreError(f"{path}: {error!r}") from error
@@ -257,6 +259,20 @@
     return KeyedRecord(item.key, value, item.offset)
 
 
+async def _read_rest(response: aiohttp.ClientResponse) -> bytes:
+    """Return the rest of a response.
+
+    Raises
+    ------
+    aiohttp.ClientPayloadError
+        If it is too long.
+    """
+    rest = await read_at_most(response, MAX_STORE_BYTES)
+    if rest is None:
+        raise aiohttp.ClientPayloadError(f"a response of over {MAX_STORE_BYTES} bytes")
+    return rest
+
+
 async def _read_head(response: aiohttp.ClientResponse) -> bytes:
     """Return the first bytes of a response: the head of a page, or less if it is shorter."""
     try:
--- a/mothstand/tests/test_relay.py
+++ b/mothstand/tests/test_relay.py
@@ -19,6 +19,7 @@
 from ..core.shutdown import Shutdown
 from ..core.suspects import SuspectId
 from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
+from ..gateway.answer_bodies import AnswerBodies
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.quarantine.crash_detector import CrashDetector, TcpLivenessCheck
 from ..gateway.reachability_probes import ReachabilityProbes
@@ -114,7 +115,8 @@
         answer = await self.client.send(self.peer, attempt, request, _HEADERS)
         try:
             self.answer = answer
-            return await answer.read_all()
+            async with AnswerBodies().read(answer) as body:
+                return body
         finally:
             answer.close()
 
