Report what was spent of a budget whose requests come to other instances now

What callers see: for seconds most new connections come to one instance.

Cause: a borrower reports its spend with its next request for a loan. Instances that the herd left make none, so no lender knew that the budget was spent.

Change: spend that has not changed for 2 s is reported with a loan of no tokens.

Links and processors of the instance with the herd are not modelled.

--- a/mothstand/gateway/accounts.py
+++ b/mothstand/gateway/accounts.py
@@ -120,7 +120,7 @@
     async def lend(self, request: LoanRequest) -> LoanReply:
         """Lend tokens to a peer; if the peer does not claim itself, claim missing tokens first."""
         manager, budget, tokens = self.claim_manager, request.budget, request.needed_tokens
-        if manager.is_claimant and request.borrows_only:
+        if manager.is_claimant and request.borrows_only and tokens:
             manager.demand_for(budget).add_request(
                 tokens, request.priority, self._clock.monotonic_s()
             )
@@ -282,6 +282,7 @@
                     for shard in self.shards:
                         await shard.borrower.retry_unconfirmed()
                         await shard.borrower.give_back_unused()
+                        await shard.borrower.report_spent()
         finally:
             self._tasks = None
 
--- a/mothstand/gateway/borrowing.py
+++ b/mothstand/gateway/borrowing.py
@@ -28,6 +28,11 @@
 _RETRY_UNCONFIRMED_S = 30.0
 
 
+#: Seconds without spend after which an instance reports what it has spent: with steady requests,
+#: their loans report it.
+_REPORT_AFTER_S = 2.0
+
+
 @dataclass(frozen=True, slots=True)
 class _UnconfirmedLoan:
     """Loan without an answer: the peer may have deducted the tokens."""
@@ -37,6 +42,14 @@
     until_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class _UnreportedSpend:
+    """Spend that no lender knows, and since when it has not changed."""
+
+    tokens: int
+    since_s: float
+
+
 class Borrower:
     """Borrows tokens of one shard's budgets, one round at a time per budget and priority."""
 
@@ -53,6 +66,7 @@
         self._link = link
         self._lenders = lenders
         self._spent_tokens: dict[BudgetName, int] = {}
+        self._unreported: dict[BudgetName, _UnreportedSpend] = {}
         self._clock = clock
         self._on_change = on_change
         self._peer_choice = PeerChoice()
@@ -134,6 +148,35 @@
                 return
             await self._send_handover(lenders[0], handover)
 
+    async def report_spent(self) -> None:
+        """Report to a lender what was spent of budgets that this instance borrows no longer.
+
+        A request for a loan reports it otherwise. Without this, nobody would know that a budget is
+        exhausted once its requests come to other instances.
+        """
+        if self._claim_manager.is_claimant:
+            return
+        for budget in self._budgets_with_idle_spend():
+            lenders = self._peer_choice.responsive(self._lenders(), self._clock.monotonic_s())
+            if not lenders:
+                return
+            spent_tokens = self._pop_unreported_tokens(budget)
+            request = LoanRequest(budget, 0, 0, 0, uuid.uuid4().hex, True, spent_tokens)
+            await self._borrow_from(lenders[0], request, self._clock.monotonic_s())
+
+    def _budgets_with_idle_spend(self) -> list[BudgetName]:
+        """Return the budgets whose unreported spend has not changed for some time."""
+        now_s = self._clock.monotonic_s()
+        unreported: dict[BudgetName, _UnreportedSpend] = {}
+        for budget, held in self._claim_manager.claims.held_budgets.items():
+            if tokens := held.unreported_borrowed_tokens:
+                known = self._unreported.get(budget)
+                if known is None or known.tokens != tokens:
+                    known = _UnreportedSpend(tokens, now_s)
+                unreported[budget] = known
+        self._unreported = unreported
+        return [b for b, u in unreported.items() if now_s - u.since_s >= _REPORT_AFTER_S]
+
     def _unused_handovers(self) -> list[Handover]:
         """Return a handover for each budget with tokens to give back."""
         # Claimed tokens are given back through the store.
--- a/mothstand/testing/budget_fleet.py
+++ b/mothstand/testing/budget_fleet.py
@@ -17,7 +17,7 @@
 from ..core.claims import Usage
 from ..core.fleet import CLAIMANTS_PER_DATA_CENTRE, FleetView, Member
 from ..core.loans import Peer
-from ..errors import Refusal
+from ..errors import ErrorKind, Refusal
 from ..gateway.accounts import Accounts
 from ..gateway.member_feed import MEMBERS_STREAM, MemberFeed
 from ..log.health import PlatformHealth
@@ -117,6 +117,42 @@
             raise PeerError(f"{address}: refused")
 
 
+@dataclass(frozen=True, slots=True)
+class Herd:
+    """Time in which most requests come to one instance.
+
+    Parameters
+    ----------
+    begin_s, end_s
+        Seconds after the first request.
+    instance
+        Index of the instance.
+    share
+        Share of the requests that come to it.
+    """
+
+    begin_s: float
+    end_s: float
+    instance: int
+    share: float = 0.95
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Outcome of a request.
+
+    Parameters
+    ----------
+    sent_s
+        Seconds after the first request.
+    refusal
+        None if its tokens were reserved.
+    """
+
+    sent_s: float
+    refusal: ErrorKind | None
+
+
 @dataclass(slots=True)
 class BudgetInstance:
     """The budget part of one instance's process."""
@@ -157,6 +193,8 @@
     unanswered_share
         Share of the requests whose upstreams send no part of an answer, so that their
         consumption is uncertain.
+    herds
+        Times in which most requests come to one instance.
     """
 
     data_centres: int
@@ -169,6 +207,8 @@
     counts: Counter[str] = field(default_factory=Counter)
     instances: dict[str, BudgetInstance] = field(default_factory=dict)
     dead: set[str] = field(default_factory=set)
+    herds: tuple[Herd, ...] = ()
+    outcomes: list[Outcome] = field(default_factory=list)
     spent_tokens: int = 0
     confirmed_tokens: int = 0
     is_cut_off: bool = False
@@ -200,13 +240,26 @@
                 if not alive:
                     self.counts["asked"] += 1
                     continue
-                instance = self.instances[rng.choice(alive)]
+                sent_s = anyio.current_time() - ends_s + duration_s
+                instance = self.instances[self._choose(alive, sent_s, rng)]
                 tokens = rng.randrange(1_000, 17_000)
                 is_answered = answers.random() >= self.unanswered_share
-                instance.serve(partial(self._request, instance.accounts, tokens, is_answered))
+                instance.serve(
+                    partial(self._request, instance.accounts, tokens, is_answered, sent_s)
+                )
             await anyio.sleep(2.0)
             tasks.cancel_scope.cancel()
 
+    def _choose(self, alive: list[str], sent_s: float, rng: random.Random) -> str:
+        """Return the address of the instance that a request comes to."""
+        chosen = rng.choice(alive)
+        for herd in self.herds:
+            is_herd = herd.begin_s <= sent_s < herd.end_s and rng.random() < herd.share
+            address = list(self.instances)[herd.instance]
+            if is_herd and address in alive:
+                return address
+        return chosen
+
     async def restart(
         self, address: str, *, down_s: float, is_graceful: bool = False, drain_s: float = 0.0
     ) -> None:
@@ -252,12 +305,16 @@
             for shard in shards
         )
 
-    async def _request(self, accounts: Accounts, tokens: int, is_answered: bool) -> None:
+    async def _request(
+        self, accounts: Accounts, tokens: int, is_answered: bool, sent_s: float
+    ) -> None:
         self.counts["asked"] += 1
         reserved = await accounts.reserve(_BUDGET, tokens, 0, 5.0)
         if isinstance(reserved, Refusal):
             self.counts[reserved.kind.value] += 1
+            self.outcomes.append(Outcome(sent_s, reserved.kind))
             return
+        self.outcomes.append(Outcome(sent_s, None))
         self.counts["served"] += 1
         used = int(tokens * self.used_share)
         # A request that runs when its process dies consumes its tokens too.
