Blame an answer that ends with its connection only for a crash at its end

An answer without a length looks whole if its upstream crashes, so its end is checked. A stream of this kind that ends before its first event has broken off.

--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -577,6 +577,9 @@
             await caller.write(passed)
         if not call.progress.splitter.is_between_events:
             raise ConnectionBrokenError("ended in the middle of an event")
+        if answer.ends_with_connection and not caller.is_started:
+            # A crash before the first event looks like an empty stream.
+            raise ConnectionBrokenError("ended before its first event")
         if not caller.is_started:
             await self._start_stream(call, answer, caller)
         call.longest_gap_s = max(call.longest_gap_s, gaps.longest_s)
--- a/mothstand/gateway/quarantine/crash_detector.py
+++ b/mothstand/gateway/quarantine/crash_detector.py
@@ -127,11 +127,14 @@
         Digest of the request.
     suspects
         What may have crashed the upstream if it crashed.
+    looks_complete
+        Whether its answer ended with its connection, which only a crash makes incomplete.
     """
 
     request_id: str
     digest: SuspectId
     suspects: tuple[AttemptSuspect, ...]
+    looks_complete: bool = False
 
 
 @dataclass(slots=True)
@@ -152,6 +155,18 @@
     has_crashed: bool = False
     is_check_pending: bool = False
 
+    def clear_complete(self, before_s: float) -> bool:
+        """Drop attempts that look complete; return whether some ended later than `before_s`.
+
+        The upstream still listens after they ended, so they are complete.
+        """
+        self.attempts = {
+            attempt: broke_s
+            for attempt, broke_s in self.attempts.items()
+            if not attempt.looks_complete or broke_s > before_s
+        }
+        return any(attempt.looks_complete for attempt in self.attempts)
+
 
 class CrashDetector:
     """Detects crashes of upstreams and reports the requests whose connections broke there.
@@ -218,13 +233,19 @@
             suspect.is_check_pending = False
 
     async def _check_until_known(self, suspect: _SuspectedUpstream) -> None:
-        for _ in range(_MAX_CHECKS):
+        unknown_checks = 0
+        while unknown_checks < _MAX_CHECKS:
+            began_s = self._clock.monotonic_s()
             liveness = await self._check.check(suspect.upstream.address)
             if liveness is Liveness.NOT_LISTENING:
                 self._report_crash(suspect, "refused connection")
-            if liveness is not Liveness.UNKNOWN:
                 return
+            if liveness is Liveness.LISTENING and not suspect.clear_complete(began_s):
+                return
+            unknown_checks += liveness is Liveness.UNKNOWN
             await self._clock.sleep(_CHECK_PAUSE_S)
+        # Nothing tells whether these answers are complete.
+        suspect.clear_complete(self._clock.monotonic_s())
 
     def _report_crash(self, suspect: _SuspectedUpstream, proof: str) -> None:
         now_s = self._clock.monotonic_s()
--- a/mothstand/gateway/quarantine/guard.py
+++ b/mothstand/gateway/quarantine/guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from ...core.suspects import has_lived_on
@@ -139,7 +140,8 @@
             return
         if answer.ends_with_connection:
             if not call.relay:
-                self._crash_detector.note_broken_attempt(upstream, self._broken_attempt(call))
+                attempt = replace(self._broken_attempt(call), looks_complete=True)
+                self._crash_detector.note_broken_attempt(upstream, attempt)
             return
         self._note_survived(call)
         if self._known_crashes(call).get(call.digest):
--- a/mothstand/gateway/relay_server.py
+++ b/mothstand/gateway/relay_server.py
@@ -276,13 +276,16 @@
         upstream: RegisteredUpstream,
         fields: CallerFields,
         answering_since_s: float | None,
+        *,
+        looks_complete: bool = False,
     ) -> None:
         suspects = [AttemptSuspect(Suspect(attempt.digest), attempt.known_crashes)]
         if not has_lived_on(answering_since_s, self._clock.monotonic_s()):
             # The sender does not tell which crashes of the parts it knew.
             suspects += [AttemptSuspect(suspect) for suspect in part_suspects(fields.prompt)]
         self._crash_detector.note_broken_attempt(
-            upstream, BrokenAttempt(fields.request_id, attempt.digest, tuple(suspects))
+            upstream,
+            BrokenAttempt(fields.request_id, attempt.digest, tuple(suspects), looks_complete),
         )
 
     async def _pass_on(
@@ -311,7 +314,9 @@
                 await response.write(piece)
             if answer.ends_with_connection:
                 # The end of the connection may be a crash.
-                self._report_broken(attempt, upstream, fields, answering_since_s)
+                self._report_broken(
+                    attempt, upstream, fields, answering_since_s, looks_complete=True
+                )
             await response.write_eof()
         except ConnectionBrokenError:
             # The body has no end, so the other instance knows that it is not complete.
--- a/mothstand/tests/test_crash_detector.py
+++ b/mothstand/tests/test_crash_detector.py
@@ -25,9 +25,9 @@
     return RegisteredUpstream("i-1", "llm", "e1:1", DataCentre("sto-a"), 8, draining, born_ms)
 
 
-def attempt(request_id: str) -> BrokenAttempt:
+def attempt(request_id: str, *, looks_complete: bool = False) -> BrokenAttempt:
     digest = SuspectId(f"digest-{request_id}")
-    return BrokenAttempt(request_id, digest, (AttemptSuspect(Suspect(digest)),))
+    return BrokenAttempt(request_id, digest, (AttemptSuspect(Suspect(digest)),), looks_complete)
 
 
 class ScriptedCheck(LivenessCheck):
@@ -75,6 +75,18 @@
         assert world.crashed_request_ids == ["a", "b", "c"]
         assert world.check.checks == 1
 
+    def test_answer_that_looks_complete_is_blamed_for_a_crash_at_its_end(self) -> None:
+        # Guards against crashes that end an answer without a length, so that it looks whole.
+        world = DetectorHarness(Liveness.NOT_LISTENING)
+        world.play(attempt("a", looks_complete=True), 0.1)
+        assert world.crashed_request_ids == ["a"]
+
+    def test_complete_answer_is_not_blamed_for_a_later_crash(self) -> None:
+        # Guards against blaming all answers without a length that an upstream gave before a crash.
+        world = DetectorHarness(Liveness.LISTENING, Liveness.LISTENING)
+        world.play(attempt("a", looks_complete=True), 0.5, attempt("b"), 0.5, upstream())
+        assert world.crashed_request_ids == ["b"]
+
     def test_upstream_that_accepts_connections_has_not_crashed(self) -> None:
         # Guards against resets and broken answers of running upstreams that count as crashes.
         world = DetectorHarness(Liveness.LISTENING)
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -518,6 +518,14 @@
         world.crash_detector.note_process_ended(world.last_upstream())
         assert not world.quarantine.is_empty
 
+    def test_stream_without_length_that_ends_before_an_event_has_broken_off(self) -> None:
+        # Guards against a crash before the first event that looks like an empty stream.
+        world = ForwarderHarness(
+            FakeAnswer(200, [], ends_with_connection=True), FakeAnswer(200, [event(1)])
+        )
+        assert world.run(world.call(RequestKind.STREAMING, resumable=True)) is None
+        assert world.caller.body == event(1)
+
     def test_running_answer_clears_the_parts_of_its_prompt(self) -> None:
         # Guards against blaming a part on which the upstream has been writing for long.
         def wait() -> bytes:
