--- a/mothstand/errors.py
+++ b/mothstand/errors.py
@@ -128,7 +128,10 @@
     ),
     ErrorKind.STOPPING: ErrorAnswer(503, _NOT_RUN, 1, "The instance is stopping."),
     ErrorKind.QUARANTINED: ErrorAnswer(
-        503, _NOT_RUN, 60, "Upstreams ended while they ran this same request; it is kept from them."
+        503,
+        _NOT_RUN,
+        60,
+        "Upstreams ended under this request or a part of its prompt; it is kept from them.",
     ),
     ErrorKind.RESUMPTION_UNKNOWN: ErrorAnswer(
         503, _NOT_RUN, 1, "The software version that began the stream is not known here."
--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -106,21 +106,25 @@
         "The number of sharers of the retry burst changed; 0 if this instance has no share.",
     )
     UPSTREAM_ENDED = (6016, logging.WARNING, "An upstream crashed while it had these requests.")
-    END_NOTED = (6017, logging.INFO, "A crash of an upstream during a request was recorded.")
+    END_NOTED = (
+        6017,
+        logging.INFO,
+        "A crash of an upstream under a request or a prompt part was recorded.",
+    )
     QUARANTINE_BEGAN = (
         6018,
         logging.ERROR,
-        "Upstreams crashed during a request; it is quarantined unless it is answered.",
+        "Upstreams crashed under a request or a prompt part; it is quarantined until answered.",
     )
     QUARANTINE_CLEARED = (
         6019,
         logging.INFO,
-        "Crash records of requests were removed, see `reason`.",
+        "Crash records of a request or a prompt part were removed, see `reason`.",
     )
     QUARANTINE_TRIAL = (
         6020,
         logging.WARNING,
-        "A quarantined request may be sent once, as a probe.",
+        "A quarantined request, or one with a quarantined part, may be sent once, as a probe.",
     )
     EVACUATION_BEGAN = (
         6022,
