--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -400,6 +400,8 @@
             self._metrics.counts["evacuated_data_centres"] = len(
                 self._evacuations.evacuations.evacuated
             )
+            quarantined = self._quarantine_feed.quarantine.quarantined(self._clock.monotonic_s())
+            self._metrics.counts["quarantined_suspects"] = len(quarantined)
             return web.Response(text=self._metrics.text())
         is_outdated = self._config_feed.freshness.is_outdated(self._clock.monotonic_s())
         ready = self._can_serve() and not self._shutdown.is_stopping and not is_outdated
