--- a/mothstand/testing/crash_histories.py
+++ b/mothstand/testing/crash_histories.py
@@ -10,7 +10,7 @@
 
 import json
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from enum import Flag, auto
 from typing import TYPE_CHECKING
@@ -72,10 +72,9 @@
 CRASHING = b"crashing"
 POPULAR = b"popular"
 
-#: Parts of prompts: that of all requests, the one that crashes engines, and a rare one that most
-#: requests with the latter have, too.
+#: Parts of prompts: that of all requests, and a rare one that most requests with a part that
+#: crashes engines have, too.
 _SHARED_PART = "shared"
-_CRASHING_PART = "crashing"
 _COMPANION_PART = "companion"
 
 _SESSIONS = 40
@@ -342,6 +341,10 @@
         Whether requests have prompts; always if a part of them crashes engines.
     companion_share
         Share of the crashing requests whose prompts have the companion part, too.
+    part_count
+        Number of prompt parts that crash engines; each crashing request has one of them.
+    junk_parts
+        Number of further parts, different each time, of the crashing requests' prompts.
     """
 
     seed: int
@@ -359,6 +362,8 @@
     cause: CrashCause = CrashCause.BODY
     has_prompts: bool = False
     companion_share: float = 0.0
+    part_count: int = 1
+    junk_parts: int = 0
     alive: dict[str, _Instance] = field(default_factory=dict)
     engines: dict[str, _Engine] = field(default_factory=dict)
     frozen: FrozenProcesses = field(default_factory=FrozenProcesses)
@@ -366,7 +371,8 @@
     _last_disturbed_s: dict[str, float] = field(default_factory=dict)
     _cut_off_names: set[str] = field(default_factory=set)
     _result: CrashResult = field(default_factory=CrashResult)
-    _crashed_s: list[float] = field(default_factory=list)
+    _crashed_s: defaultdict[bytes, list[float]] = field(default_factory=lambda: defaultdict(list))
+    _late_arrivals: Counter[bytes] = field(default_factory=Counter)
     _tasks: TaskGroup | None = None
     _starts: int = 0
     _requests: int = 0
@@ -376,6 +382,7 @@
         kinds = ("crashing", "popular", "distinct", "companion")
         self._result.outcomes = {kind: Counter() for kind in kinds}
         run_in_virtual_time(self._simulate, order=self.order)
+        self._result.late_arrivals = max(self._late_arrivals.values(), default=0)
         return self._result
 
     def _make_rng(self, *what: object) -> random.Random:
@@ -395,10 +402,11 @@
         """
         rng = self._make_rng("run", request.request_id, engine.upstream_id)
         if request.body.startswith(CRASHING):
-            self._count_arrival(instance)
+            cause = _crash_cause(request.body)
+            self._count_arrival(instance, cause)
             await anyio.sleep(_RUN_TO_CRASH_S)
             if engine.is_up:
-                self._crashed_s.append(anyio.current_time())
+                self._crashed_s[cause].append(anyio.current_time())
                 self._result.crashes += 1
                 self._crash_engine(engine, rng.choice([1.0, 2.0, 4.0]))
             raise ConnectionBrokenError("reset")
@@ -409,14 +417,15 @@
             await engine.ended.wait()
             raise ConnectionBrokenError("reset")
 
-    def _count_arrival(self, instance: _Instance) -> None:
+    def _count_arrival(self, instance: _Instance, cause: bytes) -> None:
         is_body = self.cause is CrashCause.BODY
         threshold = CRASH_THRESHOLD if is_body else PART_CRASH_THRESHOLD
-        if len(self._crashed_s) < threshold:
+        crashed_s = self._crashed_s[cause]
+        if len(crashed_s) < threshold:
             return
-        is_late = anyio.current_time() > self._crashed_s[threshold - 1] + STABLE_WINDOW_S
+        is_late = anyio.current_time() > crashed_s[threshold - 1] + STABLE_WINDOW_S
         if is_late and self._is_undisturbed(instance):
-            self._result.late_arrivals += 1
+            self._late_arrivals[cause] += 1
 
     def _is_undisturbed(self, instance: _Instance) -> bool:
         """Return whether an instance has been undisturbed for the stable window."""
@@ -466,7 +475,8 @@
             for _ in range(rng.choice([1, 1, 1, 3])):
                 body = CRASHING
                 if self.cause is CrashCause.PROMPT_PART:
-                    body += f" {self._requests}".encode()
+                    number = rng.randrange(self.part_count) if self.part_count > 1 else 0
+                    body += f"{number or ''} {self._requests}".encode()
                 self._send("crashing", body, rng)
 
     async def _send_others(self) -> None:
@@ -494,7 +504,8 @@
         for number in range(1 + self.repeats):
             await self.frozen.wait_until_thawed(instance.name)
             if self.alive.get(instance.name) is instance:
-                call = _call(body, f"{request_id}-{number}", self._prompt(kind, request_id))
+                prompt = self._prompt(kind, request_id, body)
+                call = _call(body, f"{request_id}-{number}", prompt)
                 outcome = await self._forward(call, instance)
             if outcome == "answered":
                 break
@@ -503,7 +514,7 @@
                 instance = self.alive[rng.choice(list(self.alive))]
         self._result.outcomes[kind][outcome] += 1
 
-    def _prompt(self, kind: str, request_id: str) -> Prompt:
+    def _prompt(self, kind: str, request_id: str, body: bytes) -> Prompt:
         if not self.has_prompts and self.cause is CrashCause.BODY:
             return Prompt()
         rng = self._make_rng("prompt", request_id)
@@ -512,7 +523,8 @@
         if kind == "companion" or has_companion:
             ids.append(_COMPANION_PART)
         if kind == "crashing" and self.cause is CrashCause.PROMPT_PART:
-            ids.append(_CRASHING_PART)
+            ids += [f"{request_id} junk {number}" for number in range(self.junk_parts)]
+            ids.append(_crash_cause(body).decode())
         ids.append(request_id)
         parts = tuple(PromptPart(part_id, _PART_TOKENS) for part_id in ids)
         return Prompt("m", _PART_TOKENS * len(parts), 20, parts)
@@ -595,6 +607,11 @@
         await instance.run()
 
 
+def _crash_cause(body: bytes) -> bytes:
+    """Return what a request that crashes engines shares with others; also the id of its part."""
+    return body.partition(b" ")[0]
+
+
 def _call(body: bytes, request_id: str, prompt: Prompt) -> Call:
     """Return an idempotent request on a route with two attempts."""
     route = Route(
--- a/mothstand/tests/test_part_histories.py
+++ b/mothstand/tests/test_part_histories.py
@@ -59,6 +59,21 @@
         results = run_part_histories(ALL_CRASH_DISRUPTIONS, instances=instances, engine_count=24)
         assert max_late_arrivals(results) <= ALLOWED_ARRIVALS
 
+    @pytest.mark.parametrize("disruptions", [CrashDisruption.NONE, ALL_CRASH_DISRUPTIONS], ids=str)
+    def test_arrivals_of_two_crashing_parts_stay_bounded(
+        self, disruptions: CrashDisruption
+    ) -> None:
+        # Guards against a part that hides behind the crashes of another one.
+        results = run_part_histories(disruptions, part_count=2)
+        assert max_late_arrivals(results) <= ALLOWED_ARRIVALS
+
+    def test_part_among_many_others_is_found(self) -> None:
+        # Guards against records of parts that a caller makes up and that push the cause out.
+        results = run_part_histories(CrashDisruption.NONE, junk_parts=25)
+        assert max_late_arrivals(results) <= ALLOWED_ARRIVALS
+        for kind in _SOUND_KINDS:
+            assert outcome_share(results, kind, "answered") >= _SERVED_RATIO
+
     def test_crashing_body_blocks_no_part_of_its_prompt(self) -> None:
         # Guards against blocking the session of a single request that crashes upstreams.
         results = run_histories(CrashDisruption.NONE, has_prompts=True)
