Test crashing parts of requests that come through relaying peers, as processes

One of six instances cannot reach any engine and gets all crashing requests, so that peers make its attempts and see the crashes.

--- a/mothstand/testing/crash_fleet.py
+++ b/mothstand/testing/crash_fleet.py
@@ -15,6 +15,7 @@
 from ..standins.users_engine import Arrival
 from .fleet import free_port
 from .gateway_fleet import PREFIX, request_headers
+from .partitioned_gateway import PartitionMode
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -67,6 +68,8 @@
     ----------
     cause
         What crashes engines. Requests with a crashing prompt part all have different bodies.
+    is_partitioned
+        Whether the first instance cannot reach any engine and gets all crashing requests.
     requests_per_s
         Requests a second that crash no engine.
     kill_at_s
@@ -84,6 +87,7 @@
     engines: int = 9
     instances: int = 6
     requests_per_s: float = 20.0
+    is_partitioned: bool = False
     answers: Counter[int] = field(default_factory=Counter)
     crash_answers: Counter[int] = field(default_factory=Counter)
     _engine_names: dict[str, str] = field(default_factory=dict)
@@ -99,7 +103,9 @@
             self._start_engine(name, address)
             self._engine_names[address] = name
         for number in range(self.instances):
-            self.fleet.start_instance(f"i{number}")
+            self.fleet.start_instance(f"i{number}", can_be_partitioned=self.is_partitioned)
+        if self.is_partitioned:
+            self.fleet.partition(self.fleet.processes["i0"], PartitionMode.RESET)
         anyio.run(self._simulate, duration_s, crash_gap_s, kill_at_s)
 
     async def _simulate(
@@ -116,6 +122,8 @@
             async def keep_sending(body: str, gap_s: float) -> None:
                 while True:
                     instance = f"i{rng.randrange(self.instances)}"
+                    if self.is_partitioned and body == CRASH_BODY:
+                        instance = "i0"
                     self._sent += 1
                     request_id = f"{body}-{self._sent}"
                     tasks.start_soon(self._send, http, instance, request_id, body)
--- a/mothstand/tests/test_crashing_part.py
+++ b/mothstand/tests/test_crashing_part.py
@@ -27,3 +27,14 @@
             crash_fleet.run(duration_s=16.0, crash_gap_s=0.5, kill_at_s=kill_at_s)
         assert len(crash_fleet.late_arrivals()) <= ALLOWED_ARRIVALS
         assert crash_fleet.answered_share() >= _ANSWERED_SHARE
+
+    def test_part_of_relayed_requests_is_quarantined(self, tmp_path: Path) -> None:
+        # Guards against crashes under requests that come through peers and are blamed on nothing.
+        with GatewayFleet(tmp_path) as fleet:
+            crash_fleet = CrashFleet(
+                fleet, 1, CrashCause.PROMPT_PART, is_partitioned=True, requests_per_s=40.0
+            )
+            crash_fleet.run(duration_s=16.0, crash_gap_s=0.5, kill_at_s=None)
+        assert crash_fleet.crashes()
+        assert len(crash_fleet.late_arrivals()) <= ALLOWED_ARRIVALS
+        assert crash_fleet.answered_share() >= _ANSWERED_SHARE
