--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -118,7 +118,7 @@
             Member(self._local_peer, settings.data_centre, _capacity(settings)),
             clock,
             self._health,
-            lambda: self._accounts.poll(),
+            self._on_members_changed,
             retries,
             started_s=process_start.started_s,
             paces=self._placement.paces,
@@ -282,6 +282,10 @@
         if upstream.cold_s > 0 and not was_cold:
             emit(Event.UPSTREAM_COLD, upstream=upstream.upstream_id, cold_s=upstream.cold_s)
 
+    def _on_members_changed(self) -> None:
+        self._accounts.poll()
+        self._stream_origins.note_fleet()
+
     def _upstream_addresses(self) -> list[str]:
         return [upstream.address for upstream in self._upstream_feed.directory.upstreams.values()]
 
--- a/mothstand/gateway/stream_origins.py
+++ b/mothstand/gateway/stream_origins.py
@@ -26,6 +26,7 @@
 
     from ..clock import Clock
     from ..core.fleet import FleetView, Member
+    from ..core.loans import Peer
     from ..core.routes import GatewayConfig, Route
     from ..core.stream_origins import StreamKey, StreamOrigin
     from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
@@ -88,16 +89,36 @@
         self._metrics = metrics
         self._outbox = OriginOutbox(link, clock, metrics)
         self._limit = LookupLimit()
+        self._known_peers: frozenset[Peer] = frozenset()
 
     async def run(self) -> None:
         """Send records to peers, and follow the registered versions, until cancelled."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._outbox.run)
             while True:
+                self.note_fleet()
                 self.observe()
                 self._log_forgotten()
                 await self._clock.sleep(_OBSERVE_INTERVAL_S)
 
+    def note_fleet(self) -> None:
+        """Send copies of recent streams to holders that this instance has just come to know.
+
+        An instance that starts reads of its peers some seconds late, and without this nobody would
+        know its first streams if the peers that it knew by then die with it.
+        """
+        known_peers = frozenset(m.peer for m in self._holders.fleet.other_members())
+        added = known_peers - self._known_peers
+        self._known_peers = known_peers
+        if not added:
+            return
+        now_s = self._clock.monotonic_s()
+        unshared = {record.key for record in self._unshared.records(now_s)}
+        for record in list(self._own.records(now_s)):
+            holders = [m for m in self._holders.of(record.key).to_write if m.peer in added]
+            if holders and record.key not in unshared:
+                self._outbox.enqueue(record, holders)
+
     def observe(self) -> None:
         """Record that the registered versions are still in use."""
         self.versions.observe(self._directory.upstreams.values(), self._clock.monotonic_s())
--- a/mothstand/tests/test_stream_origins.py
+++ b/mothstand/tests/test_stream_origins.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import anyio
 import pytest
 
 from ..core.fleet import FleetView, Member
@@ -19,8 +23,17 @@
     only_possible_origin,
     stream_key,
 )
+from ..core.upstreams import UpstreamDirectory
+from ..gateway.metrics import GatewayMetrics
+from ..gateway.stream_origins import StreamOrigins
+from ..testing.eligibility import fleet_view
+from ..testing.fakes import UnreachablePeers
+from ..testing.virtual_time import VirtualClock, run_in_virtual_time
 from ..types import DataCentre
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 _V1 = StreamOrigin("llm", "v1")
 _V2 = StreamOrigin("llm", "v2")
 _POLICY = OriginPolicy(retention_s=10.0, max_streams=3)
@@ -162,3 +175,48 @@
     def test_lone_instance_has_no_holders(self) -> None:
         holders = RecordHolders(_view("a", {"a": "dc"})).of(_key("r"))
         assert holders.to_write == holders.to_ask == ()
+
+
+class RecordingPeers(UnreachablePeers):
+    """Peers that take all copies."""
+
+    def __init__(self) -> None:
+        self.kept: defaultdict[str, set[StreamKey]] = defaultdict(set)
+
+    async def keep_origins(self, address: str, records: Sequence[OriginRecord]) -> None:
+        self.kept[address] |= {record.key for record in records}
+
+
+class TestCopies:
+    def test_peer_that_becomes_known_later_gets_copies_of_streams_that_run(self) -> None:
+        # Guards against streams that only those peers know which an instance knew when they began.
+        fleet, peers = fleet_view("me", 1), RecordingPeers()
+        route = Route(
+            "r",
+            "h",
+            "/",
+            RequestKind.STREAMING,
+            5.0,
+            0.5,
+            1,
+            (Destination("llm", 1), Destination("other", 1)),
+            2,
+            False,
+            True,
+        )
+        origins = StreamOrigins(fleet, UpstreamDirectory(), peers, VirtualClock(), GatewayMetrics())
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(origins.run)
+                origins.note_began(_key("r"), _V1, route)
+                await anyio.sleep(0.5)
+                assert set(peers.kept) == {"other-0:1"}
+                late = Member(Peer("late", "1", "late:1"), DataCentre("sto-b"))
+                fleet.apply_announcement(late, 0.5)
+                origins.note_fleet()
+                await anyio.sleep(0.1)
+                assert peers.kept["late:1"] == {_key("r")}
+                tasks.cancel_scope.cancel()
+
+        run_in_virtual_time(main)
