Schedule the reading of long prompts by one instance for the engines of a data centre

Change: a long prompt asks the scheduler of its engines' data centre where and when to be sent; the scheduler keeps a calendar, the cached parts and the reading speed of each engine. Off by default.

--- a/mothstand/core/placement.py
+++ b/mothstand/core/placement.py
@@ -158,6 +158,16 @@
         self.note_prompt_read(placed)
         self._state(placed.upstream).running -= 1
 
+    def mean_prompt_tokens(self, service: str) -> float:
+        """Return the mean length of a service's prompts at this instance; 0 before the first."""
+        return self._mean_prompt_tokens.get(service, 0.0)
+
+    def unsuspended(
+        self, upstreams: Sequence[RegisteredUpstream], now_s: float
+    ) -> list[RegisteredUpstream]:
+        """Return the upstreams that are not suspended."""
+        return [u for u in upstreams if self._state(u).suspended_until_s <= now_s]
+
     def note_success(self, upstream: RegisteredUpstream) -> None:
         """Record an answer of an upstream, which ends its suspension."""
         state = self._state(upstream)
--- a/mothstand/gateway/call.py
+++ b/mothstand/gateway/call.py
@@ -17,6 +17,7 @@
     from ..core.stream_origins import StreamOrigin
     from ..types import Region
     from .headers import CallerFields, RawHeaders
+    from .prefill_scheduling import PrefillLease
     from .upstream_client import OutgoingRequest
 
 #: Maximum parts of a prompt in a log line, and maximum characters of each: callers may send any.
@@ -83,6 +84,10 @@
         Time from arrival until the tokens were reserved, and until the answer began.
     longest_gap_s
         Longest time between two events of the answer.
+    prefill_hold_s
+        Time for which it was held until its engine could read its prompt.
+    prefill_lease
+        Reservation of its engine's time; None for a prompt that is not long.
     attempt_began_s
         Start of the latest attempt on the monotonic clock.
     answering_since_s
@@ -134,6 +139,8 @@
     reserved_after_s: float = 0.0
     started_after_s: float = 0.0
     longest_gap_s: float = 0.0
+    prefill_hold_s: float = 0.0
+    prefill_lease: PrefillLease | None = None
     attempt_began_s: float = 0.0
     answering_since_s: float | None = None
     upstream_id: str = ""
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -48,6 +48,7 @@
     from .call import Call, CallerConnection
     from .headers import HeaderTranslator
     from .metrics import GatewayMetrics
+    from .prefill_scheduling import PrefillScheduling
     from .quarantine.guard import CrashGuard
     from .reachability_probes import ReachabilityProbes
     from .redirects import Redirects
@@ -120,11 +121,13 @@
         relays: Relays,
         resumptions: Resumptions,
         redirects: Redirects,
+        prefills: PrefillScheduling,
         clock: Clock,
         metrics: GatewayMetrics,
     ) -> None:
         self._resumptions = resumptions
         self._redirects = redirects
+        self._prefills = prefills
         self._guard = guard
         self._probes = probes
         self._reachability = probes.reachability
@@ -193,16 +196,42 @@
             if hop is None or self._guard.is_quarantined(call):
                 await self._give_up(call, caller)
                 return
-            if not await self._is_registered_process(call, hop):
-                call.tried_upstreams.add(hop.upstream.upstream_id)
-                continue
             try:
-                await self._attempt(call, hop, caller)
+                scheduled = await self._schedule(call, hop)
+                if scheduled is None:
+                    continue
+                if not await self._is_registered_process(call, scheduled):
+                    call.tried_upstreams.add(scheduled.upstream.upstream_id)
+                    continue
+                await self._attempt(call, scheduled, caller)
                 return
             except _Retry:
                 if not self._may_retry(call):
                     await self._give_up(call, caller)
                     return
+            finally:
+                self._prefills.note_ended(call)
+
+    async def _schedule(self, call: Call, hop: _Hop) -> _Hop | None:
+        """Return the hop of an attempt; a long prompt waits until its upstream can read it.
+
+        Returns None if its upstream is no longer eligible after that.
+        """
+        if hop.relay is not None or call.origin is not None:
+            return hop
+        now_s = self._clock.monotonic_s()
+        eligible = self._eligible(call)
+        untried = [
+            u
+            for u in self._placement.unsuspended(eligible.upstreams, now_s)
+            if u.upstream_id not in call.tried_upstreams | eligible.cold_ids
+        ]
+        upstream = await self._prefills.place(
+            call, hop.upstream, self._reachability.reachable(untried)
+        )
+        if upstream is not hop.upstream and upstream not in self._eligible(call).upstreams:
+            return None
+        return _Hop(upstream)
 
     async def _is_registered_process(self, call: Call, hop: _Hop) -> bool:
         """Return whether an upstream may get a request by what it says; peers do not ask."""
@@ -567,6 +596,8 @@
         call.progress.restart()
         gaps = StreamGaps()
         while piece := await answer.read_piece():
+            if placed.is_reading_prompt:
+                self._prefills.note_first_event(call)
             self._placement.note_prompt_read(placed)
             self._guard.note_answering(call)
             sent_before = call.progress.sent_events
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -16,6 +16,7 @@
 from ..core.load_sharing import LoadSharing
 from ..core.loans import Peer
 from ..core.placement import Placement
+from ..core.prefill_schedule import CalendarScheduler
 from ..core.reachability import Reachability
 from ..core.relaying import RelayPeers
 from ..core.retry_budget import RetryBudgetSettings
@@ -36,6 +37,8 @@
 from .member_feed import MemberFeed
 from .metrics import GatewayMetrics
 from .named_limits import NamedLimits
+from .prefill_link import GrpcPrefillLink, PrefillService
+from .prefill_scheduling import PrefillScheduling
 from .process_check import ReportedProcessCheck
 from .quarantine.crash_detector import CorroboratedCheck, CrashDetector, TcpLivenessCheck
 from .quarantine.feed import QuarantineFeed
@@ -241,6 +244,15 @@
             clock,
             self._metrics,
         )
+        self._prefill_scheduler = CalendarScheduler()
+        self._prefills = PrefillScheduling(
+            self._sharing,
+            self._placement,
+            self._prefill_scheduler,
+            GrpcPrefillLink(self._link),
+            clock,
+            self._metrics,
+        )
         guard = CrashGuard(self._quarantine_feed, self._crash_detector, clock)
         forwarder = Forwarder(
             self._client,
@@ -255,6 +267,7 @@
             PeerRelays(self._relay_finder, self._relay_client, self._named_limits.note_answer),
             resumptions,
             self._redirects,
+            self._prefills,
             clock,
             self._metrics,
         )
@@ -277,6 +290,7 @@
         self._stream_origins.note_upstream(upstream)
         self._process_check.forget(upstream)
         self._placement.forget(upstream)
+        self._prefill_scheduler.forget(upstream.key)
         self._warmup.forget(upstream)
         self._named_limits.forget(upstream)
         self._probes.forget(upstream)
@@ -327,7 +341,8 @@
             self._stream_origins.keep,
             self._stream_origins.found_here,
         )
-        peer_server = await serve_peers(service, listen.peers)
+        prefill_service = PrefillService(self._prefill_scheduler, self._clock)
+        peer_server = await serve_peers(service, listen.peers, prefill_service)
         emit(
             Event.INSTANCE_STARTED,
             instance=self._local_peer.instance,
@@ -349,6 +364,7 @@
             tasks.start_soon(self._run_with_restarts, "relays", self._relay_finder.run)
             tasks.start_soon(self._run_with_restarts, "quarantine", self._quarantine_feed.run)
             tasks.start_soon(self._run_with_restarts, "stream origins", self._stream_origins.run)
+            tasks.start_soon(self._run_with_restarts, "prefills", self._prefills.run)
             await self._wait_for_stop()
             # Requests have to end before claims are lowered: running requests count with their
             # maximum, and the unused part of it would stay claimed.
@@ -417,7 +433,12 @@
             self._metrics.counts["quarantined_suspects"] = len(quarantined)
             return web.Response(text=self._metrics.text())
         is_outdated = self._config_feed.freshness.is_outdated(self._clock.monotonic_s())
-        ready = self._can_serve() and not self._shutdown.is_stopping and not is_outdated
+        ready = (
+            self._can_serve()
+            and not self._shutdown.is_stopping
+            and not is_outdated
+            and self._redirects.accepts_connections
+        )
         return web.Response(status=200 if ready else 503)
 
     def _can_serve(self) -> bool:
--- a/mothstand/gateway/lending.py
+++ b/mothstand/gateway/lending.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable, Sequence
 
+    from grpclib._typing import IServable
     from grpclib.protocol import H2Protocol
     from grpclib.server import Stream
 
@@ -409,6 +410,10 @@
     def _call(self, address: str) -> _Call:
         return _Call(self, address)
 
+    def call(self, address: str) -> _ChannelCall:
+        """Return the context of a call of another service to a peer, which gives its channel."""
+        return _ChannelCall(self, address)
+
     def channel(self, address: str) -> _BackgroundConnectChannel:
         """Return the channel to a peer."""
         if address not in self._channels:
@@ -427,7 +432,7 @@
             self._close_channel(address)
 
 
-class _Call:
+class _ChannelCall:
     """Turns failures of one call into `PeerError` and closes the channel that had them.
 
     Notes
@@ -441,8 +446,8 @@
         self._address = address
         self._channel = link.channel(address)
 
-    def __enter__(self) -> LendingStub:
-        return LendingStub(self._channel)
+    def __enter__(self) -> Channel:
+        return self._channel
 
     def __exit__(self, kind: object, error: BaseException | None, _: object) -> None:
         if isinstance(error, (TimeoutError, GRPCError, StreamTerminatedError, OSError)):
@@ -452,6 +457,19 @@
             raise failure(f"{self._address}: {error!r}") from error
 
 
+class _Call:
+    """A call of the lending service."""
+
+    def __init__(self, link: GrpcPeerLink, address: str) -> None:
+        self._call = _ChannelCall(link, address)
+
+    def __enter__(self) -> LendingStub:
+        return LendingStub(self._call.__enter__())
+
+    def __exit__(self, kind: object, error: BaseException | None, trace: object) -> None:
+        self._call.__exit__(kind, error, trace)
+
+
 def _from_messages(messages: Iterable[pb.EvacuationState]) -> tuple[EvacuationState, ...]:
     return tuple(
         EvacuationState(DataCentre(m.data_centre), m.is_evacuated, m.offset) for m in messages
@@ -618,9 +636,11 @@
         await stream.send_message(reply)
 
 
-async def serve_peers(service: LendingService, address: str) -> Server:
+async def serve_peers(
+    service: LendingService, address: str, *further_services: IServable
+) -> Server:
     """Start a server for the calls of other instances."""
-    server = Server([service])
+    server = Server([service, *further_services])
     target = Address.parse(address)
     await server.start(target.host, target.port)
     return server
--- a/mothstand/gateway/metrics.py
+++ b/mothstand/gateway/metrics.py
@@ -12,6 +12,16 @@
     from hdrh.histogram import HdrHistogram
 
 
+_HISTOGRAMS = (
+    "reserve_us",
+    "first_event_us",
+    "whole_us",
+    "config_read_us",
+    "loop_delay_us",
+    "prefill_hold_us",
+)
+
+
 @dataclass(slots=True)
 class GatewayMetrics:
     """Counters and histograms of an instance; the histograms are in microseconds."""
@@ -22,11 +32,16 @@
     whole_us: HdrHistogram = field(default_factory=new_histogram)
     config_read_us: HdrHistogram = field(default_factory=new_histogram)
     loop_delay_us: HdrHistogram = field(default_factory=new_histogram)
+    prefill_hold_us: HdrHistogram = field(default_factory=new_histogram)
 
     def record_first_event(self, elapsed_s: float) -> None:
         """Record the time from a request's arrival to its first event."""
         record_s(self.first_event_us, elapsed_s)
 
+    def record_prefill_hold(self, elapsed_s: float) -> None:
+        """Record for how long a long prompt is held."""
+        record_s(self.prefill_hold_us, elapsed_s)
+
     def record_reserve(self, elapsed_s: float) -> None:
         """Record how long a reservation took."""
         record_s(self.reserve_us, elapsed_s)
@@ -47,6 +62,6 @@
     def text(self) -> str:
         """Return all metrics as lines of name and value."""
         lines = [f"mothstand_{name} {value}" for name, value in sorted(self.counts.items())]
-        for name in ("reserve_us", "first_event_us", "whole_us", "config_read_us", "loop_delay_us"):
+        for name in _HISTOGRAMS:
             lines += metric_lines(name, getattr(self, name))
         return "\n".join(lines) + "\n"
--- /dev/null
+++ b/mothstand/gateway/prefill_scheduling.py
@@ -0,0 +1,216 @@
+"""Holds long prompts until the engine that is chosen for them has time to read them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+
+from ..core.prefill_schedule import PrefillPolicy, PrefillRequest, scheduler_member
+from ..events import Event, emit
+from ..peers.failures import PeerError
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from ..clock import Clock
+    from ..core.fleet import Member
+    from ..core.load_sharing import LoadSharing
+    from ..core.placement import Placement
+    from ..core.prefill_schedule import PrefillGrant, PrefillScheduler
+    from ..core.upstreams import RegisteredUpstream
+    from .call import Call
+    from .metrics import GatewayMetrics
+    from .prefill_link import PrefillLink
+
+#: Time for which a scheduler that did not answer is not asked: each further call could cost a
+#: waiting request another timeout.
+_AVOIDED_S = 2.0
+
+#: Part of the time left until the deadline for which a request is held at most.
+_MAX_HOLD_SHARE = 0.25
+
+#: Part of the time left until the objective for which a request is held at most: its prompt is
+#: still to be read then.
+_MAX_OBJECTIVE_SHARE = 0.5
+
+#: Weight of the latest short prompt in the mean time to its first event.
+_LATEST_WEIGHT = 0.05
+
+
+@dataclass(slots=True)
+class PrefillLease:
+    """A reservation for a long prompt, until it is released.
+
+    Parameters
+    ----------
+    scheduler
+        The instance that granted it.
+    """
+
+    scheduler: Member
+    service: str
+    request_id: str
+    is_released: bool = False
+
+
+class PrefillScheduling:
+    """Places long prompts by the schedulers of their engines' data centres.
+
+    Parameters
+    ----------
+    local_scheduler
+        Scheduler of this instance, for the engines that the fleet assigns to it.
+    """
+
+    def __init__(
+        self,
+        sharing: LoadSharing,
+        placement: Placement,
+        local_scheduler: PrefillScheduler,
+        link: PrefillLink,
+        clock: Clock,
+        metrics: GatewayMetrics,
+        policy: PrefillPolicy | None = None,
+    ) -> None:
+        self._policy = policy or PrefillPolicy()
+        self._sharing = sharing
+        self._fleet = sharing.fleet
+        self._placement = placement
+        self._local_scheduler = local_scheduler
+        self._link = link
+        self._clock = clock
+        self._metrics = metrics
+        self._avoided_until_s: dict[str, float] = {}
+        self._short_first_event_s: dict[str, float] = {}
+        self._tasks: TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Send releases until cancelled."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                await anyio.sleep_forever()
+        finally:
+            self._tasks = None
+
+    async def place(
+        self, call: Call, first_choice: RegisteredUpstream, candidates: list[RegisteredUpstream]
+    ) -> RegisteredUpstream:
+        """Return the upstream for a request, and hold a long prompt until it may be sent.
+
+        Parameters
+        ----------
+        first_choice
+            Upstream that is used for short prompts, and if no scheduler answers.
+        candidates
+            Upstreams that the request may be sent to.
+        """
+        if not (self._sharing.prefill_schedule and self._is_long(call)):
+            return first_choice
+        local = {u.upstream_id: u for u in candidates if u.data_centre == first_choice.data_centre}
+        scheduler = self._scheduler(first_choice)
+        if scheduler is None or len(local) < 2:
+            return first_choice
+        request = PrefillRequest(
+            service=first_choice.service,
+            request_id=call.fields.request_id,
+            prompt=call.fields.prompt,
+            candidates=tuple(u.key for u in local.values()),
+            max_hold_s=self._max_hold_s(call),
+        )
+        lease = PrefillLease(scheduler, first_choice.service, call.fields.request_id)
+        # Set before the call: a scheduler whose answer is lost has reserved all the same.
+        call.prefill_lease = lease
+        grant = await self._reserve(scheduler, request)
+        if grant is None or grant.upstream_id not in local:
+            self.note_ended(call)
+            return first_choice
+        self._metrics.counts["prefills_scheduled"] += 1
+        self._metrics.record_prefill_hold(grant.hold_s)
+        call.prefill_hold_s += grant.hold_s
+        if grant.hold_s > 0:
+            await self._clock.sleep(grant.hold_s)
+        return local[grant.upstream_id]
+
+    def note_first_event(self, call: Call) -> None:
+        """Record the first event of an attempt: its prompt has been read."""
+        elapsed_s = self._clock.monotonic_s() - call.attempt_began_s
+        service = call.service.name
+        if call.prefill_lease is not None:
+            usual_s = self._short_first_event_s.get(service, 0.0)
+            self._release(call, max(_MIN_READ_S, elapsed_s - usual_s))
+        elif call.fields.prompt.parts and not self._is_long(call):
+            mean_s = self._short_first_event_s.get(service, elapsed_s)
+            mean_s += _LATEST_WEIGHT * (elapsed_s - mean_s)
+            self._short_first_event_s[service] = mean_s
+
+    def note_ended(self, call: Call) -> None:
+        """Release the reservation of a request whose prompt will not be read."""
+        self._release(call, 0.0)
+
+    def _is_long(self, call: Call) -> bool:
+        mean_tokens = self._placement.mean_prompt_tokens(call.service.name)
+        prompt = call.fields.prompt
+        return bool(mean_tokens) and (
+            prompt.input_tokens > self._policy.long_prompt_ratio * mean_tokens
+        )
+
+    def _max_hold_s(self, call: Call) -> float:
+        now_s = self._clock.monotonic_s()
+        until_deadline_s = call.deadline_s - now_s
+        longest_s = until_deadline_s * _MAX_HOLD_SHARE
+        if call.route.objective_s > 0:
+            until_objective_s = call.arrived_s + call.route.objective_s - now_s
+            longest_s = min(longest_s, until_objective_s * _MAX_OBJECTIVE_SHARE)
+        return max(0.0, longest_s)
+
+    def _scheduler(self, upstream: RegisteredUpstream) -> Member | None:
+        now_s = self._clock.monotonic_s()
+        avoided = [name for name, until_s in self._avoided_until_s.items() if now_s < until_s]
+        return scheduler_member(
+            self._fleet, upstream.service, upstream.data_centre, avoided=frozenset(avoided)
+        )
+
+    def _is_local(self, scheduler: Member) -> bool:
+        return scheduler.peer.instance == self._fleet.local_member.peer.instance
+
+    async def _reserve(self, scheduler: Member, request: PrefillRequest) -> PrefillGrant | None:
+        if self._is_local(scheduler):
+            return self._local_scheduler.reserve(request, self._clock.monotonic_s())
+        try:
+            return await self._link.reserve(scheduler.peer.address, request)
+        except PeerError as error:
+            self._avoid(scheduler, error)
+            return None
+
+    def _release(self, call: Call, read_s: float) -> None:
+        lease = call.prefill_lease
+        if lease is None or lease.is_released:
+            return
+        lease.is_released = True
+        if self._is_local(lease.scheduler):
+            self._local_scheduler.release(
+                lease.request_id, read_s=read_s, now_s=self._clock.monotonic_s()
+            )
+        elif self._tasks is not None:
+            self._tasks.start_soon(self._send_release, lease, read_s)
+
+    async def _send_release(self, lease: PrefillLease, read_s: float) -> None:
+        try:
+            await self._link.release(
+                lease.scheduler.peer.address, lease.service, lease.request_id, read_s
+            )
+        except PeerError as error:
+            self._avoid(lease.scheduler, error)
+
+    def _avoid(self, scheduler: Member, error: PeerError) -> None:
+        name = scheduler.peer.instance
+        self._avoided_until_s[name] = self._clock.monotonic_s() + _AVOIDED_S
+        self._metrics.counts["prefill_schedulers_avoided"] += 1
+        emit(Event.PEER_SUSPECTED, peer=name, error=str(error))
+
+
+#: Reading times below this are not told apart from none.
+_MIN_READ_S = 0.001
--- a/mothstand/gateway/redirects.py
+++ b/mothstand/gateway/redirects.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
 from collections import Counter
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+from anyio.lowlevel import checkpoint
+
 from ..core.ingress import FairConcurrencyLimit, IngressLoad, IngressPolicy
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..events import Event, emit
@@ -25,6 +26,10 @@
 #: interval, so that each busy time is announced.
 _BUSY_S = 4.0
 
+#: Time after the latest redirect for which no new connections are wanted. Longer than the interval
+#: of readiness checks, so that one busy moment between two checks is seen by two of them.
+_UNREADY_S = 2.5
+
 
 class Redirects:
     """Measures this instance's own load and refuses requests that others can serve.
@@ -64,6 +69,16 @@
         """Whether this instance has redirected callers recently."""
         return self._clock.monotonic_s() - self._redirected_s < _BUSY_S
 
+    @property
+    def accepts_connections(self) -> bool:
+        """Whether callers that connect anew should still come to this instance.
+
+        A platform that assigns callers by a hash sends a repeated attempt to the same instance, as
+        long as that one says that it is ready.
+        """
+        redirected_ago_s = self._clock.monotonic_s() - self._redirected_s
+        return redirected_ago_s >= _UNREADY_S or not self._others_are_free()
+
     @property
     def is_slow(self) -> bool:
         """Whether the times measured now are this instance's own and not those of upstreams."""
@@ -85,7 +100,7 @@
             return
         began_s = self._clock.monotonic_s()
         # Resumed in the next pass of the event loop, so this takes one pass.
-        await asyncio.sleep(0)
+        await checkpoint()
         now_s = self._clock.monotonic_s()
         self._load.note_pass(now_s - began_s, now_s)
         pressure = self._load.pressure(now_s)
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -68,6 +68,11 @@
         self.response: web.StreamResponse | None = None
         self._request = request
         self._must_close = must_close
+        self._closes = False
+
+    def must_close(self) -> None:
+        """Close the connection after the answer."""
+        self._closes = True
 
     async def start(self, status: int, reason: str, headers: RawHeaders) -> None:
         """Send the head of a streamed answer."""
@@ -105,7 +110,7 @@
             await response.write_eof()
 
     async def _prepare(self, response: web.StreamResponse) -> None:
-        if self._must_close():
+        if self._closes or self._must_close():
             response.force_close()
         self.response = response
         with _translate_disconnect():
@@ -399,6 +404,9 @@
             "message": refusal.answer.message,
             "detail": refusal.detail,
         }
+        if refusal.kind is ErrorKind.INSTANCE_BUSY:
+            # A caller that keeps its connection would come back to this instance.
+            caller.must_close()
         await caller.send_complete(refusal.answer.status, "", headers, json.dumps(body).encode())
 
     def _log_end(self, call: Call, caller: HttpCaller, outcome: str, usage: Usage) -> None:
@@ -427,6 +435,7 @@
             reserved_after_s=round(call.reserved_after_s, 3),
             started_after_s=round(call.started_after_s, 3),
             longest_gap_s=round(call.longest_gap_s, 3),
+            prefill_hold_s=round(call.prefill_hold_s, 3),
             elapsed_s=round(self._clock.monotonic_s() - call.arrived_s, 3),
         )
 
--- a/mothstand/testing/eligibility.py
+++ b/mothstand/testing/eligibility.py
@@ -11,8 +11,12 @@
 from ..core.ingress import BusyInstances
 from ..core.load_sharing import LoadSharing, LoadSharingPolicy
 from ..core.loans import Peer
+from ..core.prefill_schedule import CalendarScheduler
 from ..core.rate_limits import RateLimits
 from ..core.warmup import Warmup, WarmupSettings
+from ..gateway.lending import GrpcPeerLink
+from ..gateway.prefill_link import GrpcPrefillLink
+from ..gateway.prefill_scheduling import PrefillScheduling
 from ..gateway.redirects import Redirects
 from ..gateway.resumptions import Resumptions
 from ..gateway.stream_origins import StreamOrigins
@@ -21,6 +25,7 @@
 
 if TYPE_CHECKING:
     from ..clock import Clock
+    from ..core.placement import Placement
     from ..core.upstreams import UpstreamDirectory
     from ..gateway.metrics import GatewayMetrics
 
@@ -51,6 +56,13 @@
     return Redirects(sharing, fleet, BusyInstances(), clock, metrics)
 
 
+def lone_prefills(placement: Placement, clock: Clock, metrics: GatewayMetrics) -> PrefillScheduling:
+    """Return the scheduling of long prompts of an instance whose settings switch it off."""
+    sharing = LoadSharing(LoadSharingPolicy(), fleet_view("me"))
+    link = GrpcPrefillLink(GrpcPeerLink())
+    return PrefillScheduling(sharing, placement, CalendarScheduler(), link, clock, metrics)
+
+
 def unrestricted_eligibility(
     directory: UpstreamDirectory,
     *,
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -46,7 +46,12 @@
 )
 from ..log.health import PlatformHealth
 from ..platform.headers import PlatformHeaders
-from ..testing.eligibility import lone_redirects, lone_resumptions, unrestricted_eligibility
+from ..testing.eligibility import (
+    lone_prefills,
+    lone_redirects,
+    lone_resumptions,
+    unrestricted_eligibility,
+)
 from ..testing.fakes import NoRelays, OnePeerRelays, UnreachablePeers
 from ..testing.memory_store import MemoryStore, StoreLink
 from ..types import DataCentre, Region
@@ -193,10 +198,11 @@
         self.probes = ReachabilityProbes(
             Reachability(), self.directory, TcpLivenessCheck(0.2), self.clock, self.metrics
         )
+        placement = Placement(_LOCAL_DATA_CENTRE)
         self.forwarder = Forwarder(
             self.client,
             PlatformHeaders(),
-            Placement(_LOCAL_DATA_CENTRE),
+            placement,
             unrestricted_eligibility(
                 self.directory, evacuations=self.evacuations, region_map=self.region_map
             ),
@@ -208,6 +214,7 @@
             NoRelays() if relays is None else relays,
             lone_resumptions(self.directory, self.clock, self.metrics),
             lone_redirects(self.clock, self.metrics),
+            lone_prefills(placement, self.clock, self.metrics),
             self.clock,
             self.metrics,
         )
