--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -13,21 +13,28 @@
 
 import math
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import fire
 
 from mothstand.core.fleet import ANNOUNCE_INTERVAL_S, MAX_ANNOUNCEMENTS_PER_S
 from mothstand.core.pace import StreamGaps
 from mothstand.core.placement import PlacedRequest, Placement, PlacementPolicy, session_key
+from mothstand.core.prefill_schedule import PrefillRequest
 from mothstand.core.prompt import Prompt, PromptPart
 from mothstand.core.upstreams import RegisteredUpstream
 from mothstand.types import DataCentre
 
 from .engine_model import STEP_S, Engine, EngineSize, Work
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from mothstand.core.prefill_schedule import PrefillScheduler
+
 #: Numbers and tokens of the leading parts that documents share, and of their sessions' parts; then
 #: the new prompt tokens and the answer tokens of each document and each question.
 _STYLES, _STYLE_TOKENS = 4, 2_520
@@ -63,6 +70,9 @@
 _PASS_S = 0.00463
 _CHUNK_TOKENS = 1_024
 
+#: Time to the first event of a prompt that is read within one pass.
+_FIRST_EVENT_S = 0.04
+
 #: Tokens in an event; an engine sends its first event only when it has generated this number.
 _EVENT_TOKENS = 7
 
@@ -181,10 +191,26 @@
     placement: Placement
     placed: PlacedRequest
     is_late: bool = False
+    sent_s: float = 0.0
+
+
+@dataclass(slots=True)
+class _HeldRequest:
+    """A document that waits for the time at which its engine reads it."""
+
+    running: _RunningRequest
+    until_s: float
 
 
 class Fleet:
-    """All instances and engines of a site."""
+    """All instances and engines of a site.
+
+    Parameters
+    ----------
+    make_scheduler
+        Returns the scheduler of the documents of a data centre's engines; None to let each
+        instance place them by what it knows itself.
+    """
 
     def __init__(
         self,
@@ -192,7 +218,12 @@
         policy: PlacementPolicy,
         seed: int,
         sharing: PaceSharing = PaceSharing.ANNOUNCED,
+        make_scheduler: Callable[[], PrefillScheduler] | None = None,
     ) -> None:
+        self._schedulers: defaultdict[DataCentre, PrefillScheduler] | None = None
+        if make_scheduler is not None:
+            self._schedulers = defaultdict(make_scheduler)
+        self._held: list[_HeldRequest] = []
         self._sharing = sharing
         self._site = site
         self._rng = random.Random(seed)
@@ -228,6 +259,7 @@
                     self._send(kind, now_s)
             if self._sharing is PaceSharing.ANNOUNCED:
                 self._announce(now_s, now_s + STEP_S)
+            self._start_held(now_s)
             now_s += STEP_S
             self._step(now_s)
         self.outcome.read_tokens = sum(e.read_tokens for e in self._engines.values())
@@ -254,9 +286,39 @@
             self._upstreams, prompt, subject, tried_upstreams=frozenset(), now_s=now_s
         )
         assert upstream is not None
+        hold_s = 0.0
+        if self._schedulers is not None and kind == "document":
+            upstream, hold_s = self._schedule(upstream, prompt, work, now_s)
         placed = placement.note_started(upstream, prompt, now_s)
-        self._engines[upstream.upstream_id].add(work)
-        self._running.append(_RunningRequest(kind, work, placement, placed))
+        running = _RunningRequest(kind, work, placement, placed)
+        self._held.append(_HeldRequest(running, now_s + hold_s))
+
+    def _schedule(
+        self, first_choice: RegisteredUpstream, prompt: Prompt, work: Work, now_s: float
+    ) -> tuple[RegisteredUpstream, float]:
+        """Return the engine of a document, and the time for which it is held."""
+        assert self._schedulers is not None
+        local = [u for u in self._upstreams if u.data_centre == first_choice.data_centre]
+        request = PrefillRequest(
+            "llm", str(id(work)), prompt, tuple(u.key for u in local), DOCUMENT_OBJECTIVE_S / 2
+        )
+        grant = self._schedulers[first_choice.data_centre].reserve(request, now_s)
+        assert grant is not None
+        (upstream,) = (u for u in local if u.upstream_id == grant.upstream_id)
+        return upstream, grant.hold_s
+
+    def _start_held(self, now_s: float) -> None:
+        """Send the requests whose time has come."""
+        waiting = []
+        for held in self._held:
+            if held.until_s > now_s:
+                waiting.append(held)
+                continue
+            running = held.running
+            self._engines[running.placed.upstream.upstream_id].add(running.work)
+            self._running.append(running)
+            running.sent_s = now_s
+        self._held = waiting
 
     def _document(self, now_s: float) -> tuple[Prompt, Work]:
         session = self._rng.randrange(self._site.sessions)
@@ -295,6 +357,11 @@
         assert running.work.first_token_s is not None
         elapsed_s = running.work.first_token_s - running.work.arrived_s
         is_document = running.kind == "document"
+        if is_document and self._schedulers is not None:
+            scheduler = self._schedulers[running.placed.upstream.data_centre]
+            read_s = running.work.first_token_s - running.sent_s - _FIRST_EVENT_S
+            name = str(id(running.work))
+            scheduler.release(name, read_s=max(0.001, read_s), now_s=running.work.first_token_s)
         objective_s = DOCUMENT_OBJECTIVE_S if is_document else QUESTION_OBJECTIVE_S
         running.is_late = elapsed_s > objective_s
 
--- a/mothstand/core/ingress.py
+++ b/mothstand/core/ingress.py
@@ -45,6 +45,13 @@
         Requests that run at once whatever the pressure.
     initial_limit_per_core
         The first limit per core of the machine: more than a core can forward.
+    nearly_full_share
+        Part of the limit from which new connections should go to other instances. It leaves room
+        for the requests of `rotation_s`.
+    rotation_s
+        Time until a platform that checks readiness each second takes an instance out of rotation:
+        two failed checks, and a little for the check itself. Before that, a caller's next attempt
+        comes to the same instance.
     max_busy_share
         Part of the data centre's instances that are busy from which no caller is redirected: its
         next attempt would most likely find another busy one.
@@ -61,12 +68,20 @@
     increase: float = 1.0
     min_limit: float = 4.0
     initial_limit_per_core: float = 256.0
+    nearly_full_share: float = 0.6
+    rotation_s: float = 2.2
     max_busy_share: float = 0.5
     retry_after_range_s: tuple[float, float] = (0.01, 0.04)
 
-    def retry_after_s(self) -> float:
-        """Return the seconds after which a redirected caller should retry."""
-        return random.uniform(*self.retry_after_range_s)
+    def retry_after_s(self, unready_s: float) -> float:
+        """Return the seconds after which a redirected caller should retry.
+
+        Parameters
+        ----------
+        unready_s
+            Time for which this instance has said that it wants no new connections.
+        """
+        return max(0.0, self.rotation_s - unready_s) + random.uniform(*self.retry_after_range_s)
 
 
 @dataclass(slots=True)
@@ -182,6 +197,10 @@
         workspaces = len({*running, workspace})
         return running[workspace] + 1 > self.limit / workspaces
 
+    def is_nearly_full(self, running: Counter[str]) -> bool:
+        """Return whether new connections should go to other instances."""
+        return running.total() >= self.limit * self.policy.nearly_full_share
+
     def _adjust(self, total: int, pressure: float, now_s: float) -> None:
         if now_s - self._adjusted_s < self.policy.adjust_interval_s:
             return
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -433,6 +433,7 @@
             self._metrics.counts["quarantined_suspects"] = len(quarantined)
             return web.Response(text=self._metrics.text())
         is_outdated = self._config_feed.freshness.is_outdated(self._clock.monotonic_s())
+        self._redirects.update_readiness()
         ready = (
             self._can_serve()
             and not self._shutdown.is_stopping
--- a/mothstand/gateway/redirects.py
+++ b/mothstand/gateway/redirects.py
@@ -26,8 +26,8 @@
 #: interval, so that each busy time is announced.
 _BUSY_S = 4.0
 
-#: Time after the latest redirect for which no new connections are wanted. Longer than the interval
-#: of readiness checks, so that one busy moment between two checks is seen by two of them.
+#: New connections are unwanted for this long after the instance was nearly full. Longer than the
+#: interval of readiness checks, so that two of them see it.
 _UNREADY_S = 2.5
 
 
@@ -62,6 +62,8 @@
         )
         self._running: Counter[str] = Counter()
         self._redirected_s = -math.inf
+        self._nearly_full_s = -math.inf
+        self._unready_since_s: float | None = None
         self._was_busy = False
 
     @property
@@ -76,8 +78,7 @@
         A platform that assigns callers by a hash sends a repeated attempt to the same instance, as
         long as that one says that it is ready.
         """
-        redirected_ago_s = self._clock.monotonic_s() - self._redirected_s
-        return redirected_ago_s >= _UNREADY_S or not self._others_are_free()
+        return self._unready_since_s is None
 
     @property
     def is_slow(self) -> bool:
@@ -86,7 +87,27 @@
 
     def retry_after_s(self) -> float | None:
         """Return when a caller may retry elsewhere if this instance is slow, else None."""
-        return self._policy.retry_after_s() if self.is_slow and self._others_are_free() else None
+        if not (self.is_slow and self._others_are_free()):
+            return None
+        return self._policy.retry_after_s(self._unready_s())
+
+    def _unready_s(self) -> float:
+        """Return for how long this instance has wanted no new connections."""
+        since_s = self._unready_since_s
+        return 0.0 if since_s is None else self._clock.monotonic_s() - since_s
+
+    def update_readiness(self) -> None:
+        """Decide whether new connections are wanted, by the requests that run now."""
+        if not self._sharing.redirects:
+            self._unready_since_s = None
+            return
+        now_s = self._clock.monotonic_s()
+        if self._decision.is_nearly_full(self._running):
+            self._nearly_full_s = now_s
+        if now_s - self._nearly_full_s >= _UNREADY_S or not self._others_are_free():
+            self._unready_since_s = None
+        elif self._unready_since_s is None:
+            self._unready_since_s = now_s
 
     async def check(self, workspace: str) -> None:
         """Refuse a request that has just arrived if another instance should serve it.
@@ -107,6 +128,7 @@
         is_redirected = self._decision.redirects(
             workspace, self._running, pressure=pressure, now_s=now_s
         )
+        self.update_readiness()
         self._log_change(pressure, now_s)
         if is_redirected and self._others_are_free():
             self._redirected_s = now_s
@@ -114,7 +136,9 @@
             running = self._running[workspace]
             detail = f"{running} of this workspace run here, {self._decision.limit:.0f} of all may"
             refusal = Refusal(
-                ErrorKind.INSTANCE_BUSY, detail, retry_after_s=self._policy.retry_after_s()
+                ErrorKind.INSTANCE_BUSY,
+                detail,
+                retry_after_s=self._policy.retry_after_s(self._unready_s()),
             )
             raise RefusedError(refusal)
 
@@ -122,6 +146,7 @@
     def running(self, workspace: str) -> Iterator[None]:
         """Count a request as running."""
         self._running[workspace] += 1
+        self.update_readiness()
         try:
             yield
         finally:
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -68,11 +68,6 @@
         self.response: web.StreamResponse | None = None
         self._request = request
         self._must_close = must_close
-        self._closes = False
-
-    def must_close(self) -> None:
-        """Close the connection after the answer."""
-        self._closes = True
 
     async def start(self, status: int, reason: str, headers: RawHeaders) -> None:
         """Send the head of a streamed answer."""
@@ -110,7 +105,7 @@
             await response.write_eof()
 
     async def _prepare(self, response: web.StreamResponse) -> None:
-        if self._closes or self._must_close():
+        if self._must_close():
             response.force_close()
         self.response = response
         with _translate_disconnect():
@@ -404,9 +399,6 @@
             "message": refusal.answer.message,
             "detail": refusal.detail,
         }
-        if refusal.kind is ErrorKind.INSTANCE_BUSY:
-            # A caller that keeps its connection would come back to this instance.
-            caller.must_close()
         await caller.send_complete(refusal.answer.status, "", headers, json.dumps(body).encode())
 
     def _log_end(self, call: Call, caller: HttpCaller, outcome: str, usage: Usage) -> None:
--- a/mothstand/testing/fakes.py
+++ b/mothstand/testing/fakes.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from ..clock import Clock
+from ..clock import Clock, SystemClock
 from ..core.membership import Membership
 from ..core.records import Record, RecordId
 from ..core.retry_budget import RetryBudgetSettings
@@ -195,6 +195,16 @@
             woken.set()
 
 
+class SkippingClock(SystemClock):
+    """Clock of the machine, ahead by a time that a test sets."""
+
+    advance_s = 0.0
+
+    def monotonic_s(self) -> float:
+        """Return the time of the machine plus `advance_s`."""
+        return super().monotonic_s() + self.advance_s
+
+
 class FakeWriter(Generic[_R]):
     """Queues records like `LogWriter`; a test appends them itself."""
 
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -8,7 +8,6 @@
 import anyio
 import pytest
 
-from ..clock import SystemClock
 from ..core.claims import NO_USAGE, Usage
 from ..core.evacuation import Evacuations, EvacuationState
 from ..core.fleet import Member
@@ -52,7 +51,7 @@
     lone_resumptions,
     unrestricted_eligibility,
 )
-from ..testing.fakes import NoRelays, OnePeerRelays, UnreachablePeers
+from ..testing.fakes import NoRelays, OnePeerRelays, SkippingClock, UnreachablePeers
 from ..testing.memory_store import MemoryStore, StoreLink
 from ..types import DataCentre, Region
 
@@ -151,15 +150,6 @@
         await self.finish()
 
 
-class SkippingClock(SystemClock):
-    """Clock of the machine, ahead by a time that a test sets."""
-
-    advance_s = 0.0
-
-    def monotonic_s(self) -> float:
-        return super().monotonic_s() + self.advance_s
-
-
 class ForwarderHarness:
     """Forwarder with three engines."""
 
