--- a/mothstand/core/ingress.py
+++ b/mothstand/core/ingress.py
@@ -46,8 +46,8 @@
     initial_limit_per_core
         The first limit per core of the machine: more than a core can forward.
     nearly_full_share
-        Part of the limit from which new connections should go to other instances. It leaves room
-        for the requests of `rotation_s`.
+        Part of the limit from which new connections should go to other instances. The rest is for
+        the requests that arrive in `rotation_s`: in a burst as many as run already, and more.
     rotation_s
         Time until a platform that checks readiness each second takes an instance out of rotation:
         two failed checks, and a little for the check itself. Before that, a caller's next attempt
@@ -68,7 +68,7 @@
     increase: float = 1.0
     min_limit: float = 4.0
     initial_limit_per_core: float = 256.0
-    nearly_full_share: float = 0.6
+    nearly_full_share: float = 0.4
     rotation_s: float = 2.2
     max_busy_share: float = 0.5
     retry_after_range_s: tuple[float, float] = (0.01, 0.04)
--- a/mothstand/gateway/redirects.py
+++ b/mothstand/gateway/redirects.py
@@ -68,8 +68,9 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether this instance has redirected callers recently."""
-        return self._clock.monotonic_s() - self._redirected_s < _BUSY_S
+        """Whether this instance wants no new connections or has redirected callers recently."""
+        has_redirected = self._clock.monotonic_s() - self._redirected_s < _BUSY_S
+        return has_redirected or not self.accepts_connections
 
     @property
     def accepts_connections(self) -> bool:
