--- a/mothstand/core/placement.py
+++ b/mothstand/core/placement.py
@@ -158,10 +158,6 @@
         self.note_prompt_read(placed)
         self._state(placed.upstream).running -= 1
 
-    def mean_prompt_tokens(self, service: str) -> float:
-        """Return the mean length of a service's prompts at this instance; 0 before the first."""
-        return self._mean_prompt_tokens.get(service, 0.0)
-
     def unsuspended(
         self, upstreams: Sequence[RegisteredUpstream], now_s: float
     ) -> list[RegisteredUpstream]:
--- a/mothstand/core/prefill_schedule.py
+++ b/mothstand/core/prefill_schedule.py
@@ -32,9 +32,9 @@
 
     Parameters
     ----------
-    long_prompt_ratio
-        Ratio to the mean prompt of a service from which a prompt is long. Shorter ones are read
-        within one step of the engine, and a call for each would cost more than it gains.
+    long_prompt_tokens
+        Length from which a prompt is long: engines read some 2,000 tokens in a step, so a shorter
+        one delays an answer there by one step, and a call for it would cost more than it gains.
     breathing_s
         Time between two prompts at an engine, in which all its answers get an event.
     reread_weight
@@ -57,7 +57,7 @@
         are sent earlier, so longer calendars would not be kept.
     """
 
-    long_prompt_ratio: float = 2.0
+    long_prompt_tokens: int = 2500
     breathing_s: float = 0.05
     reread_weight: float = 1.0
     cache_lifetime_s: float = 8.0
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -247,7 +247,6 @@
         self._prefill_scheduler = CalendarScheduler()
         self._prefills = PrefillScheduling(
             self._sharing,
-            self._placement,
             self._prefill_scheduler,
             GrpcPrefillLink(self._link),
             clock,
--- a/mothstand/gateway/prefill_scheduling.py
+++ b/mothstand/gateway/prefill_scheduling.py
@@ -17,7 +17,6 @@
     from ..clock import Clock
     from ..core.fleet import Member
     from ..core.load_sharing import LoadSharing
-    from ..core.placement import Placement
     from ..core.prefill_schedule import PrefillGrant, PrefillScheduler
     from ..core.upstreams import RegisteredUpstream
     from .call import Call
@@ -67,7 +66,6 @@
     def __init__(
         self,
         sharing: LoadSharing,
-        placement: Placement,
         local_scheduler: PrefillScheduler,
         link: PrefillLink,
         clock: Clock,
@@ -77,7 +75,6 @@
         self._policy = policy or PrefillPolicy()
         self._sharing = sharing
         self._fleet = sharing.fleet
-        self._placement = placement
         self._local_scheduler = local_scheduler
         self._link = link
         self._clock = clock
@@ -151,11 +148,7 @@
         self._release(call, 0.0)
 
     def _is_long(self, call: Call) -> bool:
-        mean_tokens = self._placement.mean_prompt_tokens(call.service.name)
-        prompt = call.fields.prompt
-        return bool(mean_tokens) and (
-            prompt.input_tokens > self._policy.long_prompt_ratio * mean_tokens
-        )
+        return call.fields.prompt.input_tokens >= self._policy.long_prompt_tokens
 
     def _max_hold_s(self, call: Call) -> float:
         now_s = self._clock.monotonic_s()
--- a/mothstand/testing/crash_histories.py
+++ b/mothstand/testing/crash_histories.py
@@ -295,7 +295,7 @@
             NoRelays(),
             lone_resumptions(self.upstream_feed.directory, clock, metrics),
             lone_redirects(clock, metrics),
-            lone_prefills(self._placement, clock, metrics),
+            lone_prefills(clock, metrics),
             clock,
             metrics,
         )
--- a/mothstand/testing/eligibility.py
+++ b/mothstand/testing/eligibility.py
@@ -25,7 +25,6 @@
 
 if TYPE_CHECKING:
     from ..clock import Clock
-    from ..core.placement import Placement
     from ..core.upstreams import UpstreamDirectory
     from ..gateway.metrics import GatewayMetrics
 
@@ -56,11 +55,11 @@
     return Redirects(sharing, fleet, BusyInstances(), clock, metrics)
 
 
-def lone_prefills(placement: Placement, clock: Clock, metrics: GatewayMetrics) -> PrefillScheduling:
+def lone_prefills(clock: Clock, metrics: GatewayMetrics) -> PrefillScheduling:
     """Return the scheduling of long prompts of an instance whose settings switch it off."""
     sharing = LoadSharing(LoadSharingPolicy(), fleet_view("me"))
     link = GrpcPrefillLink(GrpcPeerLink())
-    return PrefillScheduling(sharing, placement, CalendarScheduler(), link, clock, metrics)
+    return PrefillScheduling(sharing, CalendarScheduler(), link, clock, metrics)
 
 
 def unrestricted_eligibility(
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -188,11 +188,10 @@
         self.probes = ReachabilityProbes(
             Reachability(), self.directory, TcpLivenessCheck(0.2), self.clock, self.metrics
         )
-        placement = Placement(_LOCAL_DATA_CENTRE)
         self.forwarder = Forwarder(
             self.client,
             PlatformHeaders(),
-            placement,
+            Placement(_LOCAL_DATA_CENTRE),
             unrestricted_eligibility(
                 self.directory, evacuations=self.evacuations, region_map=self.region_map
             ),
@@ -204,7 +203,7 @@
             NoRelays() if relays is None else relays,
             lone_resumptions(self.directory, self.clock, self.metrics),
             lone_redirects(self.clock, self.metrics),
-            lone_prefills(placement, self.clock, self.metrics),
+            lone_prefills(self.clock, self.metrics),
             self.clock,
             self.metrics,
         )
--- a/mothstand/tests/test_prefill_scheduling.py
+++ b/mothstand/tests/test_prefill_scheduling.py
@@ -9,7 +9,6 @@
 from ..core.fleet import Capacity, FleetView, Member
 from ..core.load_sharing import LoadSharing, LoadSharingPolicy
 from ..core.loans import Peer
-from ..core.placement import Placement
 from ..core.prefill_schedule import CalendarScheduler, PrefillGrant, PrefillRequest
 from ..core.prompt import Prompt, PromptPart
 from ..core.routes import Destination, GatewayService, RequestKind, Route
@@ -62,7 +61,6 @@
         self.clock = VirtualClock()
         self.link = FakeLink(grant)
         self.metrics = GatewayMetrics()
-        self.placement = Placement(DataCentre("sto-a"))
         # The scheduler is one of the more capable others.
         data_centre = DataCentre("sto-a")
         fleet = FleetView(Member(Peer("me", "1", "me:1"), data_centre, Capacity(0.5)))
@@ -71,14 +69,11 @@
             fleet.apply_announcement(Member(peer, data_centre, Capacity(2.0)), 0.0)
         self.scheduling = PrefillScheduling(
             LoadSharing(policy, fleet),
-            self.placement,
             CalendarScheduler(),
             self.link,
             self.clock,
             self.metrics,
         )
-        for number in range(20):
-            self.placement.note_started(_UPSTREAMS[0], Prompt("m", 800), float(number))
 
     def call(self, tokens: int, *, timeout_s: float = 5.0, objective_s: float = 1.0) -> Call:
         route = Route(
