--- a/mothstand/core/load_sharing.py
+++ b/mothstand/core/load_sharing.py
@@ -23,15 +23,12 @@
         Size of the fleet from which they are in force; 0 for never.
     redirects
         Whether a busy instance sends callers to other instances.
-    budget_homes
-        Whether tokens follow the demand, and the rest of a budget has one holder.
     prefill_schedule
         Whether the prompts that an engine reads are spread in time.
     """
 
     min_instances: int = 0
     redirects: bool = False
-    budget_homes: bool = False
     prefill_schedule: bool = False
 
 
@@ -47,11 +44,6 @@
         """Whether a busy instance sends callers to other instances."""
         return self.policy.redirects and self._is_large_fleet
 
-    @property
-    def budget_homes(self) -> bool:
-        """Whether tokens follow the demand, and the rest of a budget has one holder."""
-        return self.policy.budget_homes and self._is_large_fleet
-
     @property
     def prefill_schedule(self) -> bool:
         """Whether the prompts that an engine reads are spread in time."""
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -245,10 +245,13 @@
             self._metrics,
         )
         self._prefill_scheduler = CalendarScheduler()
+        # A call without an answer closes its channel, and these calls have a short timeout: on the
+        # channels of loans, each would break the loans that are running.
+        self._prefill_peers = GrpcPeerLink()
         self._prefills = PrefillScheduling(
             self._sharing,
             self._prefill_scheduler,
-            GrpcPrefillLink(self._link),
+            GrpcPrefillLink(self._prefill_peers),
             clock,
             self._metrics,
         )
@@ -374,6 +377,7 @@
         await checks.cleanup()
         peer_server.close()
         self._link.close()
+        self._prefill_peers.close()
         await self._client.aclose()
         await self._relay_client.aclose()
         await self._store.aclose()
--- a/mothstand/settings/gateway.py
+++ b/mothstand/settings/gateway.py
@@ -98,11 +98,6 @@
     redirects: bool = Field(
         False, description="true if a busy instance sends callers to other instances, else false"
     )
-    budget_homes: bool = Field(
-        False,
-        description="true if tokens follow the demand and a budget's rest has one holder, "
-        "else false",
-    )
     prefill_schedule: bool = Field(
         False,
         description="true if long prompts are spread in time at each engine, else false",
@@ -165,7 +160,6 @@
         return LoadSharingPolicy(
             min_instances=section.min_instances,
             redirects=section.redirects,
-            budget_homes=section.budget_homes,
             prefill_schedule=section.prefill_schedule,
         )
 
