--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -299,8 +299,9 @@
         """Return the engine of a document, and the time for which it is held."""
         assert self._schedulers is not None
         local = [u for u in self._upstreams if u.data_centre == first_choice.data_centre]
+        others = [u.key for u in local if u is not first_choice]
         request = PrefillRequest(
-            "llm", str(id(work)), prompt, tuple(u.key for u in local), DOCUMENT_OBJECTIVE_S / 2
+            "llm", str(id(work)), prompt, (first_choice.key, *others), DOCUMENT_OBJECTIVE_S / 2
         )
         grant = self._schedulers[first_choice.data_centre].reserve(request, now_s)
         assert grant is not None
--- a/mothstand/core/prefill_schedule.py
+++ b/mothstand/core/prefill_schedule.py
@@ -46,7 +46,11 @@
     initial_s_per_token
         Reading time of a token before any was measured.
     latest_weight
-        Weight of the latest measurement in an engine's mean reading time.
+        Weight of the latest measurement in the mean reading time.
+    slowness_range
+        Range of an engine's reading time relative to the mean of all. A single measurement
+        also holds what else ran at the engine; without bounds, a few of them would move sessions
+        away from where they are cached.
     min_measured_tokens
         Prompts with fewer unread tokens say nothing about the reading speed.
     expiry_factor, min_expiry_s
@@ -63,6 +67,7 @@
     cache_lifetime_s: float = 8.0
     initial_s_per_token: float = 2.0e-5
     latest_weight: float = 0.2
+    slowness_range: tuple[float, float] = (0.7, 2.0)
     min_measured_tokens: int = 500
     expiry_factor: float = 3.0
     min_expiry_s: float = 0.5
@@ -76,7 +81,8 @@
     Parameters
     ----------
     candidates
-        Upstreams that the instance can use, of one data centre.
+        Upstreams that the instance can use, of one data centre; first the one that all instances
+        prefer for the session.
     max_hold_s
         Longest time for which the instance can hold the request.
     """
@@ -167,16 +173,15 @@
         """Return where and when to read a prompt, or None without candidates."""
         if not request.candidates:
             return None
-        session = _session(request.prompt)
         for candidate in request.candidates:
             self._expire(self._engine(candidate), now_s)
 
-        def cost(upstream: UpstreamKey) -> tuple[float, int]:
+        def cost(upstream: UpstreamKey) -> tuple[float, bool]:
             engine = self._engine(upstream)
-            read_s = self._unread_tokens(engine, request.prompt, now_s) * engine.s_per_token
+            read_s = self._read_s(engine, self._unread_tokens(upstream, request, now_s))
             wait_s = engine.free_s(now_s, self.policy.breathing_s) - now_s
-            weight = rendezvous_weight(session, upstream.upstream_id)
-            return wait_s + (1 + self.policy.reread_weight) * read_s, -weight
+            is_preferred = upstream == request.candidates[0]
+            return wait_s + (1 + self.policy.reread_weight) * read_s, not is_preferred
 
         upstream = min(request.candidates, key=cost)
         return self._book(request, upstream, now_s)
@@ -190,8 +195,13 @@
             return
         engine.released_s = now_s
         if reservation.unread_tokens >= self.policy.min_measured_tokens:
-            latest = read_s / reservation.unread_tokens
-            engine.s_per_token += self.policy.latest_weight * (latest - engine.s_per_token)
+            self._note_speed(engine, read_s / reservation.unread_tokens)
+
+    def _note_speed(self, engine: _EngineState, s_per_token: float) -> None:
+        usual = self._usual_s_per_token()
+        lowest, highest = (factor * usual for factor in self.policy.slowness_range)
+        engine.s_per_token += self.policy.latest_weight * (s_per_token - engine.s_per_token)
+        engine.s_per_token = min(highest, max(lowest, engine.s_per_token))
 
     def forget(self, upstream: UpstreamKey) -> None:
         """Drop the state of an upstream that is deregistered."""
@@ -201,8 +211,8 @@
 
     def _book(self, request: PrefillRequest, upstream: UpstreamKey, now_s: float) -> PrefillGrant:
         engine = self._engine(upstream)
-        unread = self._unread_tokens(engine, request.prompt, now_s)
-        read_s = unread * engine.s_per_token
+        unread = self._unread_tokens(upstream, request, now_s)
+        read_s = self._read_s(engine, unread)
         longest_s = min(request.max_hold_s, self.policy.max_backlog_s)
         hold_s = min(engine.free_s(now_s, self.policy.breathing_s) - now_s, longest_s)
         starts_s = now_s + hold_s
@@ -236,7 +246,12 @@
             return self.policy.initial_s_per_token
         return sum(e.s_per_token for e in self._engines.values()) / len(self._engines)
 
-    def _unread_tokens(self, engine: _EngineState, prompt: Prompt, now_s: float) -> int:
+    def _read_s(self, engine: _EngineState, tokens: int) -> float:
+        """Return the predicted reading time of some tokens."""
+        return tokens * engine.s_per_token
+
+    def _unread_tokens(self, upstream: UpstreamKey, request: PrefillRequest, now_s: float) -> int:
+        engine, prompt = self._engine(upstream), request.prompt
         unread = prompt.input_tokens
         for part in prompt.parts:
             read_s = engine.parts.get(part.part_id, float("-inf"))
@@ -246,12 +261,6 @@
         return max(0, unread)
 
 
-def _session(prompt: Prompt) -> str:
-    """Return the key that requests of a session share."""
-    shared = prompt.shareable_parts or prompt.parts
-    return shared[-1].part_id if shared else ""
-
-
 def scheduler_member(
     fleet: FleetView, service: str, data_centre: DataCentre, *, avoided: frozenset[str]
 ) -> Member | None:
--- a/mothstand/gateway/prefill_scheduling.py
+++ b/mothstand/gateway/prefill_scheduling.py
@@ -114,7 +114,10 @@
             service=first_choice.service,
             request_id=call.fields.request_id,
             prompt=call.fields.prompt,
-            candidates=tuple(u.key for u in local.values()),
+            candidates=(
+                first_choice.key,
+                *(u.key for u in local.values() if u is not first_choice),
+            ),
             max_hold_s=self._max_hold_s(call),
         )
         lease = PrefillLease(scheduler, first_choice.service, call.fields.request_id)
