--- a/mothstand/testing/gateway_fleet.py
+++ b/mothstand/testing/gateway_fleet.py
@@ -131,11 +131,14 @@
         regions: str = "",
         data_centre: str = "sto-a",
         can_be_partitioned: bool = False,
+        shares_load: bool = False,
     ) -> FleetProcess:
         """Start a gateway instance and wait until it is ready.
 
         Parameters
         ----------
+        shares_load
+            Whether all parts of load sharing are switched on, for fleets of two and more.
         can_be_partitioned
             Whether `partition` can cut its path to engines.
         """
@@ -147,7 +150,9 @@
             f"[listen]\ncallers = {callers}\nready = {ready}\npeers = {peers}\n"
             f"metrics = {metrics}\nrelay = {relay}\n[store]\naddress = {self.store.address}\n"
             f"[timing]\ngrace_s = {grace_s}\nconfiguration_ms = {CONFIGURATION_S * 1000}\n"
-            f"[regions]\ndata_centres = {regions}\n",
+            f"[regions]\ndata_centres = {regions}\n"
+            f"[load_sharing]\nmin_instances = {2 if shares_load else 0}\n"
+            f"redirects = {shares_load}\nprefill_schedule = {shares_load}\n",
             encoding="utf-8",
         )
         self._metrics_addresses[name] = metrics
