Findings of the review of redirects and the prefill schedule

An instance is busy by its own load alone; announcements count for three intervals; a single long pass no longer cuts the limit; reservations have ids of their own; a request that was held is checked again for eligibility and quarantine; lengths, holds and replies of peers are bounded; nothing is computed for short prompts or with the setting off.

--- a/mothstand/core/ingress.py
+++ b/mothstand/core/ingress.py
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class IngressPolicy:
-    """Limits of what callers of one instance can bear.
+    """Limits of what callers of one instance can tolerate.
 
     Parameters
     ----------
@@ -40,7 +40,8 @@
     decrease
         Factor on the running requests that gives the new limit under pressure.
     increase
-        Requests by which the limit grows in an interval while it binds without pressure.
+        Requests by which the limit grows in an interval while it binds without pressure; from a
+        nearly full instance on it grows by a part of this.
     min_limit
         Requests that run at once whatever the pressure.
     initial_limit_per_core
@@ -112,7 +113,7 @@
         self._bytes_per_s += count / self.policy.smoothing_s
 
     def pressure(self, now_s: float) -> float:
-        """Return the load relative to the most that callers can bear."""
+        """Return the load relative to the most that callers can tolerate."""
         self._decay(now_s)
         loop = self._pass_s / self.policy.max_pass_s
         if not self.link_mbit_per_s:
@@ -131,6 +132,10 @@
         self._measured_s = max(self._measured_s, now_s)
 
 
+#: Exponent of the part of the limit that is used, in the growth of the limit: half of it used gives
+#: a sixtieth of the growth of a limit that binds.
+_GROWTH_EXPONENT = 6
+
 #: Weight of the latest pass in their mean: under load there are dozens within `smoothing_s`.
 _LATEST_PASS_WEIGHT = 0.2
 
@@ -149,7 +154,7 @@
         running
             Requests that run at this instance, by workspace.
         pressure
-            This instance's load relative to the most that callers can bear.
+            This instance's load relative to the most that callers can tolerate.
         """
 
 
@@ -205,11 +210,16 @@
         if now_s - self._adjusted_s < self.policy.adjust_interval_s:
             return
         self._adjusted_s = now_s
+        if total < self.limit * self.policy.nearly_full_share:
+            # Too few requests run to be the cause of the pressure, or to need a higher limit. A
+            # single long pass, such as a garbage collection, would otherwise leave a low limit.
+            return
         if pressure > 1.0:
             decreased = min(self.limit, total) * self.policy.decrease
             self.limit = max(self.policy.min_limit, decreased)
-        elif total >= self.limit * self.policy.decrease:
-            self.limit += self.policy.increase
+        else:
+            # Slowly while the limit does not bind yet: nothing shows that more could run.
+            self.limit += self.policy.increase * (total / self.limit) ** _GROWTH_EXPONENT
 
 
 @dataclass(slots=True)
@@ -219,8 +229,8 @@
     Parameters
     ----------
     valid_s
-        Time for which an announcement counts: a few intervals between announcements. The skew of
-        callers that it tells of lasts longer.
+        Time for which an announcement counts, and at least some intervals between announcements:
+        callers are usually unevenly spread for longer than that.
     """
 
     valid_s: float = 20.0
@@ -230,13 +240,30 @@
         """Record the announcement of an instance."""
         self._announced[instance] = (is_busy, now_s)
 
-    def busy_share(self, instances: list[str], now_s: float) -> float:
-        """Return the busy part of some instances; those without a recent word are not busy."""
+    def forget(self, instance: str) -> None:
+        """Drop the announcement of an instance that has expired."""
+        self._announced.pop(instance, None)
+
+    def busy_share(
+        self, instances: list[str], now_s: float, *, announce_interval_s: float = 0.0
+    ) -> float:
+        """Return the busy part of some instances; those without a recent announcement are free.
+
+        Parameters
+        ----------
+        announce_interval_s
+            Time between two announcements of an instance.
+        """
         if not instances:
             return 1.0
-        busy = [name for name in instances if self._is_busy(name, now_s)]
+        valid_s = max(self.valid_s, _VALID_INTERVALS * announce_interval_s)
+        busy = [name for name in instances if self._is_busy(name, valid_s, now_s)]
         return len(busy) / len(instances)
 
-    def _is_busy(self, instance: str, now_s: float) -> bool:
+    def _is_busy(self, instance: str, valid_s: float, now_s: float) -> bool:
         is_busy, at_s = self._announced.get(instance, (False, -math.inf))
-        return is_busy and now_s - at_s <= self.valid_s
+        return is_busy and now_s - at_s <= valid_s
+
+
+#: Intervals between announcements for which one counts: one may be missed.
+_VALID_INTERVALS = 3
--- a/mothstand/core/prefill_schedule.py
+++ b/mothstand/core/prefill_schedule.py
@@ -2,7 +2,7 @@
 
 An engine reads a prompt in chunks between the tokens of all running answers. A prompt of thousands
 of tokens lengthens the pause of each of them by its whole reading time, and two that are read in a
-row make callers give up answers that began in time. An instance sees only its own requests, one
+row exceed the longest pause that callers accept. An instance sees only its own requests, one
 of dozens, so it cannot know that an engine is reading another one's prompt.
 
 The load that this answers: each engine reads a long prompt for a tenth to a half of the time, from
@@ -35,9 +35,9 @@
     long_prompt_tokens
         Length from which a prompt is long: engines read some 2,000 tokens in a step, so a shorter
         one delays an answer there by one step, and a call for it would cost more than it gains.
-    breathing_s
+    gap_s
         Time between two prompts at an engine, in which all its answers get an event.
-    reread_weight
+    repeated_read_weight
         Additional cost of reading, in units of its time: it also delays all answers that run
         there. So a prompt waits for the engine that has it cached rather than be read again, unless
         the wait is longer than twice the difference.
@@ -47,7 +47,7 @@
         Reading time of a token before any was measured.
     latest_weight
         Weight of the latest measurement in the mean reading time.
-    slowness_range
+    relative_time_bounds
         Range of an engine's reading time relative to the mean of all. A single measurement
         also holds what else ran at the engine; without bounds, a few of them would move sessions
         away from where they are cached.
@@ -62,12 +62,12 @@
     """
 
     long_prompt_tokens: int = 2500
-    breathing_s: float = 0.05
-    reread_weight: float = 1.0
+    gap_s: float = 0.05
+    repeated_read_weight: float = 1.0
     cache_lifetime_s: float = 8.0
     initial_s_per_token: float = 2.0e-5
     latest_weight: float = 0.2
-    slowness_range: tuple[float, float] = (0.7, 2.0)
+    relative_time_bounds: tuple[float, float] = (0.7, 2.0)
     min_measured_tokens: int = 500
     expiry_factor: float = 3.0
     min_expiry_s: float = 0.5
@@ -113,9 +113,7 @@
 
 @dataclass(slots=True)
 class _Reservation:
-    upstream: UpstreamKey
     unread_tokens: int
-    starts_s: float
     ends_s: float
     expires_s: float
 
@@ -137,10 +135,10 @@
         """Return the requests whose reservations should have been released long ago."""
         return [name for name, r in self.reservations.items() if r.expires_s <= now_s]
 
-    def free_s(self, now_s: float, breathing_s: float) -> float:
+    def free_s(self, now_s: float, gap_s: float) -> float:
         """Return the time from which the engine reads no reserved prompt."""
-        ends_s = max((r.ends_s for r in self.reservations.values()), default=self.released_s)
-        return max(now_s, ends_s + breathing_s)
+        ends_s = max([self.released_s, *(r.ends_s for r in self.reservations.values())])
+        return max(now_s, ends_s + gap_s)
 
 
 class PrefillScheduler(ABC):
@@ -179,9 +177,9 @@
         def cost(upstream: UpstreamKey) -> tuple[float, bool]:
             engine = self._engine(upstream)
             read_s = self._read_s(engine, self._unread_tokens(upstream, request, now_s))
-            wait_s = engine.free_s(now_s, self.policy.breathing_s) - now_s
+            wait_s = engine.free_s(now_s, self.policy.gap_s) - now_s
             is_preferred = upstream == request.candidates[0]
-            return wait_s + (1 + self.policy.reread_weight) * read_s, not is_preferred
+            return wait_s + (1 + self.policy.repeated_read_weight) * read_s, not is_preferred
 
         upstream = min(request.candidates, key=cost)
         return self._book(request, upstream, now_s)
@@ -198,8 +196,8 @@
             self._note_speed(engine, read_s / reservation.unread_tokens)
 
     def _note_speed(self, engine: _EngineState, s_per_token: float) -> None:
-        usual = self._usual_s_per_token()
-        lowest, highest = (factor * usual for factor in self.policy.slowness_range)
+        usual = self._mean_s_per_token()
+        lowest, highest = (factor * usual for factor in self.policy.relative_time_bounds)
         engine.s_per_token += self.policy.latest_weight * (s_per_token - engine.s_per_token)
         engine.s_per_token = min(highest, max(lowest, engine.s_per_token))
 
@@ -213,12 +211,16 @@
         engine = self._engine(upstream)
         unread = self._unread_tokens(upstream, request, now_s)
         read_s = self._read_s(engine, unread)
-        longest_s = min(request.max_hold_s, self.policy.max_backlog_s)
-        hold_s = min(engine.free_s(now_s, self.policy.breathing_s) - now_s, longest_s)
-        starts_s = now_s + hold_s
-        patience_s = max(self.policy.min_expiry_s, self.policy.expiry_factor * read_s)
+        # A caller declares the length of its prompt, so the predicted time is bounded.
+        read_s = min(read_s, self.policy.max_backlog_s)
+        free_s = engine.free_s(now_s, self.policy.gap_s)
+        longest_s = max(0.0, min(request.max_hold_s, self.policy.max_backlog_s))
+        hold_s = min(free_s - now_s, longest_s)
+        # A request that cannot wait is sent earlier, and read after those before it all the same.
+        ends_s = min(free_s + read_s, now_s + 2 * self.policy.max_backlog_s)
+        expires_after_s = max(self.policy.min_expiry_s, self.policy.expiry_factor * read_s)
         engine.reservations[request.request_id] = _Reservation(
-            upstream, unread, starts_s, starts_s + read_s, starts_s + patience_s
+            unread, ends_s, now_s + hold_s + expires_after_s
         )
         self._upstreams_by_request[request.request_id] = upstream
         for part in request.prompt.parts:
@@ -236,11 +238,11 @@
     def _engine(self, upstream: UpstreamKey) -> _EngineState:
         state = self._engines.get(upstream)
         if state is None:
-            state = _EngineState(self._usual_s_per_token())
+            state = _EngineState(self._mean_s_per_token())
             self._engines[upstream] = state
         return state
 
-    def _usual_s_per_token(self) -> float:
+    def _mean_s_per_token(self) -> float:
         """Return the reading time of a token at engines that are known."""
         if not self._engines:
             return self.policy.initial_s_per_token
--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -28,9 +28,9 @@
     INSTANCE_BUSY = (
         1008,
         logging.WARNING,
-        "This instance has more requests than it can forward and redirects callers to others.",
+        "This instance is nearly full or has redirected callers to others.",
     )
-    INSTANCE_FREE = (1009, logging.INFO, "The instance has not redirected callers for a while.")
+    INSTANCE_FREE = (1009, logging.INFO, "The instance has had room for callers for a while.")
     TASK_FAILED = (1004, logging.ERROR, "A background task failed and is restarted.")
     CONFIG_IN_FORCE = (
         2001,
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -217,19 +217,21 @@
 
         Returns None if its upstream is no longer eligible after that.
         """
-        if hop.relay is not None or call.origin is not None:
+        if hop.relay is not None or call.origin is not None or not self._prefills.applies_to(call):
             return hop
         now_s = self._clock.monotonic_s()
         eligible = self._eligible(call)
+        excluded = call.tried_upstreams | eligible.cold_ids
         untried = [
             u
             for u in self._placement.unsuspended(eligible.upstreams, now_s)
-            if u.upstream_id not in call.tried_upstreams | eligible.cold_ids
+            if u.upstream_id not in excluded
         ]
         upstream = await self._prefills.place(
             call, hop.upstream, self._reachability.reachable(untried)
         )
-        if upstream is not hop.upstream and upstream not in self._eligible(call).upstreams:
+        # The request may have been held: its upstream may be draining by now, or it quarantined.
+        if upstream not in self._eligible(call).upstreams or self._guard.is_quarantined(call):
             return None
         return _Hop(upstream)
 
--- a/mothstand/gateway/member_feed.py
+++ b/mothstand/gateway/member_feed.py
@@ -282,6 +282,7 @@
                     self.limits.apply_notices(announcement.limit_notices, now_s)
                     self.busy_instances.note(record.key, is_busy=announcement.is_busy, now_s=now_s)
         for instance in self.fleet.expire_members(now_s):
+            self.busy_instances.forget(instance)
             emit(Event.MEMBER_GONE, instance=instance)
         if self.fleet.size != size_before:
             self._on_change()
--- a/mothstand/gateway/prefill_scheduling.py
+++ b/mothstand/gateway/prefill_scheduling.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import uuid
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -34,6 +36,9 @@
 #: still to be read then.
 _MAX_OBJECTIVE_SHARE = 0.5
 
+#: Reading times below this are not told apart from none.
+_MIN_READ_S = 0.001
+
 #: Weight of the latest short prompt in the mean time to its first event.
 _LATEST_WEIGHT = 0.05
 
@@ -92,27 +97,31 @@
         finally:
             self._tasks = None
 
+    def applies_to(self, call: Call) -> bool:
+        """Return whether a request's prompt is scheduled."""
+        return self._sharing.prefill_schedule and self._is_long(call)
+
     async def place(
         self, call: Call, first_choice: RegisteredUpstream, candidates: list[RegisteredUpstream]
     ) -> RegisteredUpstream:
-        """Return the upstream for a request, and hold a long prompt until it may be sent.
+        """Return the upstream for a long prompt, and hold it until it may be sent.
 
         Parameters
         ----------
         first_choice
-            Upstream that is used for short prompts, and if no scheduler answers.
+            Upstream that is used if no scheduler answers.
         candidates
             Upstreams that the request may be sent to.
         """
-        if not (self._sharing.prefill_schedule and self._is_long(call)):
-            return first_choice
         local = {u.upstream_id: u for u in candidates if u.data_centre == first_choice.data_centre}
         scheduler = self._scheduler(first_choice)
         if scheduler is None or len(local) < 2:
             return first_choice
+        # Not the request's id: a caller may use one twice, and each attempt has a reservation.
+        reservation_id = uuid.uuid4().hex
         request = PrefillRequest(
             service=first_choice.service,
-            request_id=call.fields.request_id,
+            request_id=reservation_id,
             prompt=call.fields.prompt,
             candidates=(
                 first_choice.key,
@@ -120,18 +129,19 @@
             ),
             max_hold_s=self._max_hold_s(call),
         )
-        lease = PrefillLease(scheduler, first_choice.service, call.fields.request_id)
+        lease = PrefillLease(scheduler, first_choice.service, reservation_id)
         # Set before the call: a scheduler whose answer is lost has reserved all the same.
         call.prefill_lease = lease
         grant = await self._reserve(scheduler, request)
         if grant is None or grant.upstream_id not in local:
             self.note_ended(call)
             return first_choice
+        hold_s = min(max(0.0, grant.hold_s), request.max_hold_s)
         self._metrics.counts["prefills_scheduled"] += 1
-        self._metrics.record_prefill_hold(grant.hold_s)
-        call.prefill_hold_s += grant.hold_s
-        if grant.hold_s > 0:
-            await self._clock.sleep(grant.hold_s)
+        self._metrics.record_prefill_hold(hold_s)
+        call.prefill_hold_s += hold_s
+        if hold_s > 0:
+            await self._clock.sleep(hold_s)
         return local[grant.upstream_id]
 
     def note_first_event(self, call: Call) -> None:
@@ -203,10 +213,8 @@
 
     def _avoid(self, scheduler: Member, error: PeerError) -> None:
         name = scheduler.peer.instance
+        if self._clock.monotonic_s() < self._avoided_until_s.get(name, -math.inf):
+            return
         self._avoided_until_s[name] = self._clock.monotonic_s() + _AVOIDED_S
         self._metrics.counts["prefill_schedulers_avoided"] += 1
         emit(Event.PEER_SUSPECTED, peer=name, error=str(error))
-
-
-#: Reading times below this are not told apart from none.
-_MIN_READ_S = 0.001
--- a/mothstand/gateway/redirects.py
+++ b/mothstand/gateway/redirects.py
@@ -1,4 +1,4 @@
-"""Redirects callers to other instances while this one is busy, and tells the others so."""
+"""Redirects callers to other instances while this one is busy, and announces that it is."""
 
 from __future__ import annotations
 
@@ -22,9 +22,9 @@
     from ..core.load_sharing import LoadSharing
     from .metrics import GatewayMetrics
 
-#: Time after the latest redirect for which this instance says that it is busy: an announcement
-#: interval, so that each busy time is announced.
-_BUSY_S = 4.0
+#: Time for which an instance announces that it was busy, and at least an announcement interval, so
+#: that each busy time is announced.
+_MIN_BUSY_S = 4.0
 
 #: New connections are unwanted for this long after the instance was nearly full. Longer than the
 #: interval of readiness checks, so that two of them see it.
@@ -68,9 +68,15 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether this instance wants no new connections or has redirected callers recently."""
-        has_redirected = self._clock.monotonic_s() - self._redirected_s < _BUSY_S
-        return has_redirected or not self.accepts_connections
+        """Whether this instance was nearly full or redirected callers recently.
+
+        It depends on this instance alone. If it followed `accepts_connections`, which depends on
+        the others, all instances of a data centre would become busy and free together.
+        """
+        self.update_readiness()
+        busy_s = max(_MIN_BUSY_S, self._fleet.announce_interval_s)
+        latest_s = max(self._nearly_full_s, self._redirected_s)
+        return self._clock.monotonic_s() - latest_s < busy_s
 
     @property
     def accepts_connections(self) -> bool:
@@ -167,7 +173,10 @@
             for m in self._fleet.other_members()
             if m.data_centre == local.data_centre
         ]
-        share = self._busy_instances.busy_share(others, self._clock.monotonic_s())
+        now_s = self._clock.monotonic_s()
+        share = self._busy_instances.busy_share(
+            others, now_s, announce_interval_s=self._fleet.announce_interval_s
+        )
         return share < self._policy.max_busy_share
 
     def _log_change(self, pressure: float, now_s: float) -> None:
--- a/mothstand/tests/test_ingress.py
+++ b/mothstand/tests/test_ingress.py
@@ -121,6 +121,14 @@
         play(instance, {"large": 28.0, "small": 1.0}, began_s=0.0, for_s=20.0)
         assert instance.redirected.total() == 0
 
+    def test_single_long_pass_leaves_the_limit(self) -> None:
+        """Guards against a garbage collection that makes an idle instance refuse callers."""
+        instance = limited_instance()
+        play(instance, {"large": 1.0}, began_s=0.0, for_s=5.0)
+        instance.load.note_pass(0.15, 5.0)
+        play(instance, {"large": 20.0}, began_s=5.0, for_s=5.0)
+        assert instance.redirected.total() == 0
+
     def test_limit_recovers_after_a_burst(self) -> None:
         instance = limited_instance()
         play(instance, {"large": 150.0}, began_s=0.0, for_s=5.0)
