Preview where a request would go now, and why

Cause: an operator could not ask an instance where it would send a request, or whether it would refuse it; the log tells only afterwards.

Change: `mothstand preview` asks a running gateway instance at its metrics address (`GET /placement`, on that listener only). The answer has the eligible engines, the reason for each other one, what is known of each, cost, choice, prefill schedule, budget, and the refusals with error kind, status and Retry-After. Choice, grant and share come from the functions that decide. Where these record something, read-only access stands beside them: `Placement.explain`, `CalendarScheduler.preview`, `Admission.peek_admitted_share`, `Redirects.preview`, `Accounts.preview`. `Placement.choose`, `RateLimits.may_send` and `ClaimManager.spent_tokens` no longer create entries by reading.

Ruled out: a dry run of the forwarder, which counts for the retry budget, borrows tokens and asks schedulers.

--- a/mothstand/cli.py
+++ b/mothstand/cli.py
@@ -16,6 +16,7 @@
 from . import __version__
 from .clock import SystemClock
 from .core.config import diff_sections
+from .core.preview_request import PreviewRequest
 from .entry.instance import Instance
 from .errors import SettingsError
 from .gateway.program import run_gateway
@@ -23,6 +24,7 @@
 from .log.instances import HttpInstanceList
 from .operators.explain import explain, explanation_lines
 from .operators.log_view import read_all, read_config
+from .operators.preview import PreviewUnavailableError, ask_preview, preview_lines
 from .operators.publish import Publisher, RolloutStatus, wait_in_force
 from .operators.release import release
 from .operators.reports import audit_lines, budget_lines, epoch_lines, stranded_lines
@@ -36,8 +38,9 @@
     from collections.abc import Coroutine
     from typing import Any
 
-#: Exit codes: invalid settings or usage, refused by the fold, not in force in time, and
-#: log unreachable.
+#: Exit codes: no answer of an instance, invalid settings or usage, refused by the fold, not in
+#: force in time, and log unreachable.
+EXIT_NO_ANSWER = 1
 EXIT_SETTINGS = 2
 EXIT_REFUSED = 3
 EXIT_NOT_IN_FORCE = 4
@@ -106,6 +109,68 @@
         for line in explanation_lines(explain(texts)):
             print(line)
 
+    # Otherwise fire reads keys and lists that look like numbers or tuples as such.
+    @fire.decorators.SetParseFn(
+        str, "instance", "route", "host", "path", "workspace", "key", "request"
+    )
+    @fire.decorators.SetParseFn(str, "tokens", "parts", "length_hint")
+    def preview(
+        self,
+        instance: str,
+        route: str = "",
+        host: str = "",
+        path: str = "",
+        workspace: str = "",
+        key: str = "",
+        tokens: str = "",
+        parts: str = "",
+        length_hint: str = "",
+        request: str = "",
+        json: bool = False,
+    ) -> None:
+        """Show where a gateway instance would send a request now, and why, without sending it.
+
+        Parameters
+        ----------
+        instance
+            Metrics address of the instance, ``IP:PORT``.
+        route
+            Name of the route; or give host and path.
+        host, path
+            Host and path of the request.
+        workspace
+            Name of the workspace; or give the key.
+        key
+            Key of a caller. It is not printed, but other users of the machine may see the command.
+        tokens
+            Tokens of the prompt and maximum output tokens, ``PROMPT,OUTPUT``.
+        parts
+            Parts of the prompt, ``ID:TOKENS,ID:TOKENS``.
+        length_hint
+            Expected output tokens; placement does not use them.
+        request
+            Id of the request, which decides between the services of a split route.
+        json
+            Whether to print JSON instead of text.
+        """
+        fields = {
+            "route": route,
+            "host": host,
+            "path": path,
+            "workspace": workspace,
+            "tokens": tokens,
+            "parts": parts,
+            "length_hint": length_hint,
+            "request": request,
+        }
+        try:
+            asked = PreviewRequest.parse(fields, key)
+        except ValueError as error:
+            raise SettingsError(str(error)) from None
+        answer = anyio.run(ask_preview, instance, asked)
+        for line in [_format_json(answer)] if json else preview_lines(answer):
+            print(line)
+
     def hash(self, key: str) -> None:
         """Print the digest of a caller's key, for a ``[key NAME]`` section."""
         print(hashlib.sha256(str(key).encode()).hexdigest())
@@ -272,6 +337,10 @@
     return EXIT_NOT_IN_FORCE
 
 
+def _format_json(value: dict[str, Any]) -> str:
+    return json.dumps(value, indent=2)
+
+
 def _print_progress(seen: RolloutStatus) -> None:
     total = len(seen.up_to_date) + len(seen.behind) + len(seen.unresponsive)
     print(f"in force on {len(seen.up_to_date)} of {total}")
@@ -284,6 +353,9 @@
     except SettingsError as error:
         print(f"error: {error}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
+    except PreviewUnavailableError as error:
+        print(f"error: {error}", file=sys.stderr)
+        sys.exit(EXIT_NO_ANSWER)
     except LogError as error:
         print(f"error: the platform's log does not answer: {error}", file=sys.stderr)
         sys.exit(EXIT_LOG_UNREACHABLE)
--- a/mothstand/core/admission.py
+++ b/mothstand/core/admission.py
@@ -38,7 +38,7 @@
 
 #: Range in seconds of the random time after which callers retry, so that they do not all retry at
 #: once.
-_RETRY_AFTER_RANGE_S = (0.8, 2.4)
+RETRY_AFTER_RANGE_S = (0.8, 2.4)
 
 
 @dataclass(slots=True)
@@ -63,18 +63,36 @@
         self._decay(now_s)
         if self._most_urgent_priority is None or priority < self._most_urgent_priority:
             self._most_urgent_priority = priority
-        if self._answers < _MIN_ANSWERS:
+        return self._share(self._answers, priority - self._most_urgent_priority)
+
+    def peek_admitted_share(self, priority: int, now_s: float) -> float:
+        """Return what `admitted_share` would, without recording the priority or the time."""
+        most_urgent = self._most_urgent_priority
+        levels_below = 0 if most_urgent is None else max(0, priority - most_urgent)
+        return self._share(self._answers * self._decay_factor(now_s), levels_below)
+
+    def _share(self, answers: float, levels_below: int) -> float:
+        """Return the share to admit, with the decayed number of answers.
+
+        Parameters
+        ----------
+        levels_below
+            Priority levels below the most urgent one seen.
+        """
+        if answers < _MIN_ANSWERS:
             return 1.0
+        # Both sums decay by the same factor.
         relative_delay = self._relative_delay_sum / self._answers
-        max_relative_delay = _MAX_RELATIVE_DELAY * _PRIORITY_FACTOR ** (
-            priority - self._most_urgent_priority
-        )
+        max_relative_delay = _MAX_RELATIVE_DELAY * _PRIORITY_FACTOR**levels_below
         if relative_delay <= max_relative_delay:
             return 1.0
         return max(_MIN_ADMITTED_SHARE, (max_relative_delay / relative_delay) ** _SHED_EXPONENT)
 
+    def _decay_factor(self, now_s: float) -> float:
+        return math.exp(min(0.0, self._decayed_at_s - now_s) / _TIME_CONSTANT_S)
+
     def _decay(self, now_s: float) -> None:
-        factor = math.exp(min(0.0, self._decayed_at_s - now_s) / _TIME_CONSTANT_S)
+        factor = self._decay_factor(now_s)
         self._answers *= factor
         self._relative_delay_sum *= factor
         self._decayed_at_s = max(self._decayed_at_s, now_s)
@@ -82,4 +100,4 @@
 
 def random_retry_after_s() -> float:
     """Return the seconds after which the caller of a rejected request should retry."""
-    return random.uniform(*_RETRY_AFTER_RANGE_S)
+    return random.uniform(*RETRY_AFTER_RANGE_S)
--- a/mothstand/core/eligibility.py
+++ b/mothstand/core/eligibility.py
@@ -84,7 +84,7 @@
         found = EligibleUpstreams()
         for upstream in self.directory.accepting_upstreams(service.name):
             is_cold = self.is_cold(upstream, service, now_s)
-            exclusion = self._exclusion(upstream, service, permitted, is_cold, now_s)
+            exclusion = self.exclusion(upstream, service, permitted, is_cold, now_s)
             if version is not None and upstream.version != version:
                 exclusion = Exclusion.OTHER_VERSION
             if exclusion is not None:
@@ -117,7 +117,7 @@
         if self.is_cold(upstream, service, now_s):
             self.warmup.note_sent(upstream, service.cold_per_s, now_s)
 
-    def _exclusion(
+    def exclusion(
         self,
         upstream: RegisteredUpstream,
         service: GatewayService,
@@ -125,6 +125,7 @@
         is_cold: bool,
         now_s: float,
     ) -> Exclusion | None:
+        """Return why a new request may not be sent to an upstream now, or None if it may."""
         if self.evacuations.is_evacuated(upstream.data_centre):
             return Exclusion.EVACUATED
         if not self.region_map.permits(permitted, upstream.data_centre):
--- a/mothstand/core/ingress.py
+++ b/mothstand/core/ingress.py
@@ -81,7 +81,13 @@
         unready_s
             Time for which this instance has said that it wants no new connections.
         """
-        return max(0.0, self.rotation_s - unready_s) + random.uniform(*self.retry_after_range_s)
+        return random.uniform(*self.retry_after_bounds_s(unready_s))
+
+    def retry_after_bounds_s(self, unready_s: float) -> tuple[float, float]:
+        """Return the lowest and the highest value of `retry_after_s`."""
+        earliest_s = max(0.0, self.rotation_s - unready_s)
+        lowest_s, highest_s = self.retry_after_range_s
+        return earliest_s + lowest_s, earliest_s + highest_s
 
 
 @dataclass(slots=True)
@@ -192,7 +198,11 @@
         """Return whether a request that has just arrived is redirected."""
         total = running.total()
         self._adjust(total, pressure, now_s)
-        if total < self.limit:
+        return self.is_exceeded_by(workspace, running)
+
+    def is_exceeded_by(self, workspace: str, running: Counter[str]) -> bool:
+        """Return whether one more request of a workspace is beyond the limit as it is now."""
+        if running.total() < self.limit:
             return False
         workspaces = len({*running, workspace})
         return running[workspace] + 1 > self.limit / workspaces
--- a/mothstand/core/pace.py
+++ b/mothstand/core/pace.py
@@ -129,11 +129,27 @@
         """
         if not upstreams:
             return frozenset()
+        self._drop_expired_reports(now_s)
+        return self._slow_by(upstreams, self._report_counts)
+
+    def peek_slow_upstreams(
+        self, upstreams: Sequence[RegisteredUpstream], now_s: float
+    ) -> frozenset[str]:
+        """Return what `slow_upstreams` does, without dropping reports that have expired."""
+        if not upstreams:
+            return frozenset()
+        counts: Counter[str] = Counter()
+        for report in self._reports.values():
+            if now_s - report.reported_s < _REPORT_LIFETIME_S:
+                counts.update(report.upstream_ids)
+        return self._slow_by(upstreams, counts)
+
+    def _slow_by(
+        self, upstreams: Sequence[RegisteredUpstream], reports: Counter[str]
+    ) -> frozenset[str]:
         service = upstreams[0].service
         measured = self._gaps_s.get(service, {})
         slow = self._measured_slow(service)
-        self._drop_expired_reports(now_s)
-        reports = self._report_counts
         return frozenset(
             u.upstream_id
             for u in upstreams
--- a/mothstand/core/placement.py
+++ b/mothstand/core/placement.py
@@ -14,7 +14,7 @@
 from .pace import UpstreamPaces
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from ..types import DataCentre
     from .prompt import Prompt
@@ -65,6 +65,10 @@
     parts: dict[str, float] = field(default_factory=dict)
 
 
+#: State of an upstream that was never used, for reading only.
+_NO_STATE = _UpstreamState()
+
+
 @dataclass(slots=True)
 class PlacedRequest:
     """A request sent to an upstream, with its prompt tokens that count as unread there."""
@@ -74,6 +78,37 @@
     is_reading_prompt: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class CandidateView:
+    """What the placement of a request knows of one upstream.
+
+    Parameters
+    ----------
+    running
+        Requests of this instance that run there.
+    unread_tokens
+        Prompt tokens of these that the upstream has yet to read.
+    suspended_for_s
+        Remaining time of its suspension; 0 if it is not suspended.
+    cached_tokens
+        Tokens of the request's leading parts that this instance assumes to be cached there.
+    cost
+        Cost in tokens to read; the upstream with the lowest cost is chosen.
+    is_home
+        Whether all instances prefer it for the request's session.
+    """
+
+    upstream: RegisteredUpstream
+    running: int
+    unread_tokens: float
+    suspended_for_s: float
+    cached_tokens: int
+    cost: float
+    is_home: bool
+    is_slow: bool
+    is_chosen: bool
+
+
 #: Weight of the latest request in the mean length of prompts.
 _LATEST_PROMPT_WEIGHT = 0.05
 
@@ -114,20 +149,55 @@
             Upstreams that are cold and may get this request.
         """
         candidates = [u for u in upstreams if u.upstream_id not in tried_upstreams]
-        healthy = [u for u in candidates if self._state(u).suspended_until_s <= now_s]
         # If all are suspended, use them: refusing a request because of a wrong suspension costs
         # more than another failure.
-        candidates = healthy or candidates
+        candidates = self.unsuspended(candidates, now_s) or candidates
         if not candidates:
             return None
-        home = self._home(candidates, prompt, subject, now_s)
-
-        def cost(upstream: RegisteredUpstream) -> tuple[float, int]:
-            tokens, order = self._cost(upstream, prompt, upstream is home, subject, now_s)
-            is_cold = upstream.upstream_id in cold_upstreams
-            return tokens + (self.policy.cold_tokens if is_cold else 0.0), order
-
-        return min(candidates, key=cost)
+        home = self._home(candidates, prompt, subject, self.paces.slow_upstreams, now_s)
+        return min(
+            candidates,
+            key=lambda u: self._cost(
+                u, prompt, subject, is_home=u is home, cold_upstreams=cold_upstreams, now_s=now_s
+            ),
+        )
+
+    def explain(
+        self,
+        upstreams: Sequence[RegisteredUpstream],
+        prompt: Prompt,
+        subject: str,
+        *,
+        cold_upstreams: frozenset[str] = frozenset(),
+        now_s: float,
+    ) -> list[CandidateView]:
+        """Return what `choose` would decide on now and its choice; nothing is recorded."""
+        candidates = self.unsuspended(upstreams, now_s) or list(upstreams)
+        if not candidates:
+            return []
+        home = self._home(candidates, prompt, subject, self.paces.peek_slow_upstreams, now_s)
+        slow_ids = self.paces.peek_slow_upstreams(upstreams, now_s)
+        costs = {
+            u.key: self._cost(
+                u, prompt, subject, is_home=u is home, cold_upstreams=cold_upstreams, now_s=now_s
+            )
+            for u in upstreams
+        }
+        chosen = min(candidates, key=lambda u: costs[u.key])
+        return [
+            CandidateView(
+                upstream=u,
+                running=(state := self._known_state(u)).running,
+                unread_tokens=state.unread_tokens,
+                suspended_for_s=max(0.0, state.suspended_until_s - now_s),
+                cached_tokens=int(prompt.input_tokens - self._unread_tokens(state, prompt, now_s)),
+                cost=costs[u.key][0],
+                is_home=u is home,
+                is_slow=u.upstream_id in slow_ids,
+                is_chosen=u is chosen,
+            )
+            for u in upstreams
+        ]
 
     def note_started(
         self, upstream: RegisteredUpstream, prompt: Prompt, now_s: float
@@ -162,7 +232,7 @@
         self, upstreams: Sequence[RegisteredUpstream], now_s: float
     ) -> list[RegisteredUpstream]:
         """Return the upstreams that are not suspended."""
-        return [u for u in upstreams if self._state(u).suspended_until_s <= now_s]
+        return [u for u in upstreams if self._known_state(u).suspended_until_s <= now_s]
 
     def note_success(self, upstream: RegisteredUpstream) -> None:
         """Record an answer of an upstream, which ends its suspension."""
@@ -189,7 +259,12 @@
         self.paces.forget(upstream)
 
     def _home(
-        self, candidates: Sequence[RegisteredUpstream], prompt: Prompt, subject: str, now_s: float
+        self,
+        candidates: Sequence[RegisteredUpstream],
+        prompt: Prompt,
+        subject: str,
+        slow_upstreams: Callable[[Sequence[RegisteredUpstream], float], frozenset[str]],
+        now_s: float,
     ) -> RegisteredUpstream | None:
         """Return the upstream that keeps the cached parts of a session, or None without parts.
 
@@ -199,13 +274,17 @@
             return None
         service = candidates[0].service
         if prompt.input_tokens > self._mean_prompt_tokens.get(service, prompt.input_tokens):
-            slow_ids = self.paces.slow_upstreams(candidates, now_s)
+            slow_ids = slow_upstreams(candidates, now_s)
             candidates = [u for u in candidates if u.upstream_id not in slow_ids] or candidates
         return max(candidates, key=lambda u: _weight(u, subject))
 
     def _state(self, upstream: RegisteredUpstream) -> _UpstreamState:
         return self._states.setdefault(upstream.key, _UpstreamState())
 
+    def _known_state(self, upstream: RegisteredUpstream) -> _UpstreamState:
+        """Return the state of an upstream for reading; an unknown one gets no entry."""
+        return self._states.get(upstream.key, _NO_STATE)
+
     def _unread_tokens(self, state: _UpstreamState, prompt: Prompt, now_s: float) -> float:
         """Return the tokens of a prompt after its leading parts that are cached at an upstream."""
         unread = prompt.input_tokens
@@ -219,11 +298,13 @@
         self,
         upstream: RegisteredUpstream,
         prompt: Prompt,
-        is_home: bool,
         subject: str,
+        *,
+        is_home: bool,
+        cold_upstreams: frozenset[str],
         now_s: float,
     ) -> tuple[float, int]:
-        state = self._state(upstream)
+        state = self._known_state(upstream)
         unread = self._unread_tokens(state, prompt, now_s)
         if is_home and len(prompt.parts) > 1:
             # Other instances send the same session to this upstream, so its parts are cached.
@@ -231,6 +312,8 @@
         cost = unread + state.unread_tokens + state.running * self.policy.running_request_tokens
         if upstream.data_centre != self.data_centre:
             cost += self.policy.remote_tokens
+        if upstream.upstream_id in cold_upstreams:
+            cost += self.policy.cold_tokens
         return cost, -_weight(upstream, subject)
 
 
--- a/mothstand/core/prefill_schedule.py
+++ b/mothstand/core/prefill_schedule.py
@@ -111,6 +111,25 @@
     read_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class PrefillEstimate:
+    """When an engine could read a prompt, as the scheduler's calendar predicts it.
+
+    Parameters
+    ----------
+    wait_s
+        Time until the engine can begin.
+    read_s
+        Predicted reading time.
+    cost
+        The engine with the lowest cost is chosen.
+    """
+
+    wait_s: float
+    read_s: float
+    cost: float
+
+
 @dataclass(slots=True)
 class _Reservation:
     upstream: UpstreamKey
@@ -139,7 +158,10 @@
 
     def free_s(self, now_s: float, breathing_s: float) -> float:
         """Return the time from which the engine reads no reserved prompt."""
-        ends_s = max((r.ends_s for r in self.reservations.values()), default=self.released_s)
+        ends_s = max(
+            (r.ends_s for r in self.reservations.values() if r.expires_s > now_s),
+            default=self.released_s,
+        )
         return max(now_s, ends_s + breathing_s)
 
 
@@ -175,16 +197,35 @@
             return None
         for candidate in request.candidates:
             self._expire(self._engine(candidate), now_s)
-
-        def cost(upstream: UpstreamKey) -> tuple[float, bool]:
-            engine = self._engine(upstream)
-            read_s = self._read_s(engine, self._unread_tokens(upstream, request, now_s))
-            wait_s = engine.free_s(now_s, self.policy.breathing_s) - now_s
-            is_preferred = upstream == request.candidates[0]
-            return wait_s + (1 + self.policy.reread_weight) * read_s, not is_preferred
-
-        upstream = min(request.candidates, key=cost)
-        return self._book(request, upstream, now_s)
+        return self._book(request, _cheapest(self.estimates(request, now_s)), now_s)
+
+    def estimates(
+        self, request: PrefillRequest, now_s: float
+    ) -> dict[UpstreamKey, PrefillEstimate]:
+        """Return when each candidate could read a prompt; nothing is reserved or recorded."""
+        return {
+            upstream: self._estimate(upstream, request, now_s) for upstream in request.candidates
+        }
+
+    def preview(self, request: PrefillRequest, now_s: float) -> PrefillGrant | None:
+        """Return what `reserve` would grant now; nothing is reserved or recorded."""
+        if not request.candidates:
+            return None
+        estimates = self.estimates(request, now_s)
+        upstream = _cheapest(estimates)
+        hold_s = min(estimates[upstream].wait_s, self._longest_hold_s(request))
+        return PrefillGrant(upstream.upstream_id, hold_s, estimates[upstream].read_s)
+
+    def _estimate(
+        self, upstream: UpstreamKey, request: PrefillRequest, now_s: float
+    ) -> PrefillEstimate:
+        engine = self._known_engine(upstream)
+        read_s = self._read_s(engine, self._unread_tokens(engine, request, now_s))
+        wait_s = engine.free_s(now_s, self.policy.breathing_s) - now_s
+        return PrefillEstimate(wait_s, read_s, wait_s + (1 + self.policy.reread_weight) * read_s)
+
+    def _longest_hold_s(self, request: PrefillRequest) -> float:
+        return min(request.max_hold_s, self.policy.max_backlog_s)
 
     def release(self, request_id: str, *, read_s: float, now_s: float) -> None:
         """End a reservation."""
@@ -211,10 +252,10 @@
 
     def _book(self, request: PrefillRequest, upstream: UpstreamKey, now_s: float) -> PrefillGrant:
         engine = self._engine(upstream)
-        unread = self._unread_tokens(upstream, request, now_s)
+        unread = self._unread_tokens(engine, request, now_s)
         read_s = self._read_s(engine, unread)
-        longest_s = min(request.max_hold_s, self.policy.max_backlog_s)
-        hold_s = min(engine.free_s(now_s, self.policy.breathing_s) - now_s, longest_s)
+        wait_s = engine.free_s(now_s, self.policy.breathing_s) - now_s
+        hold_s = min(wait_s, self._longest_hold_s(request))
         starts_s = now_s + hold_s
         patience_s = max(self.policy.min_expiry_s, self.policy.expiry_factor * read_s)
         engine.reservations[request.request_id] = _Reservation(
@@ -240,6 +281,10 @@
             self._engines[upstream] = state
         return state
 
+    def _known_engine(self, upstream: UpstreamKey) -> _EngineState:
+        """Return the state of an engine for reading; an unknown one gets no entry."""
+        return self._engines.get(upstream) or _EngineState(self._usual_s_per_token())
+
     def _usual_s_per_token(self) -> float:
         """Return the reading time of a token at engines that are known."""
         if not self._engines:
@@ -250,8 +295,8 @@
         """Return the predicted reading time of some tokens."""
         return tokens * engine.s_per_token
 
-    def _unread_tokens(self, upstream: UpstreamKey, request: PrefillRequest, now_s: float) -> int:
-        engine, prompt = self._engine(upstream), request.prompt
+    def _unread_tokens(self, engine: _EngineState, request: PrefillRequest, now_s: float) -> int:
+        prompt = request.prompt
         unread = prompt.input_tokens
         for part in prompt.parts:
             read_s = engine.parts.get(part.part_id, float("-inf"))
@@ -261,6 +306,11 @@
         return max(0, unread)
 
 
+def _cheapest(estimates: dict[UpstreamKey, PrefillEstimate]) -> UpstreamKey:
+    """Return the candidate with the lowest cost; of equal ones the first, which is preferred."""
+    return min(estimates, key=lambda upstream: estimates[upstream].cost)
+
+
 def scheduler_member(
     fleet: FleetView, service: str, data_centre: DataCentre, *, avoided: frozenset[str]
 ) -> Member | None:
--- a/mothstand/core/rate_limits.py
+++ b/mothstand/core/rate_limits.py
@@ -155,7 +155,7 @@
             return False
         quota = self._quota(rate_per_s)
         return quota.permits(self.fleet, upstream.upstream_id) and (
-            self._bucket(upstream).amount(quota.rate_per_s, now_s) >= 1
+            self._saved.get(upstream.key, SavedRequest()).amount(quota.rate_per_s, now_s) >= 1
         )
 
     def note_sent(self, upstream: RegisteredUpstream, now_s: float) -> None:
--- a/mothstand/core/routes.py
+++ b/mothstand/core/routes.py
@@ -122,6 +122,13 @@
     homes: frozenset[Region] = frozenset()
 
 
+def request_priority(route: Route, workspace: GatewayWorkspace | None) -> int:
+    """Return the priority of a request: its workspace's, if that has one, else its route's."""
+    if workspace is None or workspace.priority is None:
+        return route.priority
+    return workspace.priority
+
+
 @dataclass(frozen=True, slots=True)
 class RequestLimits:
     """Limits on the size and the timing of requests."""
--- a/mothstand/gateway/accounts.py
+++ b/mothstand/gateway/accounts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
@@ -50,6 +51,23 @@
 _RETRY_AFTER_S = 0.6
 
 
+@dataclass(frozen=True, slots=True)
+class BudgetPreview:
+    """What this instance knows of a budget for a request.
+
+    Parameters
+    ----------
+    available_tokens
+        Tokens that are held here and may be reserved now, before any are withheld for requests of
+        a higher priority.
+    is_exhausted
+        Whether the request cannot fit into the budget without a top-up.
+    """
+
+    available_tokens: int
+    is_exhausted: bool
+
+
 class BudgetShard:
     """Reserves tokens of one shard's budgets, from claims or from loans of peers."""
 
@@ -220,6 +238,13 @@
             spent = max(spent, manager.spent_tokens(budget))
         return tokens > manager.prepaid().get(budget, 0) - spent
 
+    def preview(self, budget: BudgetName, tokens: int) -> BudgetPreview:
+        """Return what is known of a budget for a request; nothing is reserved or recorded."""
+        manager = self.claim_manager
+        held = manager.claims.held_budgets.get(budget)
+        available_tokens = 0 if held is None else held.available_tokens
+        return BudgetPreview(available_tokens, self.is_exhausted(budget, tokens))
+
     def retry_after_s(self) -> float:
         """Return the seconds after which a request that got no tokens should be retried."""
         if self._health.is_failing:
@@ -358,6 +383,10 @@
         retry_after_s = shard.retry_after_s()
         return Refusal(ErrorKind.BUDGET_OUT_OF_REACH, detail, retry_after_s=retry_after_s)
 
+    def preview(self, budget: BudgetName, tokens: int) -> BudgetPreview:
+        """Return what is known of a budget for a request; nothing is reserved or recorded."""
+        return self.shard_of(budget).preview(budget, tokens)
+
     def settle(self, reservation: Reservation, usage: Usage) -> None:
         """End a reservation with the tokens that its request consumed."""
         shard = self.shard_of(reservation.budget)
--- a/mothstand/gateway/claim_manager.py
+++ b/mothstand/gateway/claim_manager.py
@@ -187,9 +187,10 @@
 
     def spent_tokens(self, budget: BudgetName) -> int:
         """Return the confirmed spend of a budget: a lower bound of what was spent."""
-        claims = self.claims.table.claims[budget]
+        claims = self.claims.table.claims.get(budget, {})
         spent = sum(c.spent_tokens for holder, c in claims.items() if holder != self.claims.holder)
-        return spent + self.claims.held_budget(budget).recorded_spent_tokens
+        held = self.claims.held_budgets.get(budget)
+        return spent if held is None else spent + held.recorded_spent_tokens
 
     def settle(self, reservation: Reservation, usage: Usage) -> None:
         """End a reservation with the tokens that its request consumed."""
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -104,6 +104,20 @@
     relay: RelayPeer | None = None
 
 
+def no_upstream_refusal(detail: str, rate_limit_retry_s: float | None) -> Refusal:
+    """Return the refusal of a request that no upstream can get.
+
+    Parameters
+    ----------
+    rate_limit_retry_s
+        Time between two requests that rate limits permit, if some upstreams are at theirs.
+    """
+    if rate_limit_retry_s is None:
+        return Refusal(ErrorKind.NO_UPSTREAM, detail, retry_after_s=_FULL_RETRY_AFTER_S)
+    retry_after_s = min(_MAX_RATE_LIMIT_RETRY_S, rate_limit_retry_s)
+    return Refusal(ErrorKind.OVERLOADED, detail, retry_after_s=retry_after_s)
+
+
 class Forwarder:
     """Forwards requests to the upstreams of their service."""
 
@@ -172,6 +186,13 @@
             refusal = Refusal(ErrorKind.OVERLOADED, detail, retry_after_s=random_retry_after_s())
             raise RefusedError(refusal)
 
+    def peek_admitted_share(self, service: str, priority: int) -> float:
+        """Return the share of a service's requests that is admitted now; nothing is recorded."""
+        admission = self._admissions.get(service)
+        if admission is None:
+            return 1.0
+        return admission.peek_admitted_share(priority, self._clock.monotonic_s())
+
     async def run(self, call: Call, caller: CallerConnection) -> None:
         """Forward a request and pass its answer on.
 
@@ -363,15 +384,7 @@
             raise RefusedError(self._no_upstream(call))
 
     def _no_upstream(self, call: Call) -> Refusal:
-        if call.rate_limit_retry_s is not None:
-            return Refusal(
-                ErrorKind.OVERLOADED,
-                call.attempts_summary,
-                retry_after_s=min(_MAX_RATE_LIMIT_RETRY_S, call.rate_limit_retry_s),
-            )
-        return Refusal(
-            ErrorKind.NO_UPSTREAM, call.attempts_summary, retry_after_s=_FULL_RETRY_AFTER_S
-        )
+        return no_upstream_refusal(call.attempts_summary, call.rate_limit_retry_s)
 
     def _break_off(self, call: Call, caller: CallerConnection, reason: str) -> None:
         caller.abort()
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -39,6 +39,7 @@
 from .named_limits import NamedLimits
 from .prefill_link import GrpcPrefillLink, PrefillService
 from .prefill_scheduling import PrefillScheduling
+from .preview import PREVIEW_PATH, PlacementPreview
 from .process_check import ReportedProcessCheck
 from .quarantine.crash_detector import CorroboratedCheck, CrashDetector, TcpLivenessCheck
 from .quarantine.feed import QuarantineFeed
@@ -256,6 +257,7 @@
             self._metrics,
         )
         guard = CrashGuard(self._quarantine_feed, self._crash_detector, clock)
+        relays = PeerRelays(self._relay_finder, self._relay_client, self._named_limits.note_answer)
         forwarder = Forwarder(
             self._client,
             translator,
@@ -266,7 +268,7 @@
             self._stall_detector,
             guard,
             self._probes,
-            PeerRelays(self._relay_finder, self._relay_client, self._named_limits.note_answer),
+            relays,
             resumptions,
             self._redirects,
             self._prefills,
@@ -287,6 +289,21 @@
             self._shutdown,
             StartupWait(clock, process_start.started_s, self._can_serve),
         )
+        self._preview = PlacementPreview(
+            settings.instance.name,
+            self._config,
+            self._config_feed.freshness,
+            self._shutdown,
+            eligibility,
+            self._placement,
+            self._probes.reachability,
+            relays.is_unavailable,
+            self._redirects,
+            forwarder.peek_admitted_share,
+            self._accounts.preview,
+            self._prefills,
+            clock,
+        )
 
     def _forget_upstream(self, upstream: RegisteredUpstream) -> None:
         self._stream_origins.note_upstream(upstream)
@@ -326,7 +343,9 @@
         listen = self._settings.listen
         await _listen(runner, listen.callers, self._process_start.callers_socket)
         await _listen(checks, listen.ready)
-        await _listen(checks, listen.metrics)
+        metrics = web.ServerRunner(web.Server(self._serve_metrics, access_log=None))
+        await metrics.setup()
+        await _listen(metrics, listen.metrics)
         relays = web.ServerRunner(
             self._relay_server.make_server(), shutdown_timeout=_SHUTDOWN_TIMEOUT_S
         )
@@ -375,6 +394,7 @@
             tasks.cancel_scope.cancel()
         await self._accounts.stop(until_s=self._shutdown.deadline_s)
         await checks.cleanup()
+        await metrics.cleanup()
         peer_server.close()
         self._link.close()
         self._prefill_peers.close()
@@ -426,6 +446,12 @@
         """Requests of callers and of other instances that are running."""
         return self._server.running_requests + self._relay_server.running_requests
 
+    async def _serve_metrics(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer the path of placement previews, and all others like the readiness address."""
+        if request.path == PREVIEW_PATH:
+            return self._preview.respond(request)
+        return await self._serve_checks(request)
+
     async def _serve_checks(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer paths that contain `metrics` with the metrics, and others with readiness."""
         if "metrics" in request.path:
--- a/mothstand/gateway/prefill_scheduling.py
+++ b/mothstand/gateway/prefill_scheduling.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import anyio
@@ -17,8 +17,10 @@
     from ..clock import Clock
     from ..core.fleet import Member
     from ..core.load_sharing import LoadSharing
-    from ..core.prefill_schedule import PrefillGrant, PrefillScheduler
-    from ..core.upstreams import RegisteredUpstream
+    from ..core.prefill_schedule import CalendarScheduler, PrefillEstimate, PrefillGrant
+    from ..core.prompt import Prompt
+    from ..core.routes import Route
+    from ..core.upstreams import RegisteredUpstream, UpstreamKey
     from .call import Call
     from .metrics import GatewayMetrics
     from .prefill_link import PrefillLink
@@ -34,6 +36,9 @@
 #: still to be read then.
 _MAX_OBJECTIVE_SHARE = 0.5
 
+#: Engines below which there is nothing to choose for a scheduler.
+_MIN_CANDIDATES = 2
+
 #: Weight of the latest short prompt in the mean time to its first event.
 _LATEST_WEIGHT = 0.05
 
@@ -54,6 +59,26 @@
     is_released: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class PrefillPreview:
+    """What would be done with a request as far as long prompts are scheduled.
+
+    Parameters
+    ----------
+    scheduler
+        Instance that would be asked; empty if none would be.
+    grant
+        Its answer, if it is this instance; another one's calendar is not known here.
+    estimates
+        The calendar of the engines, under the same condition.
+    """
+
+    is_long: bool
+    scheduler: str = ""
+    grant: PrefillGrant | None = None
+    estimates: dict[UpstreamKey, PrefillEstimate] = field(default_factory=dict)
+
+
 class PrefillScheduling:
     """Places long prompts by the schedulers of their engines' data centres.
 
@@ -66,7 +91,7 @@
     def __init__(
         self,
         sharing: LoadSharing,
-        local_scheduler: PrefillScheduler,
+        local_scheduler: CalendarScheduler,
         link: PrefillLink,
         clock: Clock,
         metrics: GatewayMetrics,
@@ -83,6 +108,39 @@
         self._short_first_event_s: dict[str, float] = {}
         self._tasks: TaskGroup | None = None
 
+    def preview(
+        self,
+        prompt: Prompt,
+        route: Route,
+        first_choice: RegisteredUpstream,
+        candidates: list[RegisteredUpstream],
+    ) -> PrefillPreview:
+        """Return what `place` would do with a request that arrives now; no scheduler is asked."""
+        is_long = prompt.input_tokens >= self._policy.long_prompt_tokens
+        if not (is_long and self._sharing.prefill_schedule):
+            return PrefillPreview(is_long)
+        local = {u.upstream_id: u for u in candidates if u.data_centre == first_choice.data_centre}
+        scheduler = self._scheduler(first_choice)
+        if scheduler is None or len(local) < _MIN_CANDIDATES:
+            return PrefillPreview(is_long)
+        name = scheduler.peer.instance
+        if not self._is_local(scheduler):
+            return PrefillPreview(is_long, name)
+        request = PrefillRequest(
+            service=first_choice.service,
+            request_id="",
+            prompt=prompt,
+            candidates=_preferred_first(first_choice, local),
+            max_hold_s=_max_hold_s(route.timeout_s, route.objective_s, route.objective_s),
+        )
+        now_s = self._clock.monotonic_s()
+        return PrefillPreview(
+            is_long,
+            name,
+            self._local_scheduler.preview(request, now_s),
+            self._local_scheduler.estimates(request, now_s),
+        )
+
     async def run(self) -> None:
         """Send releases until cancelled."""
         try:
@@ -108,16 +166,13 @@
             return first_choice
         local = {u.upstream_id: u for u in candidates if u.data_centre == first_choice.data_centre}
         scheduler = self._scheduler(first_choice)
-        if scheduler is None or len(local) < 2:
+        if scheduler is None or len(local) < _MIN_CANDIDATES:
             return first_choice
         request = PrefillRequest(
             service=first_choice.service,
             request_id=call.fields.request_id,
             prompt=call.fields.prompt,
-            candidates=(
-                first_choice.key,
-                *(u.key for u in local.values() if u is not first_choice),
-            ),
+            candidates=_preferred_first(first_choice, local),
             max_hold_s=self._max_hold_s(call),
         )
         lease = PrefillLease(scheduler, first_choice.service, call.fields.request_id)
@@ -155,12 +210,9 @@
 
     def _max_hold_s(self, call: Call) -> float:
         now_s = self._clock.monotonic_s()
-        until_deadline_s = call.deadline_s - now_s
-        longest_s = until_deadline_s * _MAX_HOLD_SHARE
-        if call.route.objective_s > 0:
-            until_objective_s = call.arrived_s + call.route.objective_s - now_s
-            longest_s = min(longest_s, until_objective_s * _MAX_OBJECTIVE_SHARE)
-        return max(0.0, longest_s)
+        objective_s = call.route.objective_s
+        until_objective_s = call.arrived_s + objective_s - now_s
+        return _max_hold_s(call.deadline_s - now_s, objective_s, until_objective_s)
 
     def _scheduler(self, upstream: RegisteredUpstream) -> Member | None:
         now_s = self._clock.monotonic_s()
@@ -208,5 +260,19 @@
         emit(Event.PEER_SUSPECTED, peer=name, error=str(error))
 
 
+def _preferred_first(
+    first_choice: RegisteredUpstream, local: dict[str, RegisteredUpstream]
+) -> tuple[UpstreamKey, ...]:
+    return (first_choice.key, *(u.key for u in local.values() if u is not first_choice))
+
+
+def _max_hold_s(until_deadline_s: float, objective_s: float, until_objective_s: float) -> float:
+    """Return the longest time for which a request may be held; no objective if that is 0."""
+    longest_s = until_deadline_s * _MAX_HOLD_SHARE
+    if objective_s > 0:
+        longest_s = min(longest_s, until_objective_s * _MAX_OBJECTIVE_SHARE)
+    return max(0.0, longest_s)
+
+
 #: Reading times below this are not told apart from none.
 _MIN_READ_S = 0.001
--- a/mothstand/gateway/redirects.py
+++ b/mothstand/gateway/redirects.py
@@ -134,15 +134,31 @@
         if is_redirected and self._others_are_free():
             self._redirected_s = now_s
             self._metrics.counts["requests_redirected"] += 1
-            running = self._running[workspace]
-            detail = f"{running} of this workspace run here, {self._decision.limit:.0f} of all may"
             refusal = Refusal(
                 ErrorKind.INSTANCE_BUSY,
-                detail,
+                self._detail(workspace),
                 retry_after_s=self._policy.retry_after_s(self._unready_s()),
             )
             raise RefusedError(refusal)
 
+    def preview(self, workspace: str) -> tuple[Refusal, tuple[float, float]] | None:
+        """Return how `check` would refuse a request by the limit as it is now, else None.
+
+        Nothing is measured or recorded. The second value is the range of the Retry-After.
+        """
+        if not (
+            self._sharing.redirects
+            and self._decision.is_exceeded_by(workspace, self._running)
+            and self._others_are_free()
+        ):
+            return None
+        bounds_s = self._policy.retry_after_bounds_s(self._unready_s())
+        return Refusal(ErrorKind.INSTANCE_BUSY, self._detail(workspace)), bounds_s
+
+    def _detail(self, workspace: str) -> str:
+        running = self._running[workspace]
+        return f"{running} of this workspace run here, {self._decision.limit:.0f} of all may"
+
     @contextmanager
     def running(self, workspace: str) -> Iterator[None]:
         """Count a request as running."""
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -14,6 +14,7 @@
 
 from ..core.config_freshness import OUTDATED_RETRY_AFTER_S
 from ..core.homes import permitted_regions
+from ..core.routes import request_priority
 from ..core.shutdown import STOPPING_RETRY_AFTER_S
 from ..errors import DECIDED_BY_CONFIGURATION, ErrorKind, Refusal, RefusedError
 from ..events import Event, emit, rounded
@@ -291,7 +292,7 @@
             route=route,
             service=config.service(route.service_for(_first_request_id(route, fields))),
             workspace="" if workspace is None else workspace.name,
-            priority=_priority(route, workspace),
+            priority=request_priority(route, workspace),
             request=OutgoingRequest(request.method, request.raw_path, fields.request_id, body),
             arrived_s=arrived_s,
             deadline_s=arrived_s + limit_s,
@@ -456,9 +457,3 @@
     if route.is_resumable and fields.last_event_id and fields.resumes:
         return fields.resumes
     return fields.request_id
-
-
-def _priority(route: Route, workspace: GatewayWorkspace | None) -> int:
-    if workspace is None or workspace.priority is None:
-        return route.priority
-    return workspace.priority
--- a/mothstand/testing/gateway_fleet.py
+++ b/mothstand/testing/gateway_fleet.py
@@ -291,7 +291,11 @@
 
     def metrics(self, instance: FleetProcess) -> str:
         """Return the metrics page of an instance."""
-        return httpx.get(f"http://{self._metrics_addresses[instance.name]}/metrics").text
+        return httpx.get(f"http://{self.metrics_address(instance)}/metrics").text
+
+    def metrics_address(self, instance: FleetProcess) -> str:
+        """Return the metrics address of an instance, ``IP:PORT``."""
+        return self._metrics_addresses[instance.name]
 
     def journal(self, engine: FleetProcess) -> list[dict[str, str]]:
         """Return the headers of the requests that an engine ran."""
