--- a/mothstand/gateway_main.py
+++ b/mothstand/gateway_main.py
@@ -16,6 +16,10 @@
 
 EXIT_SETTINGS = 2
 
+#: Allocations between two collections of young objects. With the default of 700 a streamed answer
+#: costs several of them: 11.0 ms of processor time for 50 events, 9.2 to 10.4 ms with this value.
+_GC_ALLOCATIONS = 10_000
+
 
 def main() -> None:
     """Run the instance with the settings file given as the first argument."""
@@ -25,6 +29,7 @@
     from .gateway.program import run_gateway
 
     gc.freeze()
+    gc.set_threshold(_GC_ALLOCATIONS)
     gc.enable()
     try:
         run_gateway(sys.argv[1], started)
