--- a/review/harness.py
+++ b/review/harness.py
@@ -135,16 +135,23 @@
     """Stand-in of the platform's metadata store, for keyed topics with one partition."""
 
     def __init__(self, record: Record) -> None:
-        self.address = ""
+        #: Names of the callers that are cut off: they get no answers.
+        self.cut_off: set[str] = set()
         self._record = record
         self._topics: dict[str, _Topic] = {}
-        self._connections: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        """Listen on a free port."""
+        """Prepare; each caller gets an address of its own by `listen`."""
+
+    async def listen(self, caller: str) -> str:
+        """Listen on a free port for one caller, and return the address."""
         port = free_port()
-        self.address = f"127.0.0.1:{port}"
-        await asyncio.start_server(self._serve, "127.0.0.1", port, limit=4_000_000)
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await self._serve(caller, reader, writer)
+
+        await asyncio.start_server(serve, "127.0.0.1", port, limit=4_000_000)
+        return f"127.0.0.1:{port}"
 
     def put(self, topic: str, key: str, value: object) -> None:
         """Write a record as the operator or a server does; None drops the key."""
@@ -164,15 +171,21 @@
         event, topic.has_grown = topic.has_grown, asyncio.Event()
         event.set()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _serve(
+        self, caller: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         try:
             while True:
                 message = await read_head(reader)
                 await read_body(reader, message)
+                if caller in self.cut_off:
+                    await asyncio.Event().wait()
                 method, target, _ = message.first_line.split(" ")
                 url = urlsplit(target)
                 query = {k: v[0] for k, v in parse_qs(url.query).items()}
                 status, body = await self._call(method, url.path, query, message.body)
+                if caller in self.cut_off:
+                    await asyncio.Event().wait()
                 writer.write(encode(f"HTTP/1.1 {status} X", [], body))
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
@@ -429,7 +442,7 @@
                 "listen.control": peers,
                 "ip_address}}:{{internal_ports.0": metrics,
                 "ip_address}}:{{internal_ports.1": relay,
-                "platform.address": self.store.address,
+                "platform.address": await self.store.listen(name),
                 "seeds": seeds,
                 **{f"bounds.{key}": value for key, value in BOUNDS.items()},
             }
