--- a/review/1/run.py
+++ b/review/1/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import sys
 import time
@@ -133,4 +134,4 @@
 
 
 if __name__ == "__main__":
-    run_script(FOLDER, check)
+    run_script(FOLDER, check, has_trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
 from pathlib import Path
@@ -121,4 +122,4 @@
 
 
 if __name__ == "__main__":
-    run_script(FOLDER, check)
+    run_script(FOLDER, check, has_trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 import time
 from dataclasses import dataclass, field
@@ -249,4 +250,4 @@
 
 
 if __name__ == "__main__":
-    run_script(FOLDER, check)
+    run_script(FOLDER, check, has_trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/harness.py
+++ b/review/harness.py
@@ -506,16 +506,19 @@
         writer.close()
 
 
-def run_script(folder: Path, check: Callable[[Record, bool], Awaitable[bool]]) -> None:
+def run_script(
+    folder: Path, check: Callable[[Record, bool], Awaitable[bool]], *, has_trouble: bool
+) -> None:
     """Run a check and exit with its result.
 
     Parameters
     ----------
+    has_trouble
+        Whether the disruption is played.
     check
         Gets the record and whether the disruption is played; returns whether the rule held.
     """
     record = Record(folder / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {'yes' if has_trouble else 'no'}")
 
     async def run() -> bool:
