An upstream's answer is read only after its request id has shown whose it is

Cause: UpstreamClient.send looked at status 421, at "has not run" and at a named limit before it compared the answer's request id. An upstream may send an earlier answer once more where the next one is expected. A repeated rejection was taken for that of the next request on the connection, which was then sent to another upstream; a repeated 421 also marked the upstream as ended, so that it got nothing until it registered anew.

The new tests fail without the change: 4 of 4 repeated rejections with an earlier id or none, and a repeated 200 that is read as a report.

Change: an answer with another id, or none, proves nothing: the connection is closed and the request may have run. Limits named in such an answer are not noted either. A request without an id cannot tell its rejections apart, so it may have run.

Related paths: reports of upstreams have no id, so an answer with one is no report, and one that is not usable closes its connection. Relayed attempts use the same client at the peer; the answers of peers are compared after the outcome that our own process wrote, and a peer sends nothing that was not asked. Liveness checks read nothing. The chat interface opens a new connection for each call that may run once.

--- a/mothstand/gateway/headers.py
+++ b/mothstand/gateway/headers.py
@@ -64,6 +64,8 @@
 
     Parameters
     ----------
+    request_id
+        Id of the request that the answer belongs to; empty if it has none.
     has_not_run
         Whether the upstream reports that it did not run the request.
     is_misdirected
@@ -83,6 +85,15 @@
     rate_limit_per_s: float | None = None
     invalid_rate_limit: str = ""
 
+    def answers(self, request_id: str) -> bool:
+        """Return whether the answer belongs to a request.
+
+        Without ids, only an answer that promises nothing can be taken for the request's own.
+        """
+        if self.request_id != request_id:
+            return False
+        return bool(request_id) or not (self.has_not_run or self.is_misdirected)
+
 
 class HeaderTranslator(ABC):
     """Converts between wire headers and typed fields."""
--- a/mothstand/gateway/upstream_client.py
+++ b/mothstand/gateway/upstream_client.py
@@ -173,20 +173,20 @@
             raise NotConnectedError(f"not connected: {error!r}") from error
         except (aiohttp.ClientError, OSError) as error:
             raise ConnectionBrokenError(f"no answer: {error!r}") from error
-        raw = tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in response.raw_headers)
+        raw = _raw_headers(response)
         fields = self._translator.read_upstream(response.status, raw)
+        if not fields.answers(request.request_id):
+            # Where the next answer is expected, an upstream may send one of an earlier request
+            # again. It says nothing of this request, whatever its status.
+            response.close()
+            raise MayHaveRunError(f"answer of another request, {fields.request_id!r}")
         if fields.is_misdirected:
             await close_refused(response)
             raise MisdirectedError(f"another process is at {upstream.address}")
-        if fields.has_not_run or fields.request_id == request.request_id:
-            self._on_answer(upstream, fields)
+        self._on_answer(upstream, fields)
         if fields.has_not_run:
             await close_refused(response)
             raise RefusedByUpstreamError(f"refused with {response.status}")
-        if fields.request_id != request.request_id:
-            # A second answer to an earlier request on this connection.
-            response.close()
-            raise MayHaveRunError(f"answer of another request, {fields.request_id!r}")
         return UpstreamAnswer(response, raw, fields)
 
     async def read(self, upstream: RegisteredUpstream, path: str) -> bytes:
@@ -203,8 +203,11 @@
         try:
             url = URL(f"http://{upstream.address}{path}", encoded=True)
             async with self._http.get(url, timeout=timeout) as response:
-                if response.status != _OK:
-                    raise MayHaveRunError(f"status {response.status}")
+                fields = self._translator.read_upstream(response.status, _raw_headers(response))
+                if response.status != _OK or fields.request_id:
+                    # A report has no request id, so this may be an answer of another request.
+                    response.close()
+                    raise MayHaveRunError(f"no report: {response.status}, {fields.request_id!r}")
                 report = await read_at_most(response, MAX_REPORT_BYTES)
                 if report is None:
                     raise AnswerTooLongError(f"a report of over {MAX_REPORT_BYTES} bytes")
@@ -255,6 +258,10 @@
     return session
 
 
+def _raw_headers(response: aiohttp.ClientResponse) -> RawHeaders:
+    return tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in response.raw_headers)
+
+
 async def close_refused(response: aiohttp.ClientResponse) -> None:
     """Read a refusal to its end, so that its connection can be used again.
 
--- /dev/null
+++ b/mothstand/tests/test_upstream_client.py
@@ -0,0 +1,127 @@
+"""Tests of the client for upstreams that send answers nobody waits for."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import pytest
+
+from ..core.upstreams import RegisteredUpstream
+from ..gateway.upstream_client import (
+    MayHaveRunError,
+    MisdirectedError,
+    OutgoingRequest,
+    RefusedByUpstreamError,
+    UpstreamClient,
+)
+from ..platform.headers import PlatformHeaders
+from ..testing.budget_fleet import gateway_settings
+from ..types import DataCentre
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from ..gateway.headers import UpstreamFields
+
+pytestmark = pytest.mark.anyio
+
+_FULL = "503 Service Unavailable"
+_MISDIRECTED = "421 Misdirected Request"
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Return the event loop that the client library needs."""
+    return "asyncio"
+
+
+def _answer(status: str, *fields: str, body: str = "") -> bytes:
+    lines = [f"HTTP/1.1 {status}", *fields, f"Content-Length: {len(body)}", "", body]
+    return "\r\n".join(lines).encode()
+
+
+@dataclass(slots=True)
+class ScriptedUpstream:
+    """Upstream that sends one scripted piece for each request that it reads."""
+
+    answers: list[bytes]
+    connections: int = 0
+    seen: list[UpstreamFields] = field(default_factory=list)
+
+    @asynccontextmanager
+    async def client(self) -> AsyncIterator[tuple[UpstreamClient, RegisteredUpstream]]:
+        """Listen, and return a client."""
+        listening = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = listening.sockets[0].getsockname()
+        client = UpstreamClient(
+            gateway_settings("me", DataCentre("a")),
+            PlatformHeaders(),
+            on_answer=lambda _, fields: self.seen.append(fields),
+        )
+        try:
+            yield (
+                client,
+                RegisteredUpstream("i-1", "app", f"{host}:{port}", DataCentre("a"), 8, False),
+            )
+        finally:
+            await client.aclose()
+            listening.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while self.answers:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(self.answers.pop(0))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        writer.close()
+
+
+def _request(request_id: str) -> OutgoingRequest:
+    return OutgoingRequest("POST", "/", request_id, b"")
+
+
+class TestAnswersOfOtherRequests:
+    @pytest.mark.parametrize("fields", [("X-Request-Id: r1",), ()], ids=["earlier id", "no id"])
+    @pytest.mark.parametrize("status", [_FULL, _MISDIRECTED])
+    async def test_rejection_of_another_request_proves_nothing(
+        self, status: str, fields: tuple[str, ...]
+    ) -> None:
+        # Guards against a second copy of a rejection that is taken for that of the next request.
+        late = _answer(status, *fields, "X-Not-Executed: 1", "Server-Limit: 1")
+        own = _answer("200 OK", "X-Request-Id: r2")
+        upstream = ScriptedUpstream([_answer("200 OK", "X-Request-Id: r0"), late + own, own])
+        async with upstream.client() as (client, registered):
+            (await client.send(registered, _request("r0"), ())).close()
+            with pytest.raises(MayHaveRunError, match="another request"):
+                await client.send(registered, _request("r2"), ())
+            assert len(upstream.seen) == 1
+            assert (await client.send(registered, _request("r2"), ())).status == 200
+        assert upstream.connections == 2
+
+    @pytest.mark.parametrize(
+        ("status", "error"), [(_FULL, RefusedByUpstreamError), (_MISDIRECTED, MisdirectedError)]
+    )
+    async def test_rejection_of_the_request_itself_counts(
+        self, status: str, error: type[Exception]
+    ) -> None:
+        upstream = ScriptedUpstream([_answer(status, "X-Request-Id: r", "X-Not-Executed: 1")])
+        async with upstream.client() as (client, registered):
+            with pytest.raises(error):
+                await client.send(registered, _request("r"), ())
+
+    @pytest.mark.parametrize("status", ["200 OK", _FULL])
+    async def test_answer_of_a_request_is_no_report(self, status: str) -> None:
+        # Guards against a report that is read from, or left on, a connection with a late answer.
+        late, report = _answer(status, "X-Request-Id: r1", body="{}"), _answer("200 OK", body="{}")
+        upstream = ScriptedUpstream([late + report, report])
+        async with upstream.client() as (client, registered):
+            with pytest.raises(MayHaveRunError):
+                await client.read(registered, "/report")
+            assert await client.read(registered, "/report") == b"{}"
+        assert upstream.connections == 2
