Signals are handled from a process's first statement to its end

Cause: signals were received inside anyio's receiver, which the first SIGTERM left. An event loop that stops watching a signal restores its default action, and that ends the process. Before the receiver was entered, up to 1.0 s after a start, a SIGHUP had the same effect, and after the loop's end any signal.

Change: ProcessSignals installs handlers of the process as the first statement of the program, before its other imports; they stay until the process ignores the signals at its end, so no loop has a default action to restore. A stop that is under way goes on; each further signal is one line (MS1010). SIGINT is a planned stop too.

Related paths: the chat interface's instance and the stand-ins used the same construction and now use this one.

--- a/mothstand/cli.py
+++ b/mothstand/cli.py
@@ -29,6 +29,7 @@
 from .operators.release import release
 from .operators.reports import audit_lines, budget_lines, epoch_lines, stranded_lines
 from .peers.client import GrpcPeers
+from .process_signals import ProcessSignals
 from .settings.folder import read_folder
 from .settings.instance import read_instance_settings
 from .settings.operator import OperatorSettings, read_operator_settings
@@ -83,9 +84,12 @@
         settings
             Path of the instance's INI file.
         """
+        signals = ProcessSignals.receive()
         read = read_instance_settings(Path(settings))
         _set_up_logs()
-        anyio.run(Instance(read, SystemClock()).run, backend_options={"use_uvloop": True})
+        instance = Instance(read, SystemClock(), signals)
+        anyio.run(instance.run, backend_options={"use_uvloop": True})
+        signals.ignore()
 
     def gateway(self, settings: str) -> None:
         """Run one gateway instance on the users' platform until SIGTERM.
--- a/mothstand/entry/instance.py
+++ b/mothstand/entry/instance.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-import signal
 import uuid
 from typing import TYPE_CHECKING, Any
 
@@ -59,6 +58,7 @@
     from anyio.abc import TaskGroup
 
     from ..clock import Clock
+    from ..process_signals import ProcessSignals
     from ..types import Shard
 
 _TICK_S = 0.2
@@ -79,10 +79,13 @@
     ----------
     settings
         Settings file of the instance.
+    signals
+        Signals of the process, of which SIGTERM and SIGINT stop the instance.
     """
 
-    def __init__(self, settings: InstanceSettings, clock: Clock) -> None:
+    def __init__(self, settings: InstanceSettings, clock: Clock, signals: ProcessSignals) -> None:
         self._settings = settings
+        self._signals = signals
         self._clock = clock
         name = settings.instance.name
         self.local_member = Member(
@@ -164,7 +167,7 @@
         )
 
     async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then drain and return."""
+        """Serve until SIGTERM or SIGINT, then drain and return; later signals change nothing."""
         server = make_server(
             PeerService(self._ledger, self._membership, lambda: self._configuration.state),
             self._settings.secrets,
@@ -185,7 +188,7 @@
                 peers=self.local_member.address,
                 pid=os.getpid(),
             )
-            await _wait_for_signal()
+            await self._signals.stop_requested()
             await self._drain()
             stop_serving.set()
             await served.wait()
@@ -382,9 +385,3 @@
 
 async def _run_coroutine(work: Coroutine[Any, Any, None]) -> None:
     await work
-
-
-async def _wait_for_signal() -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -31,6 +31,7 @@
         "This instance is nearly full or has redirected callers to others.",
     )
     INSTANCE_FREE = (1009, logging.INFO, "The instance has had room for callers for a while.")
+    SIGNAL_IN_STOP = (1010, logging.INFO, "A signal came in a stop, which goes on as planned.")
     TASK_FAILED = (1004, logging.ERROR, "A background task failed and is restarted.")
     CONFIG_IN_FORCE = (
         2001,
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 import uuid
 from typing import TYPE_CHECKING
 
@@ -25,6 +24,7 @@
 from ..core.warmup import Warmup, WarmupSettings
 from ..events import Event, emit
 from ..log.health import PlatformHealth
+from ..process_signals import STOP_SIGNALS
 from ..process_start import BACKLOG
 from ..settings.instance import Address
 from ..types import BudgetName
@@ -386,6 +386,8 @@
             tasks.start_soon(self._run_with_restarts, "quarantine", self._quarantine_feed.run)
             tasks.start_soon(self._run_with_restarts, "stream origins", self._stream_origins.run)
             tasks.start_soon(self._run_with_restarts, "prefills", self._prefills.run)
+            await self._wait_for_stop_signal()
+            tasks.start_soon(self._run_with_restarts, "signals", self._log_signals_in_stop)
             await self._wait_for_stop()
             # Requests have to end before claims are lowered: running requests count with their
             # maximum, and the unused part of it would stay claimed.
@@ -422,12 +424,17 @@
             self._metrics.record_loop_delay(self._clock.monotonic_s() - began_s - TICK_S)
             self._config_feed.log_outdated()
 
+    async def _wait_for_stop_signal(self) -> None:
+        while await self._process_start.signals.next() not in STOP_SIGNALS:
+            emit(Event.SETTINGS_CHANGED, instance=self._local_peer.instance)
+
+    async def _log_signals_in_stop(self) -> None:
+        while True:
+            number = await self._process_start.signals.next()
+            emit(Event.SIGNAL_IN_STOP, instance=self._local_peer.instance, signal=number.name)
+
     async def _wait_for_stop(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-            async for number in signals:
-                if number == signal.SIGTERM:
-                    break
-                emit(Event.SETTINGS_CHANGED, instance=self._local_peer.instance)
+        """Begin the stop, and wait until requests have ended or must end."""
         self._shutdown.began_s = self._clock.monotonic_s()
         emit(
             Event.INSTANCE_STOPPING,
--- a/mothstand/gateway/program.py
+++ b/mothstand/gateway/program.py
@@ -8,6 +8,7 @@
 
 from ..clock import SystemClock
 from ..platform.parts import platform_parts
+from ..process_signals import ProcessSignals
 from ..process_start import ProcessStart
 from ..settings.gateway import read_gateway_settings
 from .instance import GatewayInstance
@@ -22,18 +23,18 @@
     path
         Path of the instance's INI file.
     process_start
-        Start time of the process and its socket for callers; by default the current time and no
-        socket.
+        Start time of the process, its signals and its socket for callers; by default the current
+        time, the signals from now on, and no socket.
 
     Raises
     ------
     SettingsError
         If the settings are invalid.
     """
-    settings = read_gateway_settings(Path(path))
     clock = SystemClock()
+    start = process_start or ProcessStart(clock.monotonic_s(), ProcessSignals.receive())
+    settings = read_gateway_settings(Path(path))
     set_up_events(clock)
-    start = process_start or ProcessStart(clock.monotonic_s())
 
     async def run() -> None:
         # Connection pools belong to the running loop.
@@ -41,3 +42,4 @@
         await GatewayInstance(settings, parts, clock, start).run()
 
     anyio.run(run, backend_options={"use_uvloop": True})
+    start.signals.ignore()
--- a/mothstand/gateway_main.py
+++ b/mothstand/gateway_main.py
@@ -12,7 +12,7 @@
 import sys
 import time
 
-from .process_start import ProcessStart, listen_early
+from .process_signals import ProcessSignals
 
 EXIT_SETTINGS = 2
 
@@ -23,7 +23,12 @@
 
 def main() -> None:
     """Run the instance with the settings file given as the first argument."""
-    started = ProcessStart(time.monotonic(), listen_early(sys.argv[1]))
+    started_s = time.monotonic()
+    # Until then a signal ends the process, so nothing else is imported before.
+    signals = ProcessSignals.receive()
+    from .process_start import ProcessStart, listen_early
+
+    started = ProcessStart(started_s, signals, listen_early(sys.argv[1]))
     _prepare_imports()
     from .errors import SettingsError
     from .gateway.program import run_gateway
--- a/mothstand/process_start.py
+++ b/mothstand/process_start.py
@@ -8,6 +8,10 @@
 import configparser
 import socket
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .process_signals import ProcessSignals
 
 #: Maximum number of unaccepted connections: several seconds of a large zone's callers.
 BACKLOG = 512
@@ -15,17 +19,20 @@
 
 @dataclass(frozen=True, slots=True)
 class ProcessStart:
-    """Start time and early socket of a process.
+    """Start time, signals and early socket of a process.
 
     Parameters
     ----------
     started_s
         Start time on the monotonic clock.
+    signals
+        Signals that the process has received and will receive.
     callers_socket
         The listening socket for callers; None if it is not open yet.
     """
 
     started_s: float
+    signals: ProcessSignals
     callers_socket: socket.socket | None = None
 
 
--- a/mothstand/standins/serving.py
+++ b/mothstand/standins/serving.py
@@ -2,18 +2,19 @@
 
 from __future__ import annotations
 
-import signal
 from typing import TYPE_CHECKING
 
 import anyio
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from ..process_signals import ProcessSignals
+
 if TYPE_CHECKING:
     from starlette.types import ASGIApp
 
 
-async def _serve(app: ASGIApp, address: str) -> None:
+async def _serve(app: ASGIApp, address: str, signals: ProcessSignals) -> None:
     config = Config()
     config.bind = [address]
     config.accesslog = None
@@ -24,10 +25,8 @@
     async with anyio.create_task_group() as tasks:
 
         async def wait_for_signal() -> None:
-            with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-                async for _ in signals:
-                    stop.set()
-                    return
+            await signals.stop_requested()
+            stop.set()
 
         tasks.start_soon(wait_for_signal)
         await serve(app, config, shutdown_trigger=stop.wait)  # type: ignore[arg-type]
@@ -36,4 +35,6 @@
 
 def run_app(app: ASGIApp, address: str) -> None:
     """Serve `app` at ``IP:PORT`` until SIGTERM."""
-    anyio.run(_serve, app, address, backend_options={"use_uvloop": True})
+    signals = ProcessSignals.receive()
+    anyio.run(_serve, app, address, signals, backend_options={"use_uvloop": True})
+    signals.ignore()
