Peers have copies of all streams' origins, not only once several versions are known

Cause: an instance kept the origins of its streams to itself while it knew a single version, and sent copies when it read of a second one. Its peers, which read of it at once, could no longer conclude where the streams had begun, and nobody could tell them once it had died. During a cut from the store the window is as long as the cut; it is also open while an instance is slow to read, starts, is paused, or has not read of a configuration that moves a route.

Ways weighed: versions told by peers that read of them leave the streams of a paused instance, and of one that dies within some 0.1 s, unknown; copies for all streams leave those that began less than one batch before the death.

Change: copies of all streams go to the holders, in batches of 0.2 s, and in batches of 50 ms as before once a stream may have several origins; a second version or a moved route sends what waits.

--- a/mothstand/gateway/origin_outbox.py
+++ b/mothstand/gateway/origin_outbox.py
@@ -1,4 +1,7 @@
-"""Sends origins of streams to the peers that keep copies, in batches."""
+"""Sends origins of streams to the peers that keep copies, in batches.
+
+Small batches cost calls, so they are sent only while the copies are likely to be needed soon.
+"""
 
 from __future__ import annotations
 
@@ -21,8 +24,9 @@
     from .lending import PeerLink
     from .metrics import GatewayMetrics
 
-#: Time in which records accumulate before they are sent.
-_BATCH_S = 0.05
+#: Time in which records accumulate before they are sent, and the same for urgent ones.
+_BATCH_S = 0.2
+_URGENT_BATCH_S = 0.05
 
 #: Maximum records in a call, and maximum records that wait for one peer.
 _MAX_BATCH_RECORDS = 500
@@ -49,9 +53,15 @@
         self._queues: dict[str, dict[StreamKey, _Waiting]] = {}
         self._sending: set[str] = set()
         self._has_work = anyio.Event()
+        self._has_urgent_work = anyio.Event()
+
+    def hurry(self) -> None:
+        """Send what waits as if it were urgent."""
+        self._has_work.set()
+        self._has_urgent_work.set()
 
-    def enqueue(self, record: OriginRecord, holders: Iterable[Member]) -> None:
-        """Send a record to its holders with the next batch."""
+    def enqueue(self, record: OriginRecord, holders: Iterable[Member], *, is_urgent: bool) -> None:
+        """Send a record to its holders with the next batch, which is near if it is urgent."""
         waiting = _Waiting(record, self._clock.monotonic_s())
         for member in holders:
             queue = self._queues.setdefault(member.peer.address, {})
@@ -60,14 +70,19 @@
                 del queue[next(iter(queue))]
                 self._metrics.counts["origin_records_dropped"] += 1
         self._has_work.set()
+        if is_urgent:
+            self._has_urgent_work.set()
 
     async def run(self) -> None:
         """Send batches until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
                 await self._has_work.wait()
+                with anyio.move_on_after(_BATCH_S - _URGENT_BATCH_S):
+                    await self._has_urgent_work.wait()
+                await self._clock.sleep(_URGENT_BATCH_S)
                 self._has_work = anyio.Event()
-                await self._clock.sleep(_BATCH_S)
+                self._has_urgent_work = anyio.Event()
                 self._start_sending(tasks)
 
     def _start_sending(self, tasks: TaskGroup) -> None:
--- a/mothstand/gateway/stream_origins.py
+++ b/mothstand/gateway/stream_origins.py
@@ -65,8 +65,9 @@
 class StreamOrigins:
     """Origins of streams, kept here and at the peers that a hash of each stream designates.
 
-    Peers get copies only of streams that may have another origin than the only possible one: their
-    service has several versions, or their route several services, now or recently.
+    Peers get copies of all streams, as this instance may be the last one to learn that a stream
+    may have several origins. They get them sooner if it already may: its service has several
+    versions, or its route several services, now or recently.
     """
 
     def __init__(
@@ -80,7 +81,6 @@
         self.versions = RecentVersions()
         self.routes = RouteChanges()
         self._own = OriginTable()
-        self._unshared = OriginTable()
         self._of_peers = OriginTable()
         self._holders = RecordHolders(fleet)
         self._directory = directory
@@ -112,12 +112,10 @@
         self._known_peers = known_peers
         if not added:
             return
-        now_s = self._clock.monotonic_s()
-        unshared = {record.key for record in self._unshared.records(now_s)}
-        for record in list(self._own.records(now_s)):
+        for record in list(self._own.records(self._clock.monotonic_s())):
             holders = [m for m in self._holders.of(record.key).to_write if m.peer in added]
-            if holders and record.key not in unshared:
-                self._outbox.enqueue(record, holders)
+            if holders:
+                self._outbox.enqueue(record, holders, is_urgent=True)
 
     def observe(self) -> None:
         """Record that the registered versions are still in use."""
@@ -135,18 +133,18 @@
         self._note_version(upstream.service, upstream.version)
 
     def _note_version(self, service: str, version: str, age_s: float = 0.0) -> None:
-        """Record a version; with a second one, peers get copies of the service's streams."""
+        """Record a version; with a second one, peers get copies of waiting streams at once."""
         now_s = self._clock.monotonic_s()
         before = self.versions.versions(service, now_s)
         self.versions.note(service, version, now_s - age_s)
         if before and version not in before:
             emit(Event.VERSIONS_CHANGED, service=service, versions=sorted({version, *before}))
-            self._send_own(service)
+            self._outbox.hurry()
 
     def note_config(self, config: GatewayConfig) -> None:
-        """Send all recent streams if a configuration moves requests to other services."""
+        """Note a configuration; if it moves requests to other services, copies are sent at once."""
         if self.routes.apply(config, self._clock.monotonic_s()):
-            self._send_own(None)
+            self._outbox.hurry()
 
     def note_began(self, key: StreamKey, origin: StreamOrigin, route: Route) -> None:
         """Remember that a request brought the first event of a stream, or of its continuation."""
@@ -154,14 +152,12 @@
         record = OriginRecord(key, origin)
         self._own.add(record, now_s)
         self._note_version(origin.service, origin.version)
-        if (
+        is_ambiguous = (
             len(route.destinations) > 1
             or len(self.versions.versions(origin.service, now_s)) > 1
             or self.routes.is_recent(route, now_s)
-        ):
-            self._outbox.enqueue(record, self._holders.of(key).to_write)
-        else:
-            self._unshared.add(record, now_s)
+        )
+        self._outbox.enqueue(record, self._holders.of(key).to_write, is_urgent=is_ambiguous)
 
     def keep(self, records: Iterable[OriginRecord]) -> None:
         """Keep copies for a peer."""
@@ -218,10 +214,3 @@
         origin = next((a.origin for a in answers if a.origin is not None), None)
         source = OriginSource.UNKNOWN if origin is None else OriginSource.PEER
         return Lookup(origin, source, len(holders), len(answers))
-
-    def _send_own(self, service: str | None) -> None:
-        """Send the recent streams of a service, or of all, which were not sent when they began."""
-        for record in list(self._unshared.records(self._clock.monotonic_s())):
-            if service in (None, record.origin.service):
-                self._unshared.remove(record.key)
-                self._outbox.enqueue(record, self._holders.of(record.key).to_write)
--- a/mothstand/tests/test_stream_origins.py
+++ b/mothstand/tests/test_stream_origins.py
@@ -23,7 +23,7 @@
     only_possible_origin,
     stream_key,
 )
-from ..core.upstreams import UpstreamDirectory
+from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.stream_origins import StreamOrigins
 from ..testing.eligibility import fleet_view
@@ -145,6 +145,10 @@
         assert changes.is_recent(_route("/a/", "z"), 2.0)
 
 
+def _upstream(version: str) -> RegisteredUpstream:
+    return RegisteredUpstream("u", "llm", "e:1", DataCentre("a"), 8, False, version=version)
+
+
 def _view(name: str, names: dict[str, str]) -> FleetView:
     members = {n: Member(Peer(n, "1", f"{n}:1"), DataCentre(dc)) for n, dc in names.items()}
     view = FleetView(members[name])
@@ -188,6 +192,26 @@
 
 
 class TestCopies:
+    def test_peers_have_copies_before_a_second_version_is_known(self) -> None:
+        # Guards against an instance that dies before it has read of a second version.
+        fleet, peers = fleet_view("me", 1), RecordingPeers()
+        origins = StreamOrigins(fleet, UpstreamDirectory(), peers, VirtualClock(), GatewayMetrics())
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(origins.run)
+                await anyio.sleep(0.2)
+                origins.note_began(_key("r"), _V1, _route("/", "llm"))
+                await anyio.sleep(0.6)
+                assert peers.kept["other-0:1"] == {_key("r")}
+                origins.note_began(_key("s"), _V1, _route("/", "llm"))
+                origins.note_upstream(_upstream("v2"))
+                await anyio.sleep(0.1)
+                assert peers.kept["other-0:1"] == {_key("r"), _key("s")}
+                tasks.cancel_scope.cancel()
+
+        run_in_virtual_time(main)
+
     def test_peer_that_becomes_known_later_gets_copies_of_streams_that_run(self) -> None:
         # Guards against streams that only those peers know which an instance knew when they began.
         fleet, peers = fleet_view("me", 1), RecordingPeers()
