Instances that start learn which versions there were, and where streams began

Cause: what a process has not read since its start was taken for what has not been. RecentVersions, RouteChanges and OriginTable begin empty; only_possible_origin then returned the one version that was registered at that moment. An instance whose registrations were old, without a peer to ask, concluded the same way.

Change: (1) Where streams began goes to the store as well, in batches of 1 s, of 0.25 s once a stream may have several origins, and at most 200 appends a second by the whole fleet; a starting instance reads them before its first resumption is refused. (2) Two designated instances keep a record in the store: all versions of the retention time before an offset of the registrations' stream, and the configuration's version if no route has moved lately. A starting instance reads it, and the registrations from that offset on. A record that is late, doubled, or written by two at once is still true. Without the record or with a dropped history the versions are unknown for the retention time. (3) Each conclusion from what is not known needs complete knowledge, here and now or at a peer that says so; else the resumption is refused, not run. The same holds for routes, also when versions of the configuration were passed over.

Tests changed: test_resumptions gives its instance a read history and current registrations, which it had assumed; a peer that answers without complete knowledge is no proof any more, so that case asks for the refusal and for the new answer.

--- a/mothstand/core/stream_origins.py
+++ b/mothstand/core/stream_origins.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import TYPE_CHECKING, NewType
@@ -136,13 +137,53 @@
             del self._known[key]
 
 
+@dataclass(slots=True)
+class Coverage:
+    """Time since which all changes are known. What a process has not read may still have been.
+
+    Parameters
+    ----------
+    since_s
+        Infinite before the first reading.
+    """
+
+    since_s: float = math.inf
+
+    def note_gap(self, now_s: float) -> None:
+        """Record that changes before now may be unknown."""
+        self.since_s = now_s
+
+    def note_history_read(self) -> None:
+        """Record that earlier changes are known too, as far as they matter."""
+        self.since_s = -math.inf
+
+    def covers(self, span_s: float, now_s: float) -> bool:
+        """Return whether all changes of the last `span_s` seconds are known."""
+        return now_s - self.since_s >= span_s
+
+
 @dataclass(slots=True)
 class RecentVersions:
-    """Software versions that upstreams of each service have, or had within the retention time."""
+    """Software versions that upstreams of each service have, or had within the retention time.
+
+    Parameters
+    ----------
+    coverage
+        Since when the registrations are known.
+    """
 
     policy: OriginPolicy = field(default_factory=OriginPolicy)
+    coverage: Coverage = field(default_factory=Coverage)
     _seen_s: dict[str, dict[str, float]] = field(default_factory=dict)
 
+    def is_complete(self, now_s: float) -> bool:
+        """Return whether all versions of the retention time are known."""
+        return self.coverage.covers(self.policy.retention_s, now_s)
+
+    def services(self) -> list[str]:
+        """Return the services of which versions are known."""
+        return list(self._seen_s)
+
     def observe(self, upstreams: Iterable[RegisteredUpstream], now_s: float) -> None:
         """Record the versions of all registered upstreams."""
         for upstream in upstreams:
@@ -171,9 +212,16 @@
 
 @dataclass(slots=True)
 class RouteChanges:
-    """Routes whose streams may have begun at other services within the retention time."""
+    """Routes whose streams may have begun at other services within the retention time.
+
+    Parameters
+    ----------
+    coverage
+        Since when the configurations are known.
+    """
 
     policy: OriginPolicy = field(default_factory=OriginPolicy)
+    coverage: Coverage = field(default_factory=Coverage)
     _destinations: dict[_RouteKey, tuple[Destination, ...]] = field(default_factory=dict)
     _changed_s: dict[_RouteKey, float] = field(default_factory=dict)
 
@@ -183,6 +231,8 @@
         now = {(r.host.lower(), r.path_prefix): r.destinations for r in config.routes}
         self._destinations = now
         if not before:
+            if self.coverage.since_s == math.inf:
+                self.coverage.note_gap(now_s)
             return False
         changed = {
             route
@@ -201,9 +251,17 @@
 
     def is_recent(self, route: Route, now_s: float) -> bool:
         """Return whether streams of a route may have begun under other destinations."""
+        if not self.coverage.covers(self.policy.retention_s, now_s):
+            return True
         changed_s = self._changed_s.get((route.host.lower(), route.path_prefix))
         return changed_s is not None and now_s - changed_s <= self.policy.retention_s
 
+    def are_settled(self, now_s: float) -> bool:
+        """Return whether no route is known, or may be suspected, to have changed recently."""
+        return self.coverage.covers(self.policy.retention_s, now_s) and all(
+            now_s - changed_s > self.policy.retention_s for changed_s in self._changed_s.values()
+        )
+
 
 def _containing(route: _RouteKey) -> Iterator[_RouteKey]:
     """Iterate over a route and all possible routes of its host that contain its paths."""
--- a/mothstand/core/upstreams.py
+++ b/mothstand/core/upstreams.py
@@ -109,6 +109,11 @@
         """Return the seconds since the store's last response, or None before the first one."""
         return None if self._store_read_s is None else now_s - self._store_read_s
 
+    def is_current(self, now_s: float) -> bool:
+        """Return whether the registrations are read without a gap."""
+        age_s = self.age_s(now_s)
+        return age_s is not None and age_s <= OUTAGE_AFTER_S
+
     def note_process_ended(self, upstream: RegisteredUpstream) -> None:
         """Record that a process is confirmed to have ended, regardless of its registration.
 
--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -204,6 +204,21 @@
         logging.WARNING,
         "Origins of streams were forgotten early: there are more than an instance remembers.",
     )
+    HISTORY_READ = (
+        6041,
+        logging.INFO,
+        "The software versions and routes of the time before a start, or in a gap, were read.",
+    )
+    HISTORY_UNKNOWN = (
+        6042,
+        logging.WARNING,
+        "Software versions or routes of the time before a start, or in a gap, cannot be read.",
+    )
+    HISTORY_UNWRITTEN = (
+        6043,
+        logging.WARNING,
+        "The software versions and routes could not be written for instances that start.",
+    )
     END_DROPPED = (6021, logging.ERROR, "A crash record was dropped: too many wait for the store.")
     REQUEST_REFUSED = (7001, logging.INFO, "A request was refused.")
     HEAD_TOO_SLOW = (7005, logging.INFO, "A connection was closed before its head was complete.")
--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -79,6 +79,11 @@
                     self._next_offset = None
                 await self._clock.sleep(backoff.next_jittered_s())
 
+    @property
+    def next_offset(self) -> int | None:
+        """Offset up to which the stream is applied; None before a listing."""
+        return self._next_offset
+
     def failing_s(self) -> float:
         """Return for how many seconds reads have failed; 0 after a successful one."""
         if self._failing_since_s is None:
@@ -150,6 +155,12 @@
         """Apply later records, in order."""
 
 
+def _has_gap(listing: StreamPage, from_offset: int) -> bool:
+    """Return whether a listing lacks records from an offset on: each key's earlier ones."""
+    listed = sum(record.offset >= from_offset for record in listing.records)
+    return listed < listing.next_offset - from_offset
+
+
 class ConfigFeed(KeyedFeed):
     """Feed of the operators' configuration: the newest valid version, never an older one.
 
@@ -165,6 +176,8 @@
         Notified when the configuration in force is the newest, and when a newer one exists.
     metrics
         Receives the bytes and the duration of the reads.
+    on_gap
+        Called when versions may have been passed over, at the start and later.
 
     Notes
     -----
@@ -188,9 +201,13 @@
         evacuations: EvacuationTracker,
         freshness: ConfigFreshness,
         metrics: GatewayMetrics,
+        on_gap: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(store, stream, clock, health)
         self._evacuations = evacuations
+        self._on_gap = on_gap
+        self._applied_to: int | None = None
+        self.is_first_config = False
         self.freshness = freshness
         self._metrics = metrics
         self._read_began_s = 0.0
@@ -242,6 +259,7 @@
 
     def note_applied(self, page: StreamPage) -> None:
         """Note up to which record the stream is applied, and when that was all of it."""
+        self._applied_to = page.next_offset
         now_s = self._clock.monotonic_s()
         size_bytes = sum(len(record.value or b"") for record in page.records)
         self._metrics.record_config_read(self._read_ended_s - self._read_began_s, size_bytes)
@@ -286,7 +304,16 @@
     def apply_listing(self, listing: StreamPage) -> None:
         """Apply the newest record of each key."""
         self._evacuations.apply_listing(listing)
+        has_gap = self._applied_to is None or _has_gap(listing, self._applied_to)
+        if self._applied_to is None:
+            offset = next((r.offset for r in listing.records if r.key == self._key), 0)
+            earlier = sum(record.offset < offset for record in listing.records)
+            self.is_first_config = earlier == offset
+        elif has_gap:
+            self.is_first_config = False
         self._apply_configs(listing.records)
+        if has_gap:
+            self._on_gap()
 
     def apply(self, records: tuple[KeyedRecord, ...]) -> None:
         """Apply later records, in order."""
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -37,6 +37,7 @@
 from .member_feed import MemberFeed
 from .metrics import GatewayMetrics
 from .named_limits import NamedLimits
+from .origin_log import OriginLog
 from .prefill_link import GrpcPrefillLink, PrefillService
 from .prefill_scheduling import PrefillScheduling
 from .preview import PREVIEW_PATH, PlacementPreview
@@ -50,6 +51,7 @@
 from .relay_finder import RelayFinder
 from .relay_server import RelayServer
 from .relays import PeerRelays
+from .release_history import FeedPositions, ReleaseHistory
 from .resumptions import Resumptions
 from .server import GatewayServer
 from .startup_wait import StartupWait
@@ -115,6 +117,7 @@
             self._evacuations,
             ConfigFreshness(settings.timing.configuration_ms / 1000),
             self._metrics,
+            lambda: self._note_config_gap(),
         )
         self._placement = Placement(settings.data_centre)
         self._link = GrpcPeerLink()
@@ -147,9 +150,24 @@
             settings.timing.registrations_s,
             PeerWitness(self._link, self._members),
             self._note_registration,
+            lambda: self._note_registrations_gap(),
         )
         self._stream_origins = StreamOrigins(
-            self._members.fleet, self._upstream_feed.directory, self._link, clock, self._metrics
+            self._members.fleet,
+            self._upstream_feed.directory,
+            self._link,
+            OriginLog(parts.store, self._members.fleet, clock, self._metrics),
+            clock,
+            self._metrics,
+        )
+        self._release_history = ReleaseHistory(
+            parts.store,
+            parts.upstreams_stream,
+            parts.decode_upstream,
+            FeedPositions(self._upstream_feed, self._config_feed),
+            self._stream_origins,
+            self._members.fleet,
+            clock,
         )
         self._accounts = Accounts(
             settings,
@@ -324,6 +342,14 @@
         if upstream.cold_s > 0 and not was_cold:
             emit(Event.UPSTREAM_COLD, upstream=upstream.upstream_id, cold_s=upstream.cold_s)
 
+    def _note_registrations_gap(self) -> None:
+        self._stream_origins.versions.coverage.note_gap(self._clock.monotonic_s())
+        self._release_history.note_gap()
+
+    def _note_config_gap(self) -> None:
+        self._stream_origins.routes.coverage.note_gap(self._clock.monotonic_s())
+        self._release_history.note_gap()
+
     def _on_members_changed(self) -> None:
         self._accounts.poll()
         self._stream_origins.note_fleet()
@@ -385,6 +411,7 @@
             tasks.start_soon(self._run_with_restarts, "relays", self._relay_finder.run)
             tasks.start_soon(self._run_with_restarts, "quarantine", self._quarantine_feed.run)
             tasks.start_soon(self._run_with_restarts, "stream origins", self._stream_origins.run)
+            tasks.start_soon(self._run_with_restarts, "history", self._release_history.run)
             tasks.start_soon(self._run_with_restarts, "prefills", self._prefills.run)
             await self._wait_for_stop_signal()
             tasks.start_soon(self._run_with_restarts, "signals", self._log_signals_in_stop)
--- a/mothstand/gateway/lending.py
+++ b/mothstand/gateway/lending.py
@@ -153,10 +153,13 @@
         None if it knows none.
     versions
         Software versions of the requested service that it has seen recently.
+    knows_all_versions
+        Whether there were no others within the retention time.
     """
 
     origin: StreamOrigin | None
     versions: tuple[SeenVersion, ...] = ()
+    knows_all_versions: bool = False
 
 
 class PeerLink(ABC):
@@ -400,7 +403,7 @@
         if reply.HasField("origin"):
             origin = StreamOrigin(reply.origin.service, reply.origin.version)
         versions = tuple(SeenVersion(service, v.version, v.age_s) for v in reply.versions)
-        return FoundOrigin(origin, versions)
+        return FoundOrigin(origin, versions, reply.knows_all_versions)
 
     def close(self) -> None:
         """Close all connections."""
@@ -628,7 +631,8 @@
             return
         found = self._find_origin(StreamKey(message.key), message.service)
         reply = pb.FindOriginReply(
-            versions=[pb.SeenVersion(version=v.version, age_s=v.age_s) for v in found.versions]
+            versions=[pb.SeenVersion(version=v.version, age_s=v.age_s) for v in found.versions],
+            knows_all_versions=found.knows_all_versions,
         )
         if found.origin is not None:
             reply.origin.service = found.origin.service
--- a/mothstand/gateway/origin_outbox.py
+++ b/mothstand/gateway/origin_outbox.py
@@ -12,6 +12,7 @@
 
 from ..events import Event, emit
 from ..peers.failures import PeerError
+from .batch_timer import BatchTimer
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -52,13 +53,11 @@
         self._metrics = metrics
         self._queues: dict[str, dict[StreamKey, _Waiting]] = {}
         self._sending: set[str] = set()
-        self._has_work = anyio.Event()
-        self._has_urgent_work = anyio.Event()
+        self._timer = BatchTimer(clock)
 
     def hurry(self) -> None:
         """Send what waits as if it were urgent."""
-        self._has_work.set()
-        self._has_urgent_work.set()
+        self._timer.note_work(is_urgent=True)
 
     def enqueue(self, record: OriginRecord, holders: Iterable[Member], *, is_urgent: bool) -> None:
         """Send a record to its holders with the next batch, which is near if it is urgent."""
@@ -69,20 +68,13 @@
             if len(queue) > _MAX_WAITING_RECORDS:
                 del queue[next(iter(queue))]
                 self._metrics.counts["origin_records_dropped"] += 1
-        self._has_work.set()
-        if is_urgent:
-            self._has_urgent_work.set()
+        self._timer.note_work(is_urgent=is_urgent)
 
     async def run(self) -> None:
         """Send batches until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
-                await self._has_work.wait()
-                with anyio.move_on_after(_BATCH_S - _URGENT_BATCH_S):
-                    await self._has_urgent_work.wait()
-                await self._clock.sleep(_URGENT_BATCH_S)
-                self._has_work = anyio.Event()
-                self._has_urgent_work = anyio.Event()
+                await self._timer.wait(_BATCH_S, _URGENT_BATCH_S)
                 self._start_sending(tasks)
 
     def _start_sending(self, tasks: TaskGroup) -> None:
--- a/mothstand/gateway/resumptions.py
+++ b/mothstand/gateway/resumptions.py
@@ -6,7 +6,6 @@
 
 from ..core.admission import random_retry_after_s
 from ..core.stream_origins import StreamOrigin, only_possible_origin, stream_key
-from ..core.upstreams import OUTAGE_AFTER_S
 from ..errors import ErrorKind, Refusal, RefusedError
 from ..events import Event, emit, rounded
 from .process_check import ProcessIdentity
@@ -52,7 +51,11 @@
         if origin is None:
             origin, source = self._only_possible(call, lookup), OriginSource.ONLY_POSSIBLE
         if origin is None:
-            detail = f"{lookup.answered} of {lookup.asked} peers answered"
+            detail = f"{lookup.answered} of {lookup.asked} peers answered, " + (
+                "all versions are known"
+                if self._origins.knows_all_versions or lookup.has_complete_peer
+                else "versions may be unknown"
+            )
             raise RefusedError(
                 Refusal(ErrorKind.RESUMPTION_UNKNOWN, detail, retry_after_s=random_retry_after_s())
             )
@@ -83,7 +86,7 @@
         """
         if not call.route.is_resumable or not upstream.born_ms:
             return True
-        is_current = self._is_current()
+        is_current = self._directory.is_current(self._clock.monotonic_s())
         if call.origin is None and is_current:
             return True
         match await self._process_check.check(upstream):
@@ -116,8 +119,8 @@
     def _only_possible(self, call: Call, lookup: Lookup) -> StreamOrigin | None:
         """Return the origin of a stream of which no holder knows, if it can have no other."""
         now_s = self._clock.monotonic_s()
-        if not self._is_current() and lookup.asked and not lookup.answered:
-            # Other instances may know versions that this one cannot read of.
+        if not self._origins.knows_all_versions and not lookup.has_complete_peer:
+            # There may be, or have been, versions that this instance has not read of.
             return None
         self._origins.observe()
         # On a split route the share of each service may have changed since the stream began.
@@ -128,8 +131,3 @@
             call.service.name if is_only_service else None,
             self._origins.versions.versions(call.service.name, now_s),
         )
-
-    def _is_current(self) -> bool:
-        """Return whether the registrations are read without a gap."""
-        age_s = self._directory.age_s(self._clock.monotonic_s())
-        return age_s is not None and age_s <= OUTAGE_AFTER_S
--- a/mothstand/gateway/store.py
+++ b/mothstand/gateway/store.py
@@ -23,7 +23,17 @@
 
 
 class StoreTrimmedError(StoreError):
-    """The requested records are no longer retained; read the newest of each key instead."""
+    """The requested records are no longer retained; read the newest of each key instead.
+
+    Parameters
+    ----------
+    first_offset
+        Offset of the first retained record, if the store says it.
+    """
+
+    def __init__(self, message: str, first_offset: int | None = None) -> None:
+        super().__init__(message)
+        self.first_offset = first_offset
 
 
 @dataclass(frozen=True, slots=True)
--- a/mothstand/gateway/stream_origins.py
+++ b/mothstand/gateway/stream_origins.py
@@ -32,16 +32,21 @@
     from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
     from .lending import PeerLink
     from .metrics import GatewayMetrics
+    from .origin_log import OriginLog
 
 #: Seconds between two looks at the registered versions, well below the retention time.
 _OBSERVE_INTERVAL_S = 1.0
 
+#: Time after the start for which resumptions wait until the history has been read.
+_MAX_READING_S = 1.0
+
 
 class OriginSource(Enum):
     """How the origin of a stream is known."""
 
     OWN = "own"
     PEER = "peer"
+    STORE = "store"
     ONLY_POSSIBLE = "only possible"
     UNKNOWN = "unknown"
 
@@ -54,20 +59,24 @@
     ----------
     asked, answered
         Peers that were asked, and those that answered.
+    has_complete_peer
+        Whether a peer answered that knows all versions of the retention time.
     """
 
     origin: StreamOrigin | None
     source: OriginSource
     asked: int = 0
     answered: int = 0
+    has_complete_peer: bool = False
 
 
 class StreamOrigins:
-    """Origins of streams, kept here and at the peers that a hash of each stream designates.
+    """Origins of streams, kept here, in the store and at peers that a hash designates.
 
-    Peers get copies of all streams, as this instance may be the last one to learn that a stream
-    may have several origins. They get them sooner if it already may: its service has several
-    versions, or its route several services, now or recently.
+    Peers and store get copies of all streams, as this instance may be the last one to learn that a
+    stream may have several origins. They get them sooner if it already may: its service has several
+    versions, or its route several services, now or recently. Those in the store are for instances
+    that start after the death of all.
     """
 
     def __init__(
@@ -75,9 +84,14 @@
         fleet: FleetView,
         directory: UpstreamDirectory,
         link: PeerLink,
+        log: OriginLog,
         clock: Clock,
         metrics: GatewayMetrics,
     ) -> None:
+        self._log = log
+        self._stored = OriginTable()
+        self._history_read = anyio.Event()
+        self._wait_until_s = float("-inf")
         self.versions = RecentVersions()
         self.routes = RouteChanges()
         self._own = OriginTable()
@@ -94,7 +108,9 @@
     async def run(self) -> None:
         """Send records to peers, and follow the registered versions, until cancelled."""
         async with anyio.create_task_group() as tasks:
+            self._wait_until_s = self._clock.monotonic_s() + _MAX_READING_S
             tasks.start_soon(self._outbox.run)
+            tasks.start_soon(self._log.run)
             while True:
                 self.note_fleet()
                 self.observe()
@@ -130,34 +146,61 @@
 
     def note_upstream(self, upstream: RegisteredUpstream) -> None:
         """Record the version of an upstream that registers or leaves."""
-        self._note_version(upstream.service, upstream.version)
+        self.note_version(upstream.service, upstream.version)
 
-    def _note_version(self, service: str, version: str, age_s: float = 0.0) -> None:
-        """Record a version; with a second one, peers get copies of waiting streams at once."""
+    def note_version(self, service: str, version: str, age_s: float = 0.0) -> None:
+        """Record a version; with a second one, copies of streams go to peers and store at once."""
         now_s = self._clock.monotonic_s()
         before = self.versions.versions(service, now_s)
         self.versions.note(service, version, now_s - age_s)
         if before and version not in before:
             emit(Event.VERSIONS_CHANGED, service=service, versions=sorted({version, *before}))
-            self._outbox.hurry()
+            self._hurry()
 
     def note_config(self, config: GatewayConfig) -> None:
         """Note a configuration; if it moves requests to other services, copies are sent at once."""
         if self.routes.apply(config, self._clock.monotonic_s()):
-            self._outbox.hurry()
+            self._hurry()
+
+    def _hurry(self) -> None:
+        self._outbox.hurry()
+        self._log.hurry()
+
+    async def read_stored(self) -> None:
+        """Read the origins that the store has, at the start.
+
+        Raises
+        ------
+        StoreError
+            If the store could not be read.
+        """
+        if self._history_read.is_set():
+            return
+        records = await self._log.read()
+        now_s = self._clock.monotonic_s()
+        for record in records:
+            self._stored.add(record, now_s)
+        self._history_read.set()
+
+    def note_history_read(self) -> None:
+        """Record that nothing is unknown of the time before the start."""
+        self.versions.coverage.note_history_read()
+        self.routes.coverage.note_history_read()
+        self._history_read.set()
 
     def note_began(self, key: StreamKey, origin: StreamOrigin, route: Route) -> None:
         """Remember that a request brought the first event of a stream, or of its continuation."""
         now_s = self._clock.monotonic_s()
         record = OriginRecord(key, origin)
         self._own.add(record, now_s)
-        self._note_version(origin.service, origin.version)
+        self.note_version(origin.service, origin.version)
         is_ambiguous = (
             len(route.destinations) > 1
             or len(self.versions.versions(origin.service, now_s)) > 1
             or self.routes.is_recent(route, now_s)
         )
         self._outbox.enqueue(record, self._holders.of(key).to_write, is_urgent=is_ambiguous)
+        self._log.enqueue(record, is_urgent=is_ambiguous)
 
     def keep(self, records: Iterable[OriginRecord]) -> None:
         """Keep copies for a peer."""
@@ -169,12 +212,22 @@
     def known(self, key: StreamKey) -> StreamOrigin | None:
         """Return the origin of a stream if this instance knows it."""
         now_s = self._clock.monotonic_s()
-        return self._own.find(key, now_s) or self._of_peers.find(key, now_s)
+        return (
+            self._own.find(key, now_s)
+            or self._of_peers.find(key, now_s)
+            or self._stored.find(key, now_s)
+        )
 
     def found_here(self, key: StreamKey, service: str) -> FoundOrigin:
         """Return what this instance knows, for a peer that looks for an origin."""
         seen = self.versions.seen(service, self._clock.monotonic_s())
-        return FoundOrigin(self.known(key), tuple(seen))
+        return FoundOrigin(self.known(key), tuple(seen), self.knows_all_versions)
+
+    @property
+    def knows_all_versions(self) -> bool:
+        """Whether all versions of the retention time, up to now, are known here."""
+        now_s = self._clock.monotonic_s()
+        return self._directory.is_current(now_s) and self.versions.is_complete(now_s)
 
     async def find(self, key: StreamKey, service: str) -> Lookup:
         """Look for the origin of a stream here and at its holders.
@@ -189,7 +242,13 @@
             self._metrics.counts["origin_lookups_omitted"] += 1
             return Lookup(None, OriginSource.UNKNOWN, asked=len(holders))
         self._metrics.counts["origin_lookups"] += 1
-        return await self._ask(holders, key, service)
+        lookup = await self._ask(holders, key, service)
+        if lookup.origin is None and not self._history_read.is_set():
+            with anyio.move_on_after(self._wait_until_s - self._clock.monotonic_s()):
+                await self._history_read.wait()
+            if (origin := self.known(key)) is not None:
+                return Lookup(origin, OriginSource.STORE, lookup.asked, lookup.answered)
+        return lookup
 
     async def _ask(self, holders: Sequence[Member], key: StreamKey, service: str) -> Lookup:
         """Ask all holders at once; the first one that knows the origin ends the search."""
@@ -210,7 +269,8 @@
                 tasks.start_soon(ask, member.peer.address)
         for seen in [version for answer in answers for version in answer.versions]:
             if seen.age_s <= self.versions.policy.retention_s:
-                self._note_version(seen.service, seen.version, seen.age_s)
+                self.note_version(seen.service, seen.version, seen.age_s)
         origin = next((a.origin for a in answers if a.origin is not None), None)
         source = OriginSource.UNKNOWN if origin is None else OriginSource.PEER
-        return Lookup(origin, source, len(holders), len(answers))
+        has_complete_peer = any(a.knows_all_versions for a in answers)
+        return Lookup(origin, source, len(holders), len(answers), has_complete_peer)
--- a/mothstand/gateway/upstream_feed.py
+++ b/mothstand/gateway/upstream_feed.py
@@ -44,6 +44,8 @@
         Determines whether the store was up while this instance could not reach it.
     on_cold
         Called with each upstream whose registration says that it is cold, or no longer is.
+    on_gap
+        Called when registrations may have been passed over, at the start and later.
     """
 
     backoff_max_s = _BACKOFF_MAX_S
@@ -59,6 +61,7 @@
         wait_s: float,
         witness: StoreWitness,
         on_cold: Callable[[RegisteredUpstream], None] = lambda _: None,
+        on_gap: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(store, stream, clock, health)
         self.directory = UpstreamDirectory()
@@ -69,6 +72,7 @@
         self._wait_s = wait_s
         self._witness = witness
         self._on_cold = on_cold
+        self._on_gap = on_gap
         self._grace_event = anyio.Event()
 
     async def run(self) -> None:
@@ -112,6 +116,7 @@
         for upstream_id, retained_s in self.directory.replace_all(decoded, now_s).items():
             self._log_end(upstream_id, retained_s, None)
         self._notify_removed(before)
+        self._on_gap()
         known = self.directory.upstreams
         emit(
             Event.UPSTREAMS_LISTED,
--- a/mothstand/platform/store.py
+++ b/mothstand/platform/store.py
@@ -62,6 +62,12 @@
     end: int
 
 
+class _Trimmed(BaseModel):
+    """Response to a read from an offset that is no longer retained."""
+
+    first: int | None = Field(None, ge=0)
+
+
 def encode_record(record: KeyedRecord) -> bytes:
     """Encode a keyed record in the store's binary format."""
     key = record.key.encode()
@@ -182,7 +188,9 @@
             "GET", "/log-read", params, wait_s=wait_s, on_page_head=note_head
         )
         if status == _GONE:
-            raise StoreTrimmedError(f"{stream}: offset {from_offset} is no longer retained")
+            raise StoreTrimmedError(
+                f"{stream}: offset {from_offset} is no longer retained", _decode_first(data)
+            )
         _raise_for_status(status, "read")
         try:
             return decode_page(data, from_offset)
@@ -248,6 +256,14 @@
             raise StoreSilentError(f"{path}: {error!r}") from error
 
 
+def _decode_first(data: bytes) -> int | None:
+    """Return the first retained offset of a response that refuses a read, or None."""
+    try:
+        return _Trimmed.model_validate_json(data).first
+    except ValidationError:
+        return None
+
+
 def _decode_item(item: _Item) -> KeyedRecord:
     if not item.value:
         return KeyedRecord(item.key, None, item.offset)
--- a/mothstand/standins/users_store.py
+++ b/mothstand/standins/users_store.py
@@ -18,7 +18,7 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
-from ..gateway.store import Stream
+from ..gateway.store import StoreTrimmedError, Stream
 from ..platform.store import decode_page, encode_record
 from ..testing.memory_store import MemoryStore
 from .serving import run_app
@@ -30,6 +30,7 @@
 
 _POLL_S = 0.02
 _CONFLICT = 412
+_GONE = 410
 _UNAVAILABLE = 503
 
 
@@ -68,7 +69,10 @@
                 await anyio.sleep(_POLL_S)
         if self._is_unreachable:
             return Response(status_code=_UNAVAILABLE)
-        page = self._store.read(stream, from_offset)
+        try:
+            page = self._store.read(stream, from_offset)
+        except StoreTrimmedError as error:
+            return JSONResponse({"first": error.first_offset}, status_code=_GONE)
         head = struct.pack(">QQ", page.next_offset, 0)
         content = head + b"".join(encode_record(record) for record in page.records)
         if not self._bytes_per_s:
--- a/mothstand/testing/eligibility.py
+++ b/mothstand/testing/eligibility.py
@@ -15,6 +15,7 @@
 from ..core.rate_limits import RateLimits
 from ..core.warmup import Warmup, WarmupSettings
 from ..gateway.lending import GrpcPeerLink
+from ..gateway.origin_log import OriginLog
 from ..gateway.prefill_link import GrpcPrefillLink
 from ..gateway.prefill_scheduling import PrefillScheduling
 from ..gateway.redirects import Redirects
@@ -22,11 +23,14 @@
 from ..gateway.stream_origins import StreamOrigins
 from ..types import DataCentre
 from .fakes import AnyProcess, UnreachablePeers
+from .memory_store import MemoryStore, StoreLink
 
 if TYPE_CHECKING:
     from ..clock import Clock
     from ..core.upstreams import UpstreamDirectory
+    from ..gateway.lending import PeerLink
     from ..gateway.metrics import GatewayMetrics
+    from ..gateway.store import Store
 
 
 def fleet_view(name: str, others: int = 0, *, read_s: float = 0.0) -> FleetView:
@@ -40,11 +44,26 @@
     return view
 
 
+def origins_of(
+    fleet: FleetView,
+    directory: UpstreamDirectory,
+    link: PeerLink,
+    clock: Clock,
+    metrics: GatewayMetrics,
+    store: Store | None = None,
+) -> StreamOrigins:
+    """Return the origins that an instance knows, by default with a store of its own."""
+    store = StoreLink(MemoryStore()) if store is None else store
+    log = OriginLog(store, fleet, clock, metrics)
+    return StreamOrigins(fleet, directory, link, log, clock, metrics)
+
+
 def lone_resumptions(
     directory: UpstreamDirectory, clock: Clock, metrics: GatewayMetrics
 ) -> Resumptions:
     """Return the decision on resumptions of an instance without peers."""
-    origins = StreamOrigins(fleet_view("me"), directory, UnreachablePeers(), clock, metrics)
+    origins = origins_of(fleet_view("me"), directory, UnreachablePeers(), clock, metrics)
+    origins.note_history_read()
     return Resumptions(origins, AnyProcess(), directory, clock)
 
 
--- a/mothstand/testing/memory_store.py
+++ b/mothstand/testing/memory_store.py
@@ -94,7 +94,8 @@
             If some of them are no longer retained.
         """
         if from_offset < self._first_offsets[stream]:
-            raise StoreTrimmedError(f"{stream}: offset {from_offset} is not retained")
+            first_offset = self._first_offsets[stream]
+            raise StoreTrimmedError(f"{stream}: {from_offset} is not retained", first_offset)
         stored = self._records[stream]
         end = max(from_offset, len(stored))
         return StreamPage(tuple(stored[from_offset:]), end, end)
--- a/mothstand/testing/origin_histories.py
+++ b/mothstand/testing/origin_histories.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 from dataclasses import dataclass, field
 from enum import Enum
@@ -22,12 +23,16 @@
 from ..gateway.call import Call
 from ..gateway.headers import CallerFields
 from ..gateway.metrics import GatewayMetrics
+from ..gateway.origin_log import OriginLog
+from ..gateway.release_history import ReleaseHistory, StreamPositions
 from ..gateway.resumptions import Resumptions
+from ..gateway.store import Stream
 from ..gateway.stream_origins import Lookup, OriginSource, StreamOrigins
 from ..gateway.upstream_client import OutgoingRequest
 from ..peers.failures import PeerError
 from ..types import DataCentre
 from .fakes import AnyProcess, UnreachablePeers
+from .memory_store import MemoryStore, StoreLink
 from .virtual_time import VirtualClock, run_in_virtual_time
 
 if TYPE_CHECKING:
@@ -46,6 +51,9 @@
 #: Time after which instances read a registration or a configuration, while the store answers.
 _READ_LAG_S = (0.02, 0.4)
 
+_REGISTRATIONS_STREAM = Stream("registrations")
+_FIRST_CONFIG = 1
+
 _UPSTREAMS = 4
 _EVENT_S = 0.1
 _EVENTS = 20
@@ -59,6 +67,7 @@
     NONE = "none"
     ANY_VERSION = "a stream of unknown origin goes on at any version"
     NO_COPIES = "origins are known only where streams began"
+    NO_HISTORY = "what was not read since the start is taken for what has not been"
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +85,10 @@
         Number of releases of new software versions.
     store_cuts
         Number of times that one instance is cut off from the store, and killed in the end.
+    deaths_of_all
+        Number of times that all instances are killed at once and start again.
+    compactions
+        Number of times that the store drops the registrations' history.
     """
 
     instances: int = 6
@@ -90,6 +103,8 @@
     releases: int = 2
     moves: int = 0
     store_cuts: int = 0
+    deaths_of_all: int = 0
+    compactions: int = 0
     fault: OriginFault = OriginFault.NONE
 
 
@@ -143,10 +158,25 @@
         pass
 
 
+class _NoLog(OriginLog):
+    """Finds no origins in the store."""
+
+    async def read(self) -> list[OriginRecord]:
+        return []
+
+
+_LOGS = {
+    OriginFault.NONE: OriginLog,
+    OriginFault.ANY_VERSION: OriginLog,
+    OriginFault.NO_COPIES: _NoLog,
+    OriginFault.NO_HISTORY: _NoLog,
+}
+
 _ORIGINS = {
     OriginFault.NONE: StreamOrigins,
     OriginFault.ANY_VERSION: _AnyVersion,
     OriginFault.NO_COPIES: _NoCopies,
+    OriginFault.NO_HISTORY: StreamOrigins,
 }
 
 
@@ -179,6 +209,28 @@
         return answer(peer)
 
 
+class _Positions(StreamPositions):
+    """How far an instance has read."""
+
+    registrations_to: int | None = None
+    config_version: int | None = None
+    is_first_config = False
+
+    def apply(self, registrations_to: int, config: GatewayConfig) -> None:
+        """Note what has been read."""
+        if self.config_version is None:
+            self.is_first_config = config.version == _FIRST_CONFIG
+        self.registrations_to = registrations_to
+        self.config_version = config.version
+
+
+def _decode(upstream_id: str, value: bytes) -> RegisteredUpstream:
+    service, version = json.loads(value)
+    return RegisteredUpstream(
+        upstream_id, service, "e:1", DataCentre("dc0"), 8, False, 0, 0, version
+    )
+
+
 class _Instance:
     """One start of an instance."""
 
@@ -192,14 +244,36 @@
         self.config = history.config
         self.fleet = FleetView(Member(Peer(name, "", name), data_centre))
         clock = VirtualClock()
+        metrics = GatewayMetrics()
+        self.store = StoreLink(history.store)
         self.origins = _ORIGINS[history.settings.fault](
-            self.fleet, self.directory, _Link(history, self), clock, GatewayMetrics()
+            self.fleet,
+            self.directory,
+            _Link(history, self),
+            _LOGS[history.settings.fault](self.store, self.fleet, clock, metrics),
+            clock,
+            metrics,
+        )
+        self.positions = _Positions()
+        self.releases = ReleaseHistory(
+            self.store,
+            _REGISTRATIONS_STREAM,
+            _decode,
+            self.positions,
+            self.origins,
+            self.fleet,
+            clock,
         )
         self.resumptions = Resumptions(self.origins, AnyProcess(), self.directory, clock)
 
-    def read(self, upstreams: list[_Upstream], config: GatewayConfig) -> None:
+    def read(
+        self, upstreams: list[_Upstream], config: GatewayConfig, registrations_to: int
+    ) -> None:
         """Apply what the store holds."""
         now_s = anyio.current_time()
+        if self.positions.registrations_to is None:
+            self.origins.versions.coverage.note_gap(now_s)
+        self.positions.apply(registrations_to, config)
         self.directory.note_store_read(now_s, store_was_up=True)
         self.directory.replace_all([u.registered for u in upstreams], now_s)
         for upstream in upstreams:
@@ -239,6 +313,7 @@
         self.rng = random.Random(f"origins {seed}")
         self.result = OriginResult()
         self.instances: dict[str, _Instance] = {}
+        self.store = MemoryStore()
         self.config = self._make_config(equal=True)
         self._seed = seed
         self._upstreams: dict[str, _Upstream] = {}
@@ -264,7 +339,8 @@
             for n in range(self.settings.services)
         )
         route = Route("r", "h", "/", RequestKind.STREAMING, 9, 1, 1, destinations, 2, False, True)
-        return GatewayConfig(1, (route,), {}, {}, RequestLimits())
+        version = _FIRST_CONFIG if equal else self.config.version + 1
+        return GatewayConfig(version, (route,), {}, {}, RequestLimits())
 
     async def _run(self) -> OriginResult:
         settings = self.settings
@@ -282,6 +358,8 @@
                 (self._release_version, settings.releases),
                 (self._move, settings.moves),
                 (self._cut_store, settings.store_cuts),
+                (self._kill_all, settings.deaths_of_all),
+                (self._compact, settings.compactions),
             ):
                 for _ in range(count):
                     tasks.start_soon(self._later, action, tasks)
@@ -304,33 +382,49 @@
         upstream = _Upstream(registered)
         self._upstreams[registered.upstream_id] = upstream
         self._registered[registered.upstream_id] = upstream
+        value = json.dumps([service, version]).encode()
+        self.store.put(_REGISTRATIONS_STREAM, registered.upstream_id, value)
         return upstream
 
+    def _deregister(self, upstream: _Upstream) -> None:
+        upstream_id = upstream.registered.upstream_id
+        if self._registered.pop(upstream_id, None) is not None:
+            self.store.put(_REGISTRATIONS_STREAM, upstream_id, None)
+
+    def _registrations_end(self) -> int:
+        return self.store.newest(_REGISTRATIONS_STREAM).end_offset
+
     def _start_instance(self, tasks: TaskGroup, name: str, data_centre: DataCentre) -> None:
         instance = _Instance(self, name, data_centre)
         self.instances[name] = instance
         for other in self.instances.values():
             other.fleet.apply_announcement(instance.fleet.local_member, anyio.current_time())
             instance.fleet.apply_announcement(other.fleet.local_member, anyio.current_time())
-        instance.read(list(self._registered.values()), self.config)
+        instance.read(list(self._registered.values()), self.config, self._registrations_end())
         tasks.start_soon(self._run_instance, instance)
 
     async def _run_instance(self, instance: _Instance) -> None:
         with instance.scope:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(instance.origins.run)
+                if self.settings.fault is OriginFault.NO_HISTORY:
+                    instance.origins.note_history_read()
+                else:
+                    tasks.start_soon(instance.releases.run)
                 while True:
                     lag_s = self.rng.uniform(*_READ_LAG_S)
                     upstreams, config = list(self._registered.values()), self.config
+                    registrations_to = self._registrations_end()
                     await anyio.sleep(lag_s)
                     is_cut_off = instance.is_cut_off or self._cut_off == instance.data_centre
-                    if not self._is_store_away and not is_cut_off:
-                        instance.read(upstreams, config)
+                    instance.store.is_cut_off = self._is_store_away or is_cut_off
+                    if not instance.store.is_cut_off:
+                        instance.read(upstreams, config, registrations_to)
 
     async def _kill(self, tasks: TaskGroup) -> None:
         alive = [i for i in self.instances.values() if i.is_alive]
         count = self.rng.randint(1, self.settings.killed_at_once)
-        killed = self.rng.sample(alive, min(count, len(alive) - 1))
+        killed = self.rng.sample(alive, min(count, max(0, len(alive) - 1)))
         await self._kill_for_a_while(tasks, killed)
 
     async def _kill_for_a_while(self, tasks: TaskGroup, killed: list[_Instance]) -> None:
@@ -346,8 +440,32 @@
         await anyio.sleep(self.rng.uniform(1.0, 5.0))
         self._cut_off = None
 
+    async def _kill_all(self, tasks: TaskGroup) -> None:
+        """Kill all instances; meanwhile, or just before, an old version may leave completely."""
+        if self.rng.random() < 0.5:
+            tasks.start_soon(self._replace_all)
+        await anyio.sleep(self.rng.uniform(0.0, 0.3))
+        await self._kill_for_a_while(tasks, [i for i in self.instances.values() if i.is_alive])
+
+    async def _replace_all(self) -> None:
+        self._release += 1
+        service = f"llm-{self.rng.randrange(self.settings.services)}"
+        old = [u for u in self._registered.values() if u.registered.service == service]
+        for _ in old:
+            self._start_upstream(service, f"v{self._release}")
+        await anyio.sleep(self.rng.uniform(0.0, 0.6))
+        for upstream in old:
+            self._deregister(upstream)
+            upstream.is_alive = False
+
+    def _compact(self, _: TaskGroup) -> None:
+        self.store.compact(_REGISTRATIONS_STREAM)
+
     async def _cut_store(self, tasks: TaskGroup) -> None:
-        instance = self.rng.choice([i for i in self.instances.values() if i.is_alive])
+        alive = [i for i in self.instances.values() if i.is_alive]
+        if not alive:
+            return
+        instance = self.rng.choice(alive)
         instance.is_cut_off = True
         await anyio.sleep(self.rng.uniform(1.0, 4.0))
         if instance.is_alive:
@@ -370,7 +488,7 @@
         for upstream in old[: self.rng.choice((len(old), len(old) // 2))]:
             self._start_upstream(service, version)
             await anyio.sleep(self.rng.uniform(0.05, 0.6))
-            self._registered.pop(upstream.registered.upstream_id, None)
+            self._deregister(upstream)
             if self.rng.random() < 0.5:
                 await anyio.sleep(0.5)
             upstream.is_alive = False
@@ -388,16 +506,21 @@
         is_counted = False
         events_at_break = 0
         while stream.tries < _MAX_TRIES and stream.events < _EVENTS:
-            if stream.events and not is_counted and self._can_go_on(stream):
+            if stream.events and not is_counted and self._can_go_on(stream) and self._any_alive:
                 is_counted = True
                 events_at_break = stream.events
                 self.result.resumed += 1
-            stream.tries += 1
-            await self._try(stream)
+            if self._any_alive:
+                stream.tries += 1
+                await self._try(stream)
             await anyio.sleep(self.rng.uniform(*_RETRY_PAUSE_S))
         self.result.joined += len(stream.origins) > 1
         self.result.continued += is_counted and stream.events > events_at_break
 
+    @property
+    def _any_alive(self) -> bool:
+        return any(instance.is_alive for instance in self.instances.values())
+
     def _can_go_on(self, stream: _Stream) -> bool:
         origin = next(iter(stream.origins))
         same = [
--- a/mothstand/testing/stream_callers.py
+++ b/mothstand/testing/stream_callers.py
@@ -92,6 +92,11 @@
         self._dead.add(instance.name)
         instance.kill()
 
+    def revive(self, instance: FleetProcess) -> None:
+        """Use an instance again, which has been started after a kill."""
+        self.instances[:] = [instance if i.name == instance.name else i for i in self.instances]
+        self._dead.discard(instance.name)
+
     @property
     def joined(self) -> list[CallerStream]:
         """Streams that hold events of several versions."""
@@ -127,6 +132,9 @@
         ends_s = time.monotonic() + self.max_stream_s
         while not stream.is_complete and time.monotonic() < ends_s:
             alive = [i for i in self.instances if i.name not in self._dead]
+            if not alive:
+                await anyio.sleep(_RETRY_AFTER_S)
+                continue
             instance = alive[(number + stream.tries) % len(alive)]
             stream.tries += 1
             events_before = len(stream.numbers)
--- a/mothstand/tests/test_joined_streams.py
+++ b/mothstand/tests/test_joined_streams.py
@@ -34,12 +34,18 @@
 class VersionedFleet:
     """Four instances, and upstreams of two software versions."""
 
-    def __init__(self, processes: GatewayFleet, *, split: tuple[str, ...] = ()) -> None:
+    def __init__(
+        self,
+        processes: GatewayFleet,
+        *,
+        split: tuple[str, ...] = (),
+        engines: tuple[int, int] = (3, 3),
+    ) -> None:
         self.processes = processes
         processes.publish(prepaid_tokens=100_000_000, split=split)
         services = split or (SERVICE, SERVICE)
-        for version, service in zip(("v1", "v2"), services, strict=True):
-            for number in range(3):
+        for version, service, count in zip(("v1", "v2"), services, engines, strict=True):
+            for number in range(count):
                 processes.start_engine(
                     f"{version}-{number}",
                     service=service,
@@ -68,6 +74,31 @@
 
         self.callers.run(_STREAMS, _INTERVAL_S, disturb)
 
+    def run_with_death_of_all(self, *, leaving: tuple[str, ...] = ()) -> None:
+        """Begin streams, kill all instances in the middle of them, and start these again.
+
+        Parameters
+        ----------
+        leaving
+            Upstreams that leave while all instances are dead.
+        """
+
+        async def disturb() -> None:
+            for name in _DATA_CENTRES:
+                self.callers.kill(self.processes.processes[name])
+            for name in leaving:
+                self.processes.delete("keyed.servers", name)
+                self.processes.processes[name].kill()
+            for name in _DATA_CENTRES:
+                self.callers.revive(self.processes.restart_instance(name))
+
+        self.callers.run(_STREAMS, _INTERVAL_S, disturb)
+
+    def continued_share(self, version: str) -> float:
+        """Return the share of the resumed streams of a version that went on."""
+        resumed = [s for s in self.callers.resumed if s.versions[0] == version]
+        return sum(stream.has_gone_on for stream in resumed) / len(resumed)
+
     def replace_unseen(self, name: str, *, version: str) -> None:
         """Restart an upstream under its id with other software, which the store does not show."""
         self.processes.set_store_unreachable(True)
@@ -148,3 +179,34 @@
             fleet.run(killed=("a1", "b1"))
         assert not fleet.callers.joined
         assert fleet.callers.continued_share >= _MIN_REQUIRED_SHARE
+
+
+class TestDeathOfAll:
+    def test_streams_are_not_continued_at_the_only_version_that_is_left(
+        self, tmp_path: Path
+    ) -> None:
+        # Guards against instances that take the versions at their start for all that there were.
+        with GatewayFleet(tmp_path) as processes:
+            fleet = VersionedFleet(processes)
+            fleet.run_with_death_of_all(leaving=("v1-0", "v1-1", "v1-2"))
+        assert not fleet.callers.joined
+        assert not fleet.continued_share("v1")
+        assert fleet.continued_share("v2") >= _MIN_REQUIRED_SHARE
+
+    def test_streams_of_both_versions_go_on_while_both_serve(self, tmp_path: Path) -> None:
+        # Guards against origins of streams that die with all instances.
+        with GatewayFleet(tmp_path) as processes:
+            fleet = VersionedFleet(processes, engines=(1, 3))
+            fleet.run_with_death_of_all()
+        assert not fleet.callers.joined
+        assert fleet.continued_share("v1") >= _MIN_REQUIRED_SHARE
+        assert fleet.continued_share("v2") >= _MIN_REQUIRED_SHARE
+
+    def test_streams_go_on_after_the_death_of_all_with_a_single_version(
+        self, tmp_path: Path
+    ) -> None:
+        # Guards against instances that refuse all resumptions for a while after their start.
+        with GatewayFleet(tmp_path) as processes:
+            fleet = VersionedFleet(processes, engines=(3, 0))
+            fleet.run_with_death_of_all()
+        assert fleet.continued_share("v1") >= _MIN_CONTINUED_SHARE
--- a/mothstand/tests/test_origin_histories.py
+++ b/mothstand/tests/test_origin_histories.py
@@ -25,6 +25,15 @@
     ),
 }
 
+_DEATHS_OF_ALL = {
+    "one version": OriginSettings(deaths_of_all=2, kills=1, releases=0),
+    "releases": OriginSettings(deaths_of_all=2, kills=1, releases=4),
+    "store outages": OriginSettings(deaths_of_all=2, kills=0, releases=3, store_outages=2),
+    "store cuts": OriginSettings(deaths_of_all=1, kills=1, releases=3, store_cuts=2),
+    "moved route": OriginSettings(services=2, moves=2, deaths_of_all=2, kills=0),
+    "history dropped": OriginSettings(deaths_of_all=2, kills=1, releases=3, compactions=4),
+}
+
 
 class TestOriginHistories:
     @pytest.mark.parametrize("name", _HISTORIES)
@@ -59,6 +68,20 @@
         assert result.joined == 0
         assert result.continued_share >= _MIN_CONTINUED_SHARE
 
+    @pytest.mark.parametrize("name", _DEATHS_OF_ALL)
+    @pytest.mark.parametrize("seed", range(int(os.environ.get("MOTHSTAND_ORIGIN_SEEDS", "4"))))
+    def test_streams_go_on_at_their_version_after_the_death_of_all(
+        self, name: str, seed: int
+    ) -> None:
+        # Guards against instances that take what they read at their start for all that has been.
+        result = OriginHistory(_DEATHS_OF_ALL[name], seed).run()
+        assert result.joined == 0
+        assert result.continued_share >= _MIN_REQUIRED_SHARE
+
+    def test_history_finds_that_a_started_instance_knows_no_earlier_versions(self) -> None:
+        settings = OriginSettings(fault=OriginFault.NO_HISTORY, deaths_of_all=3, releases=4)
+        assert sum(OriginHistory(settings, seed).run().joined for seed in range(4)) > 0
+
     def test_history_finds_streams_that_go_on_at_any_version(self) -> None:
         settings = OriginSettings(fault=OriginFault.ANY_VERSION, kills=6)
         assert sum(OriginHistory(settings, seed).run().joined for seed in range(4)) > 0
--- a/mothstand/tests/test_resumptions.py
+++ b/mothstand/tests/test_resumptions.py
@@ -21,10 +21,9 @@
 from ..gateway.metrics import GatewayMetrics
 from ..gateway.process_check import ProcessCheck, ProcessIdentity
 from ..gateway.resumptions import Resumptions
-from ..gateway.stream_origins import StreamOrigins
 from ..gateway.upstream_client import OutgoingRequest
 from ..peers.failures import PeerError
-from ..testing.eligibility import fleet_view
+from ..testing.eligibility import fleet_view, origins_of
 from ..testing.fakes import UnreachablePeers
 from ..testing.virtual_time import VirtualClock, run_in_virtual_time
 from ..types import DataCentre
@@ -69,7 +68,9 @@
         fleet = fleet_view("me")
         if has_peer:
             fleet.apply_announcement(Member(Peer("other", "1", "other:1"), _DATA_CENTRE), 0.0)
-        self.origins = StreamOrigins(fleet, self.directory, self.peers, clock, GatewayMetrics())
+        self.origins = origins_of(fleet, self.directory, self.peers, clock, GatewayMetrics())
+        self.origins.note_history_read()
+        self.directory.note_store_read(0.0)
         self.check = FakeCheck()
         self.resumptions = Resumptions(self.origins, self.check, self.directory, clock)
         for number, version in enumerate(versions):
@@ -206,15 +207,31 @@
         # Guards against joined streams at an instance that cannot read of a release.
         async def main() -> None:
             harness = Harness("v1", has_peer=True)
-            harness.directory.note_store_read(0.0)
             assert await harness.bind(_call()) == StreamOrigin("llm", "v1")
             await anyio.sleep(OUTAGE_AFTER_S + 0.1)
             assert await harness.bind(_call()) is ErrorKind.RESUMPTION_UNKNOWN
             harness.peers.found = FoundOrigin(None)
+            assert await harness.bind(_call()) is ErrorKind.RESUMPTION_UNKNOWN
+            harness.peers.found = FoundOrigin(None, knows_all_versions=True)
             assert await harness.bind(_call()) == StreamOrigin("llm", "v1")
 
         run_in_virtual_time(main)
 
+    def test_instance_without_the_history_does_not_assume_the_only_version(self) -> None:
+        # Guards against joined streams after the death of all instances and of a version.
+        async def main() -> None:
+            harness = Harness("v2")
+            harness.origins.versions.coverage.note_gap(0.0)
+            assert await harness.bind(_call()) is ErrorKind.RESUMPTION_UNKNOWN
+            await anyio.sleep(OriginPolicy().retention_s)
+            harness.directory.note_store_read(anyio.current_time())
+            harness.origins.observe()
+            assert await harness.bind(_call()) == StreamOrigin("llm", "v2")
+            harness.origins.routes.coverage.note_gap(anyio.current_time())
+            assert await harness.bind(_call()) is ErrorKind.RESUMPTION_UNKNOWN
+
+        run_in_virtual_time(main)
+
     def test_unknown_stream_of_a_split_route_is_refused(self) -> None:
         async def main() -> None:
             kind = await Harness("v1").bind(_call(services=("llm", "other")))
@@ -254,8 +271,8 @@
             upstream = replace(harness.directory.upstreams["u0"], born_ms=5)
             call = _call(last_event_id="3" if is_resumed else "")
             await harness.bind(call)
-            if is_current:
-                harness.directory.note_store_read(anyio.current_time())
+            if not is_current:
+                await anyio.sleep(OUTAGE_AFTER_S + 0.1)
             assert await harness.resumptions.may_send(call, upstream) is expected
             assert harness.check.checks == (is_resumed or not is_current)
 
--- a/mothstand/tests/test_stream_origins.py
+++ b/mothstand/tests/test_stream_origins.py
@@ -25,8 +25,7 @@
 )
 from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
 from ..gateway.metrics import GatewayMetrics
-from ..gateway.stream_origins import StreamOrigins
-from ..testing.eligibility import fleet_view
+from ..testing.eligibility import fleet_view, origins_of
 from ..testing.fakes import UnreachablePeers
 from ..testing.virtual_time import VirtualClock, run_in_virtual_time
 from ..types import DataCentre
@@ -195,7 +194,7 @@
     def test_peers_have_copies_before_a_second_version_is_known(self) -> None:
         # Guards against an instance that dies before it has read of a second version.
         fleet, peers = fleet_view("me", 1), RecordingPeers()
-        origins = StreamOrigins(fleet, UpstreamDirectory(), peers, VirtualClock(), GatewayMetrics())
+        origins = origins_of(fleet, UpstreamDirectory(), peers, VirtualClock(), GatewayMetrics())
 
         async def main() -> None:
             async with anyio.create_task_group() as tasks:
@@ -228,7 +227,7 @@
             False,
             True,
         )
-        origins = StreamOrigins(fleet, UpstreamDirectory(), peers, VirtualClock(), GatewayMetrics())
+        origins = origins_of(fleet, UpstreamDirectory(), peers, VirtualClock(), GatewayMetrics())
 
         async def main() -> None:
             async with anyio.create_task_group() as tasks:
