Random series of repeated answers against the client of upstreams

Eight seeds of 60 requests, a fifth of whose answers come behind an earlier one of any kind; each conclusion of the client is compared with what the server did.

--- a/mothstand/tests/test_upstream_client.py
+++ b/mothstand/tests/test_upstream_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -28,6 +29,10 @@
 
 pytestmark = pytest.mark.anyio
 
+#: Requests of a random series, and share of the answers that come after an earlier one.
+_SERIES = 60
+_REPEATED_SHARE = 0.2
+
 _FULL = "503 Service Unavailable"
 _MISDIRECTED = "421 Misdirected Request"
 
@@ -82,6 +87,42 @@
         writer.close()
 
 
+@dataclass(slots=True)
+class RepeatingUpstream(ScriptedUpstream):
+    """Upstream that runs or rejects at random, and sends earlier answers once more.
+
+    Parameters
+    ----------
+    statuses
+        Status of the answer to each request.
+    unknown
+        Requests of which the client could not tell whether they ran.
+    """
+
+    rng: random.Random = field(default_factory=random.Random)
+    statuses: dict[str, str] = field(default_factory=dict)
+    unknown: int = 0
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        earlier: list[bytes] = []
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                request_id = head.partition("X-Request-Id: ")[2].partition("\r\n")[0]
+                if earlier and self.rng.random() < _REPEATED_SHARE:
+                    writer.write(self.rng.choice(earlier))
+                status = self.rng.choice(["200 OK", "200 OK", _FULL, _MISDIRECTED])
+                self.statuses[request_id] = status
+                fields = [f"X-Request-Id: {request_id}"]
+                if status != "200 OK":
+                    fields.append("X-Not-Executed: 1")
+                earlier.append(_answer(status, *fields, body=request_id))
+                writer.write(earlier[-1])
+                await writer.drain()
+        except (asyncio.IncompleteReadError, OSError):
+            writer.close()
+
+
 def _request(request_id: str) -> OutgoingRequest:
     return OutgoingRequest("POST", "/", request_id, b"")
 
@@ -125,3 +166,27 @@
                 await client.read(registered, "/report")
             assert await client.read(registered, "/report") == b"{}"
         assert upstream.connections == 2
+
+    @pytest.mark.parametrize("seed", range(8))
+    async def test_each_outcome_is_that_of_the_request_itself(self, seed: int) -> None:
+        # Guards against conclusions from any answer that was sent for another request.
+        upstream = RepeatingUpstream([], rng=random.Random(f"repeated answers {seed}"))
+        async with upstream.client() as (client, registered):
+            for number in range(_SERIES):
+                request_id = f"r{number}"
+                try:
+                    answer = await client.send(
+                        registered, _request(request_id), (("X-Request-Id", request_id),)
+                    )
+                except RefusedByUpstreamError:
+                    assert upstream.statuses[request_id] == _FULL
+                except MisdirectedError:
+                    assert upstream.statuses[request_id] == _MISDIRECTED
+                except MayHaveRunError:
+                    upstream.unknown += 1
+                else:
+                    assert upstream.statuses[request_id] == "200 OK"
+                    assert await answer.read_piece() == request_id.encode()
+                    answer.close()
+        assert 0 < upstream.unknown < _SERIES / 2
+        assert {fields.request_id for fields in upstream.seen} <= set(upstream.statuses)
