Copies of origins leave at once, and the store is asked when all that knew a stream have died

Change: the first work after a pause is sent at once, and the interval is kept between batches, so that calls are as few as before. A resumption that neither this instance nor the holders know makes it read on in the store, once for all that wait and at most twice a second; the resumption waits up to 0.25 s for it.

A record that could not be written is tried again after a second, not four times a second.

--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -117,7 +117,7 @@
             self._evacuations,
             ConfigFreshness(settings.timing.configuration_ms / 1000),
             self._metrics,
-            lambda: self._note_config_gap(),
+            self._note_config_gap,
         )
         self._placement = Placement(settings.data_centre)
         self._link = GrpcPeerLink()
@@ -150,7 +150,7 @@
             settings.timing.registrations_s,
             PeerWitness(self._link, self._members),
             self._note_registration,
-            lambda: self._note_registrations_gap(),
+            self._note_registrations_gap,
         )
         self._stream_origins = StreamOrigins(
             self._members.fleet,
--- a/mothstand/gateway/origin_log.py
+++ b/mothstand/gateway/origin_log.py
@@ -29,9 +29,9 @@
 #: The fleet's own topic for origins; records have the name of their writer as key.
 ORIGINS_STREAM = Stream("mothstand-origins")
 
-#: Time in which origins accumulate before they are written, and the same for urgent ones.
-_BATCH_S = 1.0
-_URGENT_BATCH_S = 0.25
+#: Least time between two batches, and the same if there are urgent origins.
+_INTERVAL_S = 1.0
+_URGENT_INTERVAL_S = 0.25
 
 #: Maximum appends a second by the whole fleet, below what one partition can take.
 _MAX_APPENDS_PER_S = 200
@@ -42,7 +42,7 @@
 _BACKOFF_FIRST_S = 0.1
 _BACKOFF_MAX_S = 0.5
 
-#: Maximum reads of the stream at a start, of up to a megabyte each.
+#: Maximum reads of the stream at once, of up to a megabyte each.
 _MAX_PAGES = 16
 
 
@@ -58,6 +58,7 @@
         self._metrics = metrics
         self._waiting: dict[StreamKey, OriginRecord] = {}
         self._timer = BatchTimer(clock)
+        self._read_to = 0
 
     def hurry(self) -> None:
         """Write what waits as if it were urgent."""
@@ -75,12 +76,14 @@
         backoff = Backoff(_BACKOFF_FIRST_S, _BACKOFF_MAX_S)
         while True:
             least_s = self._fleet.size / _MAX_APPENDS_PER_S
-            await self._timer.wait(max(_BATCH_S, least_s), max(_URGENT_BATCH_S, least_s))
+            await self._timer.wait(max(_INTERVAL_S, least_s), max(_URGENT_INTERVAL_S, least_s))
             while self._waiting:
                 try:
                     await self._append()
                     backoff.reset()
                 except StoreError:
+                    # The feeds log that the store does not answer.
+                    self._metrics.counts["origin_appends_failed"] += 1
                     await self._clock.sleep(backoff.next_jittered_s())
 
     async def _append(self) -> None:
@@ -100,7 +103,7 @@
         emit(Event.ORIGINS_DROPPED, peer="store", records=len(keys), error=error)
 
     async def read(self) -> list[OriginRecord]:
-        """Return the origins that the store still has, the oldest first.
+        """Return the origins that the store still has and that were not read before, in order.
 
         Raises
         ------
@@ -108,19 +111,18 @@
             If the store could not be read.
         """
         records: list[OriginRecord] = []
-        offset = 0
         for _ in range(_MAX_PAGES):
             try:
-                page = await self._store.read(ORIGINS_STREAM, offset)
+                page = await self._store.read(ORIGINS_STREAM, self._read_to)
             except StoreTrimmedError as error:
-                if error.first_offset is None or error.first_offset <= offset:
+                if error.first_offset is None or error.first_offset <= self._read_to:
                     raise
-                offset = error.first_offset
+                self._read_to = error.first_offset
                 continue
             for stored in page.records:
                 records += _decode(stored)
-            offset = page.next_offset
-            if not page.records or offset >= page.end_offset:
+            self._read_to = page.next_offset
+            if not page.records or self._read_to >= page.end_offset:
                 break
         return records
 
--- a/mothstand/gateway/origin_outbox.py
+++ b/mothstand/gateway/origin_outbox.py
@@ -25,9 +25,9 @@
     from .lending import PeerLink
     from .metrics import GatewayMetrics
 
-#: Time in which records accumulate before they are sent, and the same for urgent ones.
-_BATCH_S = 0.2
-_URGENT_BATCH_S = 0.05
+#: Least time between two batches, and the same if there are urgent records.
+_INTERVAL_S = 0.2
+_URGENT_INTERVAL_S = 0.05
 
 #: Maximum records in a call, and maximum records that wait for one peer.
 _MAX_BATCH_RECORDS = 500
@@ -74,7 +74,7 @@
         """Send batches until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
-                await self._timer.wait(_BATCH_S, _URGENT_BATCH_S)
+                await self._timer.wait(_INTERVAL_S, _URGENT_INTERVAL_S)
                 self._start_sending(tasks)
 
     def _start_sending(self, tasks: TaskGroup) -> None:
--- a/mothstand/gateway/release_history.py
+++ b/mothstand/gateway/release_history.py
@@ -42,6 +42,9 @@
 _WRITE_INTERVAL_S = 2.0
 _LOOK_INTERVAL_S = 0.25
 
+#: Pause after a record that could not be written.
+_RETRY_INTERVAL_S = 1.0
+
 _BACKOFF_FIRST_S = 0.05
 _BACKOFF_MAX_S = 0.5
 
@@ -136,6 +139,7 @@
         self._has_gap.set()
         self._written = _NO_RECORD
         self._written_s = float("-inf")
+        self._retry_s = float("-inf")
 
     def note_gap(self) -> None:
         """Note that registrations or configurations may have been missed."""
@@ -176,7 +180,7 @@
             self._origins.routes.coverage.note_history_read()
         if not self._origins.versions.is_complete(self._clock.monotonic_s()):
             await self._read_versions(record.registrations_to)
-        await self._origins.read_stored()
+        await self._origins.read_history()
         now_s = self._clock.monotonic_s()
         versions = self._origins.versions
         emit(
@@ -233,10 +237,10 @@
     async def _write_if_due(self) -> None:
         if not self._fleet.is_designated("release history", _WRITERS):
             return
+        now_s = self._clock.monotonic_s()
         value = self._current_value()
-        if value is None:
+        if value is None or now_s < self._retry_s:
             return
-        now_s = self._clock.monotonic_s()
         is_changed = (
             value.model_copy(update={"registrations_to": self._written.registrations_to})
             != self._written
@@ -248,6 +252,7 @@
             await self._store.append(RELEASES_STREAM, (record,))
         except StoreError as error:
             emit(Event.HISTORY_UNWRITTEN, error=str(error))
+            self._retry_s = now_s + _RETRY_INTERVAL_S
             return
         self._written, self._written_s = value, now_s
 
--- a/mothstand/gateway/resumptions.py
+++ b/mothstand/gateway/resumptions.py
@@ -51,11 +51,10 @@
         if origin is None:
             origin, source = self._only_possible(call, lookup), OriginSource.ONLY_POSSIBLE
         if origin is None:
-            detail = f"{lookup.answered} of {lookup.asked} peers answered, " + (
-                "all versions are known"
-                if self._origins.knows_all_versions or lookup.has_complete_peer
-                else "versions may be unknown"
+            known = (
+                "all versions are known" if self._knows_all(lookup) else "versions may be unknown"
             )
+            detail = f"{lookup.answered} of {lookup.asked} peers answered, {known}"
             raise RefusedError(
                 Refusal(ErrorKind.RESUMPTION_UNKNOWN, detail, retry_after_s=random_retry_after_s())
             )
@@ -116,10 +115,14 @@
         key = stream_key(call.workspace, call.fields.resumes)
         return await self._origins.find(key, call.service.name)
 
+    def _knows_all(self, lookup: Lookup) -> bool:
+        """Return whether this instance, or a peer that it asked, knows all recent versions."""
+        return self._origins.knows_all_versions or lookup.has_complete_peer
+
     def _only_possible(self, call: Call, lookup: Lookup) -> StreamOrigin | None:
         """Return the origin of a stream of which no holder knows, if it can have no other."""
         now_s = self._clock.monotonic_s()
-        if not self._origins.knows_all_versions and not lookup.has_complete_peer:
+        if not self._knows_all(lookup):
             # There may be, or have been, versions that this instance has not read of.
             return None
         self._origins.observe()
--- a/mothstand/gateway/stream_origins.py
+++ b/mothstand/gateway/stream_origins.py
@@ -20,6 +20,7 @@
 from ..peers.failures import PeerError
 from .lending import FoundOrigin
 from .origin_outbox import OriginOutbox
+from .store import StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -40,6 +41,10 @@
 #: Time after the start for which resumptions wait until the history has been read.
 _MAX_READING_S = 1.0
 
+#: Time for which a resumption waits for origins from the store, and pause between two reads.
+_STORED_TIMEOUT_S = 0.25
+_STORED_INTERVAL_S = 0.5
+
 
 class OriginSource(Enum):
     """How the origin of a stream is known."""
@@ -91,6 +96,9 @@
         self._log = log
         self._stored = OriginTable()
         self._history_read = anyio.Event()
+        self._is_stored_wanted = anyio.Event()
+        self._stored_read = anyio.Event()
+        self._is_running = False
         self._wait_until_s = float("-inf")
         self.versions = RecentVersions()
         self.routes = RouteChanges()
@@ -108,9 +116,11 @@
     async def run(self) -> None:
         """Send records to peers, and follow the registered versions, until cancelled."""
         async with anyio.create_task_group() as tasks:
+            self._is_running = True
             self._wait_until_s = self._clock.monotonic_s() + _MAX_READING_S
             tasks.start_soon(self._outbox.run)
             tasks.start_soon(self._log.run)
+            tasks.start_soon(self._read_stored_if_wanted)
             while True:
                 self.note_fleet()
                 self.observe()
@@ -166,7 +176,7 @@
         self._outbox.hurry()
         self._log.hurry()
 
-    async def read_stored(self) -> None:
+    async def read_history(self) -> None:
         """Read the origins that the store has, at the start.
 
         Raises
@@ -174,13 +184,42 @@
         StoreError
             If the store could not be read.
         """
-        if self._history_read.is_set():
-            return
+        if not self._history_read.is_set():
+            await self._read_stored()
+            self._history_read.set()
+
+    async def _read_stored(self) -> None:
         records = await self._log.read()
         now_s = self._clock.monotonic_s()
         for record in records:
             self._stored.add(record, now_s)
-        self._history_read.set()
+
+    async def _read_stored_if_wanted(self) -> None:
+        """Read for all resumptions that wait at once, since callers may send any number of them."""
+        while True:
+            await self._is_stored_wanted.wait()
+            self._is_stored_wanted = anyio.Event()
+            try:
+                await self._read_stored()
+            except StoreError as error:
+                emit(Event.HISTORY_UNKNOWN, error=str(error))
+            is_read, self._stored_read = self._stored_read, anyio.Event()
+            is_read.set()
+            await self._clock.sleep(_STORED_INTERVAL_S)
+
+    async def _find_stored(self, key: StreamKey) -> StreamOrigin | None:
+        """Look for an origin in the store, as the instances that knew it may have died."""
+        if not self._is_running:
+            return None
+        now_s = self._clock.monotonic_s()
+        if self._history_read.is_set():
+            waited_for, until_s = self._stored_read, now_s + _STORED_TIMEOUT_S
+            self._is_stored_wanted.set()
+        else:
+            waited_for, until_s = self._history_read, self._wait_until_s
+        with anyio.move_on_after(until_s - now_s):
+            await waited_for.wait()
+        return self._stored.find(key, self._clock.monotonic_s())
 
     def note_history_read(self) -> None:
         """Record that nothing is unknown of the time before the start."""
@@ -211,12 +250,15 @@
 
     def known(self, key: StreamKey) -> StreamOrigin | None:
         """Return the origin of a stream if this instance knows it."""
+        return self._find_here(key).origin
+
+    def _find_here(self, key: StreamKey) -> Lookup:
         now_s = self._clock.monotonic_s()
-        return (
-            self._own.find(key, now_s)
-            or self._of_peers.find(key, now_s)
-            or self._stored.find(key, now_s)
-        )
+        origin = self._own.find(key, now_s) or self._of_peers.find(key, now_s)
+        if origin is not None:
+            return Lookup(origin, OriginSource.OWN)
+        stored = self._stored.find(key, now_s)
+        return Lookup(stored, OriginSource.UNKNOWN if stored is None else OriginSource.STORE)
 
     def found_here(self, key: StreamKey, service: str) -> FoundOrigin:
         """Return what this instance knows, for a peer that looks for an origin."""
@@ -230,24 +272,21 @@
         return self._directory.is_current(now_s) and self.versions.is_complete(now_s)
 
     async def find(self, key: StreamKey, service: str) -> Lookup:
-        """Look for the origin of a stream here and at its holders.
+        """Look for the origin of a stream here, at its holders, and in the store.
 
         The versions of `service` that the holders have seen are recorded.
         """
-        origin = self.known(key)
-        if origin is not None:
-            return Lookup(origin, OriginSource.OWN)
+        lookup = self._find_here(key)
+        if lookup.origin is not None:
+            return lookup
         holders = self._holders.of(key).to_ask
         if not self._limit.try_use(self._clock.monotonic_s()):
             self._metrics.counts["origin_lookups_omitted"] += 1
             return Lookup(None, OriginSource.UNKNOWN, asked=len(holders))
         self._metrics.counts["origin_lookups"] += 1
         lookup = await self._ask(holders, key, service)
-        if lookup.origin is None and not self._history_read.is_set():
-            with anyio.move_on_after(self._wait_until_s - self._clock.monotonic_s()):
-                await self._history_read.wait()
-            if (origin := self.known(key)) is not None:
-                return Lookup(origin, OriginSource.STORE, lookup.asked, lookup.answered)
+        if lookup.origin is None and (origin := await self._find_stored(key)) is not None:
+            return Lookup(origin, OriginSource.STORE, lookup.asked, lookup.answered)
         return lookup
 
     async def _ask(self, holders: Sequence[Member], key: StreamKey, service: str) -> Lookup:
--- a/mothstand/testing/origin_histories.py
+++ b/mothstand/testing/origin_histories.py
@@ -65,7 +65,7 @@
     """Fault that is planted in the instances, to show that the checks find it."""
 
     NONE = "none"
-    ANY_VERSION = "a stream of unknown origin goes on at any version"
+    ANY_VERSION = "copies are not kept, and a stream of unknown origin goes on at any version"
     NO_COPIES = "origins are known only where streams began"
     NO_HISTORY = "what was not read since the start is taken for what has not been"
 
@@ -140,8 +140,15 @@
     is_alive: bool = True
 
 
-class _AnyVersion(StreamOrigins):
-    """Assumes that a stream of unknown origin began at some registered version."""
+class _NoCopies(StreamOrigins):
+    """Keeps no copies for peers."""
+
+    def keep(self, records: object) -> None:
+        pass
+
+
+class _AnyVersion(_NoCopies):
+    """Assumes that a stream of unknown origin began at some registered version; keeps no copies."""
 
     async def find(self, key: StreamKey, service: str) -> Lookup:
         lookup = await super().find(key, service)
@@ -151,13 +158,6 @@
         return lookup
 
 
-class _NoCopies(StreamOrigins):
-    """Keeps no copies for peers."""
-
-    def keep(self, records: object) -> None:
-        pass
-
-
 class _NoLog(OriginLog):
     """Finds no origins in the store."""
 
@@ -167,7 +167,7 @@
 
 _LOGS = {
     OriginFault.NONE: OriginLog,
-    OriginFault.ANY_VERSION: OriginLog,
+    OriginFault.ANY_VERSION: _NoLog,
     OriginFault.NO_COPIES: _NoLog,
     OriginFault.NO_HISTORY: _NoLog,
 }
--- a/mothstand/tests/test_stream_origins.py
+++ b/mothstand/tests/test_stream_origins.py
@@ -27,6 +27,7 @@
 from ..gateway.metrics import GatewayMetrics
 from ..testing.eligibility import fleet_view, origins_of
 from ..testing.fakes import UnreachablePeers
+from ..testing.memory_store import MemoryStore, StoreLink
 from ..testing.virtual_time import VirtualClock, run_in_virtual_time
 from ..types import DataCentre
 
@@ -211,6 +212,39 @@
 
         run_in_virtual_time(main)
 
+    def test_stream_is_found_in_the_store_when_all_that_knew_it_have_died(self) -> None:
+        # Guards against copies that are lost with their holders.
+        store, clock = MemoryStore(), VirtualClock()
+        origins = [
+            origins_of(
+                fleet_view(name),
+                UpstreamDirectory(),
+                UnreachablePeers(),
+                clock,
+                GatewayMetrics(),
+                StoreLink(store),
+            )
+            for name in ("dead", "me")
+        ]
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                for each in origins:
+                    each.note_history_read()
+                    tasks.start_soon(each.run)
+                await anyio.sleep(0.1)
+                origins[0].note_began(_key("r"), _V1, _route("/", "llm"))
+                await anyio.sleep(1.1)
+                assert (await origins[1].find(_key("r"), "llm")).origin == _V1
+                origins[0].note_upstream(_upstream("v2"))
+                origins[0].note_began(_key("s"), _V2, _route("/", "llm"))
+                await anyio.sleep(0.6)
+                assert (await origins[1].find(_key("s"), "llm")).origin == _V2
+                assert (await origins[1].find(_key("t"), "llm")).origin is None
+                tasks.cancel_scope.cancel()
+
+        run_in_virtual_time(main)
+
     def test_peer_that_becomes_known_later_gets_copies_of_streams_that_run(self) -> None:
         # Guards against streams that only those peers know which an instance knew when they began.
         fleet, peers = fleet_view("me", 1), RecordingPeers()
