Test: no joined streams when the store comes back after the death of all

Real processes: the store does not answer for 2.5 s from the death on, and the old version leaves meanwhile. On streams are joined once the store is back; now none.

--- a/mothstand/tests/test_joined_streams.py
+++ b/mothstand/tests/test_joined_streams.py
@@ -74,13 +74,17 @@
 
         self.callers.run(_STREAMS, _INTERVAL_S, disturb)
 
-    def run_with_death_of_all(self, *, leaving: tuple[str, ...] = ()) -> None:
+    def run_with_death_of_all(
+        self, *, leaving: tuple[str, ...] = (), store_away_s: float = 0.0
+    ) -> None:
         """Begin streams, kill all instances in the middle of them, and start these again.
 
         Parameters
         ----------
         leaving
             Upstreams that leave while all instances are dead.
+        store_away_s
+            Time from the death on for which the store does not answer.
         """
 
         async def disturb() -> None:
@@ -89,8 +93,11 @@
             for name in leaving:
                 self.processes.delete("keyed.servers", name)
                 self.processes.processes[name].kill()
+            self.processes.set_store_unreachable(store_away_s > 0)
             for name in _DATA_CENTRES:
                 self.callers.revive(self.processes.restart_instance(name))
+            await anyio.sleep(store_away_s)
+            self.processes.set_store_unreachable(False)
 
         self.callers.run(_STREAMS, _INTERVAL_S, disturb)
 
@@ -193,6 +200,17 @@
         assert not fleet.continued_share("v1")
         assert fleet.continued_share("v2") >= _MIN_REQUIRED_SHARE
 
+    def test_no_stream_is_joined_when_the_store_comes_back_after_the_start(
+        self, tmp_path: Path
+    ) -> None:
+        # Guards against conclusions before the history of the time before the start is read.
+        with GatewayFleet(tmp_path) as processes:
+            fleet = VersionedFleet(processes)
+            fleet.run_with_death_of_all(leaving=("v1-0", "v1-1", "v1-2"), store_away_s=2.5)
+        assert fleet.callers.resumed
+        assert not fleet.callers.joined
+        assert not fleet.continued_share("v1")
+
     def test_streams_of_both_versions_go_on_while_both_serve(self, tmp_path: Path) -> None:
         # Guards against origins of streams that die with all instances.
         with GatewayFleet(tmp_path) as processes:
