A signal after the event loop's end is not passed to the closed loop

Cause: the task that logs signals in a stop is cancelled while it waits, and left the wake-up call of its loop in place. A signal between the loop's end and the moment at which the process ignores signals called the closed loop, which raised RuntimeError wherever the program was: a planned stop ended with a traceback and exit code 1.

Change: the wake-up call is removed whenever the wait ends. The test's process now cancels such a wait in its stop; it fails with RuntimeError and exit code 1 without the change under both loops, and passes with it.

--- a/mothstand/process_signals.py
+++ b/mothstand/process_signals.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import signal
+from functools import partial
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -47,11 +48,14 @@
         loop = asyncio.get_running_loop()
         while not self._pending:
             received = asyncio.Event()
-            self._wake = lambda event=received: loop.call_soon_threadsafe(event.set)  # type: ignore[misc]
-            # A signal may have arrived before the wake-up call was in place.
-            if not self._pending:
-                await received.wait()
-            self._wake = lambda: None
+            self._wake = partial(loop.call_soon_threadsafe, received.set)
+            try:
+                # A signal may have arrived before the wake-up call was in place.
+                if not self._pending:
+                    await received.wait()
+            finally:
+                # The loop may be closed when the next signal arrives.
+                self._wake = lambda: None
         number = next(iter(self._pending))
         del self._pending[number]
         return number
--- a/mothstand/tests/test_process_signals.py
+++ b/mothstand/tests/test_process_signals.py
@@ -38,7 +38,9 @@
     say("waiting")
     await signals.stop_requested()
     say("stopping")
-    await anyio.sleep(0.3)
+    with anyio.move_on_after(0.5):
+        while True:
+            await signals.next()
 
 signals = ProcessSignals.receive()
 say("starting")
