History is read again after its task has failed

A failure that is not the store's restarts the task that reads the history. The note of the gap was taken by then, so that the instance would not have read it again, and would have refused unknown resumptions for the retention time. Found by reading; the reading of a restarted task now always begins anew. No test of its own: no such failure is known.

--- a/mothstand/gateway/release_history.py
+++ b/mothstand/gateway/release_history.py
@@ -136,7 +136,6 @@
         self._fleet = fleet
         self._clock = clock
         self._has_gap = anyio.Event()
-        self._has_gap.set()
         self._written = _NO_RECORD
         self._written_s = float("-inf")
         self._retry_s = float("-inf")
@@ -147,6 +146,8 @@
 
     async def run(self) -> None:
         """Read after gaps and write records, until cancelled."""
+        # After a failure of an earlier run its reading may be incomplete.
+        self._has_gap.set()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._read_after_gaps)
             while True:
