Logs tell what a conclusion about an attempt rests on

Logs could not tell the hypotheses of requests that ran and were refused apart: a refusal by an upstream was one number, a foreign answer one id, and nothing told whether the connection had been used before or what came behind an answer.

No decision changes.

--- a/mothstand/core/event_stream.py
+++ b/mothstand/core/event_stream.py
@@ -82,12 +82,13 @@
     ----------
     last_event_id
         Id of the last event that was sent; a resumed stream continues after it.
-    sent_events
-        Number of events sent so far.
+    sent_events, skipped_events
+        Numbers of events sent so far, and of those that the caller already had.
     """
 
     last_event_id: str = ""
     sent_events: int = 0
+    skipped_events: int = 0
     splitter: EventSplitter = field(default_factory=EventSplitter)
 
     def restart(self) -> None:
@@ -99,6 +100,7 @@
         new_events = []
         for event in self.splitter.feed(data):
             if self._was_sent(event):
+                self.skipped_events += 1
                 continue
             new_events.append(event.raw)
             self.sent_events += 1
--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -219,6 +219,11 @@
         logging.WARNING,
         "The software versions and routes could not be written for instances that start.",
     )
+    UNSOLICITED_BYTES = (
+        6044,
+        logging.WARNING,
+        "Bytes came on a connection that waits for no answer.",
+    )
     END_DROPPED = (6021, logging.ERROR, "A crash record was dropped: too many wait for the store.")
     REQUEST_REFUSED = (7001, logging.INFO, "A request was refused.")
     HEAD_TOO_SLOW = (7005, logging.INFO, "A connection was closed before its head was complete.")
--- a/mothstand/gateway/sockets.py
+++ b/mothstand/gateway/sockets.py
@@ -5,12 +5,14 @@
 import asyncio
 import functools
 import socket
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
 from ..core.answer_limits import MAX_UNREAD_ANSWERS
+from ..events import Event, emit
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,6 +26,9 @@
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
 
+#: Maximum bytes of what was not asked for in a log line.
+_MAX_LOGGED_BYTES = 80
+
 
 def set_timeouts(sock: socket.socket, user_timeout_s: float) -> None:
     """Configure the kernel to end a connection whose remote end stops acknowledging.
@@ -40,6 +45,26 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
 
 
+@dataclass(frozen=True, slots=True)
+class ConnectionUse:
+    """Which connection an answer came on, for log lines.
+
+    Parameters
+    ----------
+    local_port
+        Port of this end; 0 if the connection has ended.
+    requests
+        Requests sent on it, the latest included.
+    """
+
+    local_port: int = 0
+    requests: int = 0
+
+    def __str__(self) -> str:
+        """Return the text for a log line."""
+        return f"request {self.requests} on port {self.local_port}"
+
+
 class StrictResponseHandler(ResponseHandler):
     """Client connection that reports a truncated body as an error.
 
@@ -51,8 +76,39 @@
     and keeps all answers that arrive, also interim ones and those that nobody asked for.
     """
 
+    _requests = 0
+    _is_idle = False
+
+    @property
+    def use(self) -> ConnectionUse:
+        """Which connection this is, and how often it was used."""
+        name = None if self.transport is None else self.transport.get_extra_info("sockname")
+        return ConnectionUse(name[1] if name else 0, self._requests)
+
+    def note_idle(self) -> None:
+        """Note that the connection goes to the pool."""
+        self._is_idle = True
+
+    def set_response_params(self, **options: Any) -> None:
+        """Prepare for the answer to a request."""
+        self._is_idle = False
+        self._requests += 1
+        super().set_response_params(**options)
+
+    def _log_unsolicited(self, data: bytes) -> None:
+        peer = None if self.transport is None else self.transport.get_extra_info("peername")
+        emit(
+            Event.UNSOLICITED_BYTES,
+            address=f"{peer[0]}:{peer[1]}" if peer else "",
+            connection=str(self.use),
+            bytes=len(data),
+            start=data[:_MAX_LOGGED_BYTES].decode("latin-1"),
+        )
+
     def data_received(self, data: bytes) -> None:
         """Handle received bytes; close a connection on which too many answers wait."""
+        if self._is_idle:
+            self._log_unsolicited(data)
         super().data_received(data)
         if len(self._buffer) > MAX_UNREAD_ANSWERS and self.transport is not None:
             self.transport.abort()
@@ -70,6 +126,13 @@
         return super().is_connected() and not self._buffer and not self._tail
 
 
+def connection_use(response: aiohttp.ClientResponse) -> ConnectionUse:
+    """Return which connection an answer came on; it may have ended since."""
+    # The library keeps the connection of an answer, but has no public name for it after its end.
+    protocol = response._protocol
+    return protocol.use if isinstance(protocol, StrictResponseHandler) else ConnectionUse()
+
+
 class BackgroundConnector(aiohttp.TCPConnector):
     """Connection pool that continues to connect after the request has timed out.
 
@@ -118,6 +181,13 @@
             connecting.add_done_callback(functools.partial(self._add_to_pool, req.connection_key))
             raise
 
+    def _release(
+        self, key: ConnectionKey, protocol: ResponseHandler, *, should_close: bool = False
+    ) -> None:
+        if isinstance(protocol, StrictResponseHandler):
+            protocol.note_idle()
+        super()._release(key, protocol, should_close=should_close)
+
     def _add_to_pool(self, key: ConnectionKey, connecting: asyncio.Task[ResponseHandler]) -> None:
         """Put a connection that was established late into the pool."""
         self._background_connects.discard(connecting)
--- a/mothstand/gateway/upstream_client.py
+++ b/mothstand/gateway/upstream_client.py
@@ -12,7 +12,7 @@
 from yarl import URL
 
 from ..core.answer_limits import MAX_REFUSAL_BYTES, MAX_REPORT_BYTES
-from .sockets import close_idle, connector
+from .sockets import close_idle, connection_use, connector
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -178,15 +178,18 @@
         if not fields.answers(request.request_id):
             # Where the next answer is expected, an upstream may send one of an earlier request
             # again. It says nothing of this request, whatever its status.
+            described = describe_answer(response, fields)
             response.close()
-            raise MayHaveRunError(f"answer of another request, {fields.request_id!r}")
+            raise MayHaveRunError(f"answer of another request, {fields.request_id!r}{described}")
         if fields.is_misdirected:
+            described = describe_answer(response, fields)
             await close_refused(response)
-            raise MisdirectedError(f"another process is at {upstream.address}")
+            raise MisdirectedError(f"another process is at {upstream.address}{described}")
         self._on_answer(upstream, fields)
         if fields.has_not_run:
+            described = describe_answer(response, fields)
             await close_refused(response)
-            raise RefusedByUpstreamError(f"refused with {response.status}")
+            raise RefusedByUpstreamError(f"refused with {response.status}{described}")
         return UpstreamAnswer(response, raw, fields)
 
     async def read(self, upstream: RegisteredUpstream, path: str) -> bytes:
@@ -262,6 +265,12 @@
     return tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in response.raw_headers)
 
 
+def describe_answer(response: aiohttp.ClientResponse, fields: UpstreamFields) -> str:
+    """Return what was concluded from a head and the connection that it came on, for the log."""
+    says = " that says not run" if fields.has_not_run else ""
+    return f"; status {response.status}{says}, {connection_use(response)}"
+
+
 async def close_refused(response: aiohttp.ClientResponse) -> None:
     """Read a refusal to its end, so that its connection can be used again.
 
