A head is one answer's only, and a connection with bytes behind an answer is closed

Cause: an upstream that sends a part of an earlier answer where the next one is expected leaves the parser inside a line, and the own answer's status line becomes the rest of that line. The head that results has the status and headers of the earlier answer and the id, signature and framing of the own one, so that the id comparison passes. 'HTTP/1.1 421 ' before the own answer is enough: the request counts as misdirected, not run, and goes to another upstream. Further, bytes that followed an answer were dropped with the parser if they were no whole head, and their connection was used again.

Change: a head whose reason or header values hold a second status line proves nothing, like that of another request; several ids in one head are no id. Bytes on a connection that waits for no answer close it when they come, also those of an unfinished head that came in one packet with an answer.

Ruled out: a part that ends in a header's name or in the status digits is refused by the parser already; interim answers are skipped by the library, and a part of one is a part like any other.

--- a/mothstand/gateway/headers.py
+++ b/mothstand/gateway/headers.py
@@ -65,7 +65,8 @@
     Parameters
     ----------
     request_id
-        Id of the request that the answer belongs to; empty if it has none.
+        Id of the request that the answer belongs to; empty if it has none, all of them if it names
+        several.
     has_not_run
         Whether the upstream reports that it did not run the request.
     is_misdirected
--- a/mothstand/gateway/sockets.py
+++ b/mothstand/gateway/sockets.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
 
 from ..core.answer_limits import MAX_UNREAD_ANSWERS
 from ..events import Event, emit
@@ -72,12 +73,14 @@
     -----
     The library treats any end of the connection, even a reset, as the end of a body without a
     length: an answer truncated by a crash would reach its caller as complete. It also reuses an
-    idle connection that has received bytes, which would be read as the answer to the next request,
-    and keeps all answers that arrive, also interim ones and those that nobody asked for.
+    idle connection that has received bytes, which would be read as the answer to the next request
+    or as the beginning of its head, and keeps all answers that arrive, also interim ones and those
+    that nobody asked for.
     """
 
     _requests = 0
     _is_idle = False
+    _is_receiving = False
 
     @property
     def use(self) -> ConnectionUse:
@@ -86,8 +89,11 @@
         return ConnectionUse(name[1] if name else 0, self._requests)
 
     def note_idle(self) -> None:
-        """Note that the connection goes to the pool."""
+        """Note that its answer has been read; close it if any bytes stand behind that."""
         self._is_idle = True
+        # While bytes are being received, the parser cannot be asked yet.
+        if not self._is_receiving and self._has_unread_bytes():
+            self._close_unsolicited()
 
     def set_response_params(self, **options: Any) -> None:
         """Prepare for the answer to a request."""
@@ -95,8 +101,11 @@
         self._requests += 1
         super().set_response_params(**options)
 
-    def _log_unsolicited(self, data: bytes) -> None:
-        peer = None if self.transport is None else self.transport.get_extra_info("peername")
+    def _close_unsolicited(self, data: bytes = b"") -> None:
+        """Close the connection: it cannot be told where the next answer on it begins."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        peer = self.transport.get_extra_info("peername")
         emit(
             Event.UNSOLICITED_BYTES,
             address=f"{peer[0]}:{peer[1]}" if peer else "",
@@ -104,12 +113,39 @@
             bytes=len(data),
             start=data[:_MAX_LOGGED_BYTES].decode("latin-1"),
         )
+        self.transport.abort()
+
+    def _has_unread_bytes(self) -> bool:
+        """Return whether bytes stand behind the last answer; only called on an idle connection."""
+        if self._buffer or self._tail:
+            return True
+        # Only the parser knows of the beginning of a head, and reports it at an end alone. The next
+        # request gets a new parser.
+        parser, self._parser = self._parser, None
+        try:
+            return parser is not None and parser.feed_eof() is not None
+        except (HttpProcessingError, ValueError):
+            return True
 
     def data_received(self, data: bytes) -> None:
-        """Handle received bytes; close a connection on which too many answers wait."""
+        """Handle received bytes; close a connection with any that belong to no answer.
+
+        These are bytes behind an answer, and more answers than may wait to be read.
+        """
+        if not data:
+            # The library calls this when its reader takes more, also after the end of an answer.
+            super().data_received(data)
+            return
         if self._is_idle:
-            self._log_unsolicited(data)
-        super().data_received(data)
+            self._close_unsolicited(data)
+            return
+        self._is_receiving = True
+        try:
+            super().data_received(data)
+        finally:
+            self._is_receiving = False
+        if self._is_idle and self._has_unread_bytes():
+            self._close_unsolicited(data)
         if len(self._buffer) > MAX_UNREAD_ANSWERS and self.transport is not None:
             self.transport.abort()
 
@@ -121,10 +157,6 @@
             self._parser = None
         super().connection_lost(exc)
 
-    def is_connected(self) -> bool:
-        """Return whether the connection is open and has no unread bytes."""
-        return super().is_connected() and not self._buffer and not self._tail
-
 
 def connection_use(response: aiohttp.ClientResponse) -> ConnectionUse:
     """Return which connection an answer came on; it may have ended since."""
@@ -184,7 +216,8 @@
     def _release(
         self, key: ConnectionKey, protocol: ResponseHandler, *, should_close: bool = False
     ) -> None:
-        if isinstance(protocol, StrictResponseHandler):
+        is_kept = not should_close and not protocol.should_close
+        if is_kept and isinstance(protocol, StrictResponseHandler):
             protocol.note_idle()
         super()._release(key, protocol, should_close=should_close)
 
--- a/mothstand/gateway/upstream_client.py
+++ b/mothstand/gateway/upstream_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -35,6 +36,8 @@
 
 _OK = 200
 
+_STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
+
 
 class NotRunError(Exception):
     """No byte of the request was sent, or the upstream reports that it did not run it."""
@@ -175,6 +178,9 @@
             raise ConnectionBrokenError(f"no answer: {error!r}") from error
         raw = _raw_headers(response)
         fields = self._translator.read_upstream(response.status, raw)
+        if _is_joined(response, raw):
+            response.close()
+            raise MayHaveRunError(f"a head joined from two; status {response.status}")
         if not fields.answers(request.request_id):
             # Where the next answer is expected, an upstream may send one of an earlier request
             # again. It says nothing of this request, whatever its status.
@@ -206,8 +212,9 @@
         try:
             url = URL(f"http://{upstream.address}{path}", encoded=True)
             async with self._http.get(url, timeout=timeout) as response:
-                fields = self._translator.read_upstream(response.status, _raw_headers(response))
-                if response.status != _OK or fields.request_id:
+                raw = _raw_headers(response)
+                fields = self._translator.read_upstream(response.status, raw)
+                if response.status != _OK or fields.request_id or _is_joined(response, raw):
                     # A report has no request id, so this may be an answer of another request.
                     response.close()
                     raise MayHaveRunError(f"no report: {response.status}, {fields.request_id!r}")
@@ -265,6 +272,16 @@
     return tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in response.raw_headers)
 
 
+def _is_joined(response: aiohttp.ClientResponse, headers: RawHeaders) -> bool:
+    """Return whether a head holds a second status line, in its reason or in a header.
+
+    Where an upstream has sent a part of another answer, the own one follows in the same line, and
+    its id and framing would count for a status and headers that are not its own.
+    """
+    texts = (response.reason or "", *(value for _, value in headers))
+    return any(_STATUS_LINE.search(text) for text in texts)
+
+
 def describe_answer(response: aiohttp.ClientResponse, fields: UpstreamFields) -> str:
     """Return what was concluded from a head and the connection that it came on, for the log."""
     says = " that says not run" if fields.has_not_run else ""
--- a/mothstand/platform/headers.py
+++ b/mothstand/platform/headers.py
@@ -75,9 +75,13 @@
 )
 
 
-def _header_value(headers: RawHeaders, name: str) -> str:
+def _header_values(headers: RawHeaders, name: str) -> list[str]:
     wanted = name.lower()
-    return next((value.strip() for key, value in headers if key.lower() == wanted), "")
+    return [value.strip() for key, value in headers if key.lower() == wanted]
+
+
+def _header_value(headers: RawHeaders, name: str) -> str:
+    return next(iter(_header_values(headers, name)), "")
 
 
 class PlatformHeaders(HeaderTranslator):
@@ -131,7 +135,7 @@
         """Return the fields of an upstream's response headers."""
         rate_limit_per_s, invalid_rate_limit = _read_rate_limit(headers)
         return UpstreamFields(
-            request_id=_header_value(headers, _REQUEST_ID),
+            request_id=", ".join(dict.fromkeys(_header_values(headers, _REQUEST_ID))),
             has_not_run=bool(_header_value(headers, _NOT_EXECUTED)),
             is_misdirected=status == _MISDIRECTED,
             closes_connection=_header_value(headers, "Connection").lower() == "close",
@@ -157,7 +161,7 @@
 
 def _read_rate_limit(headers: RawHeaders) -> tuple[float | None, str]:
     """Return the lowest limit that an answer names, and the first value that is none."""
-    values = [value.strip() for name, value in headers if name.lower() == _RATE_LIMIT.lower()]
+    values = _header_values(headers, _RATE_LIMIT)
     limits_per_s = []
     invalid = ""
     for value in filter(None, values):
--- a/mothstand/tests/test_upstream_client.py
+++ b/mothstand/tests/test_upstream_client.py
@@ -190,3 +190,77 @@
                     answer.close()
         assert 0 < upstream.unknown < _SERIES / 2
         assert {fields.request_id for fields in upstream.seen} <= set(upstream.statuses)
+
+
+#: An answer of another request as it may be sent once more, in part: its id stands last.
+_OTHER_FIELDS = (
+    "X-Not-Executed: 1",
+    "Server-Limit: 1",
+    "X-Server-Signature: s",
+    "X-Request-Id: r0",
+)
+
+
+class TestPartsOfOtherAnswers:
+    @pytest.mark.parametrize("status", [_FULL, _MISDIRECTED, "200 OK", "500 Failed"])
+    async def test_part_of_an_answer_before_the_own_one_proves_nothing(self, status: str) -> None:
+        # Guards against one head read from the parts of two, which names this request's id.
+        other = _answer(status, *_OTHER_FIELDS)
+        own = _answer("200 OK", "X-Request-Id: r", "X-Server-Signature: own", body="whole")
+        for length in range(1, len(other) + 1):
+            upstream = ScriptedUpstream([other[:length] + own])
+            async with upstream.client() as (client, registered):
+                try:
+                    answer = await client.send(registered, _request("r"), ())
+                except MayHaveRunError:
+                    continue
+                finally:
+                    assert all(fields.rate_limit_per_s is None for fields in upstream.seen)
+                pytest.fail(f"{other[:length]!r}, then the answer: read as {answer.status}")
+
+    @pytest.mark.parametrize("pause_s", [0.0, 0.02], ids=["glued", "later"])
+    async def test_connection_with_bytes_behind_an_answer_is_not_used_again(
+        self, pause_s: float
+    ) -> None:
+        # Guards against a request that is sent where earlier bytes stand before its answer.
+        other = _answer(_FULL, *_OTHER_FIELDS)
+        for length in range(1, len(other) + 1):
+            upstream = FollowedUpstream([], behind=other[:length], pause_s=pause_s)
+            async with upstream.client() as (client, registered):
+                for request_id in ("r1", "r2"):
+                    answer = await client.send(
+                        registered, _request(request_id), (("X-Request-Id", request_id),)
+                    )
+                    assert await answer.read_piece() == b"whole"
+                    answer.close()
+                    await asyncio.sleep(2 * pause_s)
+            assert upstream.connections == 2, other[:length]
+
+
+@dataclass(slots=True)
+class FollowedUpstream(ScriptedUpstream):
+    """Upstream that sends further bytes behind each answer.
+
+    Parameters
+    ----------
+    pause_s
+        Time between an answer and these bytes; 0 for one packet.
+    """
+
+    behind: bytes = b""
+    pause_s: float = 0.0
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                request_id = head.partition("X-Request-Id: ")[2].partition("\r\n")[0]
+                answer = _answer("200 OK", f"X-Request-Id: {request_id}", body="whole")
+                if self.pause_s:
+                    writer.write(answer)
+                    await asyncio.sleep(self.pause_s)
+                writer.write(self.behind if self.pause_s else answer + self.behind)
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        writer.close()
