--- a/mothstand/testing/gateway_fleet.py
+++ b/mothstand/testing/gateway_fleet.py
@@ -44,6 +44,7 @@
     _version: int = 0
     _metrics_addresses: dict[str, str] = field(default_factory=dict)
     _ready_urls: dict[str, str] = field(default_factory=dict)
+    _commands: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
     def __enter__(self) -> GatewayFleet:
         """Start the store and return the fleet."""
@@ -160,6 +161,7 @@
         if can_be_partitioned:
             module = "mothstand.testing.partitioned_gateway"
             command = (sys.executable, "-m", module, str(path), str(self._partition_path(name)))
+        self._commands[name] = command
         process = self._spawn(name, command, callers, peers)
         self._ready_urls[name] = f"http://{ready}/readiness"
         wait_until(lambda: self.is_ready(process), f"{name} ready")
@@ -168,6 +170,12 @@
     def partition(self, instance: FleetProcess, mode: PartitionMode) -> None:
         """Cut the path of an instance to all engines that run now, or open it again."""
         ports = frozenset(int(engine.address.rpartition(":")[2]) for engine in self.engines)
+        self.partition_ports(instance, mode, ports)
+
+    def partition_ports(
+        self, instance: FleetProcess, mode: PartitionMode, ports: frozenset[int]
+    ) -> None:
+        """Cut the path of an instance to ports of this machine, or open it again."""
         Partition(mode, ports).write(self._partition_path(instance.name))
 
     def _partition_path(self, name: str) -> Path:
@@ -176,8 +184,9 @@
     def restart_instance(self, name: str) -> FleetProcess:
         """Start an ended instance again, with its former settings."""
         ended_process = self.processes[name]
-        command = (sys.executable, "-m", "mothstand.gateway_main", str(self.folder / f"{name}.ini"))
-        return self._spawn(name, command, ended_process.address, ended_process.peers_address)
+        return self._spawn(
+            name, self._commands[name], ended_process.address, ended_process.peers_address
+        )
 
     def publish(
         self,
--- /dev/null
+++ b/mothstand/testing/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized runs of real gateway processes against faulty upstreams, judged by request ids."""
