The connection of a foreign answer without a body is closed as well

What callers saw: on 429 and 503 for requests that ran, many in a row; on 502 in a row: a request got the answer of the one before it on the connection, and so did the next.

Cause: the library puts a connection into its pool when the end of the body has been read. An answer without a body ends with its head, so its connection was back in the pool before the head was looked at, and closing the answer closed nothing. A rejection has no body. After one late copy every request on that connection was answered one place late.

Evidence: test_next_request_does_not_use_the_connection_of_a_foreign_rejection fails before: "answer of another request, 'r1'; status 200, request 2" for r2.

Change: where a head shows that an answer is not the request's own, its connection is closed, pooled or not. This holds for upstreams, their reports and peers that relay. The other places that close an answer do so with bytes of its body unread.

Checked: test_upstream_client, test_sockets, test_relay pass.

--- a/mothstand/gateway/relay_client.py
+++ b/mothstand/gateway/relay_client.py
@@ -9,6 +9,7 @@
 from yarl import URL
 
 from .relay_protocol import RelayOutcome, read_outcome, without_outcome
+from .sockets import close_connection
 from .upstream_client import (
     ConnectionBrokenError,
     MayHaveRunError,
@@ -109,7 +110,7 @@
         answer_headers = without_outcome(raw)
         fields = self._translator.read_upstream(response.status, answer_headers)
         if fields.request_id != request.request_id:
-            response.close()
+            close_connection(response)
             raise MayHaveRunError(f"answer of another request, {fields.request_id!r}")
         is_unframed = outcome is RelayOutcome.ANSWERED_UNFRAMED
         return RelayedAnswer(response, answer_headers, fields, ends_with_connection=is_unframed)
--- a/mothstand/gateway/sockets.py
+++ b/mothstand/gateway/sockets.py
@@ -78,9 +78,11 @@
     that nobody asked for.
     """
 
-    _requests = 0
-    _is_idle = False
-    _is_receiving = False
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._requests = 0
+        self._is_idle = False
+        self._is_receiving = False
 
     @property
     def use(self) -> ConnectionUse:
@@ -165,6 +167,16 @@
     return protocol.use if isinstance(protocol, StrictResponseHandler) else ConnectionUse()
 
 
+def close_connection(response: aiohttp.ClientResponse) -> None:
+    """Close the connection of an answer; called before anything is awaited after its head.
+
+    The library puts the connection of an answer without a body into its pool with the head.
+    """
+    response.close()
+    if response._protocol is not None:
+        response._protocol.close()
+
+
 class BackgroundConnector(aiohttp.TCPConnector):
     """Connection pool that continues to connect after the request has timed out.
 
--- a/mothstand/gateway/upstream_client.py
+++ b/mothstand/gateway/upstream_client.py
@@ -13,7 +13,12 @@
 from yarl import URL
 
 from ..core.answer_limits import MAX_REFUSAL_BYTES, MAX_REPORT_BYTES
-from .sockets import close_idle, connection_use, connector
+from .sockets import (
+    close_connection,
+    close_idle,
+    connection_use,
+    connector,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -179,13 +184,13 @@
         raw = _raw_headers(response)
         fields = self._translator.read_upstream(response.status, raw)
         if _is_joined(response, raw):
-            response.close()
+            close_connection(response)
             raise MayHaveRunError(f"a head joined from two; status {response.status}")
         if not fields.answers(request.request_id):
             # Where the next answer is expected, an upstream may send one of an earlier request
             # again. It says nothing of this request, whatever its status.
             described = describe_answer(response, fields)
-            response.close()
+            close_connection(response)
             raise MayHaveRunError(f"answer of another request, {fields.request_id!r}{described}")
         if fields.is_misdirected:
             described = describe_answer(response, fields)
@@ -216,7 +221,7 @@
                 fields = self._translator.read_upstream(response.status, raw)
                 if response.status != _OK or fields.request_id or _is_joined(response, raw):
                     # A report has no request id, so this may be an answer of another request.
-                    response.close()
+                    close_connection(response)
                     raise MayHaveRunError(f"no report: {response.status}, {fields.request_id!r}")
                 report = await read_at_most(response, MAX_REPORT_BYTES)
                 if report is None:
--- a/mothstand/tests/test_upstream_client.py
+++ b/mothstand/tests/test_upstream_client.py
@@ -33,6 +33,9 @@
 _SERIES = 60
 _REPEATED_SHARE = 0.2
 
+#: Time from a late answer to the one that was expected.
+_ANSWER_DELAY_S = 0.05
+
 _FULL = "503 Service Unavailable"
 _MISDIRECTED = "421 Misdirected Request"
 
@@ -218,6 +221,16 @@
                     assert all(fields.rate_limit_per_s is None for fields in upstream.seen)
                 pytest.fail(f"{other[:length]!r}, then the answer: read as {answer.status}")
 
+    async def test_next_request_does_not_use_the_connection_of_a_foreign_rejection(self) -> None:
+        # Guards against each request on a connection getting the answer of the one before it.
+        upstream = DelayedUpstream([_answer(_FULL, "X-Request-Id: r0", "X-Not-Executed: 1")])
+        async with upstream.client() as (client, registered):
+            with pytest.raises(MayHaveRunError):
+                await client.send(registered, _request("r1"), (("X-Request-Id", "r1"),))
+            answer = await client.send(registered, _request("r2"), (("X-Request-Id", "r2"),))
+            assert answer.fields.request_id == "r2"
+        assert upstream.connections == 2
+
     @pytest.mark.parametrize("pause_s", [0.0, 0.02], ids=["glued", "later"])
     async def test_connection_with_bytes_behind_an_answer_is_not_used_again(
         self, pause_s: float
@@ -237,6 +250,25 @@
             assert upstream.connections == 2, other[:length]
 
 
+@dataclass(slots=True)
+class DelayedUpstream(ScriptedUpstream):
+    """Upstream that sends its scripted pieces where answers are expected, and these later."""
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                request_id = head.partition("X-Request-Id: ")[2].partition("\r\n")[0]
+                if self.answers:
+                    writer.write(self.answers.pop(0))
+                    await asyncio.sleep(_ANSWER_DELAY_S)
+                writer.write(_answer("200 OK", f"X-Request-Id: {request_id}"))
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        writer.close()
+
+
 @dataclass(slots=True)
 class FollowedUpstream(ScriptedUpstream):
     """Upstream that sends further bytes behind each answer.
