An id names one attempt on a connection: a second answer with it proves nothing

What callers could see: a request that may run once runs twice, or is refused and runs; reproduced at the client, not in a run of real processes.

Cause: attempts of one request have the same id, so the id does not tell them apart. One request can meet one process twice on one kept connection: where a new process stands at the address of an old registration it answers 421, and the next attempt goes to it under its own id; a caller that keeps its id is another way. A copy of the first answer then passes for the second.

Evidence: test_answer_with_an_id_that_its_connection_carried_before_proves_nothing fails before, "refused with 503 ... request 3" for a request that ran; test_connection_of_a_misdirected_request_is_closed fails before (one connection).

Change: a connection remembers the ids of its latest answers, and a second answer with an id proves nothing. The connection of a 421 is closed, since the request may come to that process again.

Ruled out: tried_upstreams keeps other repetitions from the same upstream, for relays too; an upstream that a peer or this instance could not connect to has got nothing.

--- a/mothstand/gateway/sockets.py
+++ b/mothstand/gateway/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import socket
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -27,6 +28,9 @@
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
 
+#: Latest request ids that a connection remembers.
+_MAX_REMEMBERED_IDS = 64
+
 #: Maximum bytes of what was not asked for in a log line.
 _MAX_LOGGED_BYTES = 80
 
@@ -83,6 +87,7 @@
         self._requests = 0
         self._is_idle = False
         self._is_receiving = False
+        self._answered_ids: deque[str] = deque(maxlen=_MAX_REMEMBERED_IDS)
 
     @property
     def use(self) -> ConnectionUse:
@@ -90,6 +95,12 @@
         name = None if self.transport is None else self.transport.get_extra_info("sockname")
         return ConnectionUse(name[1] if name else 0, self._requests)
 
+    def note_answered(self, request_id: str) -> bool:
+        """Note whose answer came; return whether one with that id had come on it before."""
+        is_repeated = request_id in self._answered_ids
+        self._answered_ids.append(request_id)
+        return is_repeated
+
     def note_idle(self) -> None:
         """Note that its answer has been read; close it if any bytes stand behind that."""
         self._is_idle = True
@@ -177,6 +188,12 @@
         response._protocol.close()
 
 
+def is_repeated_answer(response: aiohttp.ClientResponse, request_id: str) -> bool:
+    """Return whether an answer with the same id came on the connection before; notes this one."""
+    protocol = response._protocol
+    return isinstance(protocol, StrictResponseHandler) and protocol.note_answered(request_id)
+
+
 class BackgroundConnector(aiohttp.TCPConnector):
     """Connection pool that continues to connect after the request has timed out.
 
--- a/mothstand/gateway/upstream_client.py
+++ b/mothstand/gateway/upstream_client.py
@@ -18,6 +18,7 @@
     close_idle,
     connection_use,
     connector,
+    is_repeated_answer,
 )
 
 if TYPE_CHECKING:
@@ -192,9 +193,15 @@
             described = describe_answer(response, fields)
             close_connection(response)
             raise MayHaveRunError(f"answer of another request, {fields.request_id!r}{described}")
+        if is_repeated_answer(response, request.request_id):
+            # Attempts of one request have the same id, so this may be the answer to an earlier one.
+            described = describe_answer(response, fields)
+            close_connection(response)
+            raise MayHaveRunError(f"second answer with the same id{described}")
         if fields.is_misdirected:
+            # The request may meet this process again, under its own id.
             described = describe_answer(response, fields)
-            await close_refused(response)
+            close_connection(response)
             raise MisdirectedError(f"another process is at {upstream.address}{described}")
         self._on_answer(upstream, fields)
         if fields.has_not_run:
--- a/mothstand/tests/test_upstream_client.py
+++ b/mothstand/tests/test_upstream_client.py
@@ -14,6 +14,7 @@
 from ..gateway.upstream_client import (
     MayHaveRunError,
     MisdirectedError,
+    NotRunError,
     OutgoingRequest,
     RefusedByUpstreamError,
     UpstreamClient,
@@ -231,6 +232,31 @@
             assert answer.fields.request_id == "r2"
         assert upstream.connections == 2
 
+    async def test_connection_of_a_misdirected_request_is_closed(self) -> None:
+        # Guards against a copy of a 421 where the process at that address answers the same request.
+        upstream = ScriptedUpstream([_answer(_MISDIRECTED, "X-Request-Id: r")] * 2)
+        async with upstream.client() as (client, registered):
+            for _ in range(2):
+                with pytest.raises(MisdirectedError):
+                    await client.send(registered, _request("r"), ())
+        assert upstream.connections == 2
+
+    @pytest.mark.parametrize("status", [_FULL, "500 Failed"])
+    async def test_answer_with_an_id_that_its_connection_carried_before_proves_nothing(
+        self, status: str
+    ) -> None:
+        # Guards against the answer to an earlier attempt of a request, sent once more.
+        first = _answer(status, "X-Request-Id: r", "X-Not-Executed: 1")
+        own = _answer("200 OK", "X-Request-Id: r")
+        upstream = ScriptedUpstream([first, _answer("200 OK", "X-Request-Id: r1"), first + own])
+        async with upstream.client() as (client, registered):
+            with pytest.raises(NotRunError):
+                await client.send(registered, _request("r"), ())
+            (await client.send(registered, _request("r1"), ())).close()
+            with pytest.raises(MayHaveRunError):
+                await client.send(registered, _request("r"), ())
+        assert upstream.connections == 1
+
     @pytest.mark.parametrize("pause_s", [0.0, 0.02], ids=["glued", "later"])
     async def test_connection_with_bytes_behind_an_answer_is_not_used_again(
         self, pause_s: float
