A status that promises "not run" is passed on only if the upstream says so

Cause: that a request has not run is read from what the upstream says, but an upstream's 408, 429 or 503 that does not say it went to the caller as it was, and the caller reads the status alone.

Evidence: test_promise_that_the_upstream_did_not_make_is_not_passed_on fails before for all three statuses and both kinds.

Change: for a request that may run once such an answer counts as one whose run is not known: 502, without the upstream's signature. Requests that may run twice get it as before. The platform's side says which statuses callers take for a promise.

--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -600,6 +600,8 @@
         if answer.status >= _SERVER_ERROR and call.route.may_run_twice:
             call.failed_answer = complete
             raise MayHaveRunError(f"status {answer.status}")
+        if answer.fields.has_status_of_refusal and not call.route.may_run_twice:
+            raise MayHaveRunError(f"status {answer.status} without saying that it has not run")
         self._record_response_time(call)
         await caller.send_complete(
             complete.status, complete.reason, complete.headers, complete.body
--- a/mothstand/gateway/headers.py
+++ b/mothstand/gateway/headers.py
@@ -71,6 +71,8 @@
         Whether the upstream reports that it did not run the request.
     is_misdirected
         Whether a process other than the addressed upstream answered.
+    has_status_of_refusal
+        Whether a caller takes the status alone for a promise that the request has not run.
     closes_connection
         Whether the upstream closes the connection after the answer.
     rate_limit_per_s
@@ -85,6 +87,7 @@
     closes_connection: bool
     rate_limit_per_s: float | None = None
     invalid_rate_limit: str = ""
+    has_status_of_refusal: bool = False
 
     def answers(self, request_id: str) -> bool:
         """Return whether the answer belongs to a request.
--- a/mothstand/platform/headers.py
+++ b/mothstand/platform/headers.py
@@ -37,6 +37,9 @@
 _LOWEST_PRIORITY = 9
 _MISDIRECTED = 421
 
+#: Statuses by which callers know that a request has not run and will not.
+_REFUSAL_STATUSES = frozenset({408, _MISDIRECTED, 429, 503})
+
 #: Headers that apply to a single connection and are not forwarded.
 _HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -141,6 +144,7 @@
             closes_connection=_header_value(headers, "Connection").lower() == "close",
             rate_limit_per_s=rate_limit_per_s,
             invalid_rate_limit=invalid_rate_limit,
+            has_status_of_refusal=status in _REFUSAL_STATUSES,
         )
 
     def to_caller(self, headers: RawHeaders) -> RawHeaders:
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -250,6 +250,18 @@
         assert world.run(world.call(RequestKind.NON_IDEMPOTENT)) is None
         assert (world.caller.status, world.caller.body) == (404, b"no such")
 
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    @pytest.mark.parametrize("kind", [RequestKind.NON_IDEMPOTENT, RequestKind.STREAMING])
+    def test_promise_that_the_upstream_did_not_make_is_not_passed_on(
+        self, kind: RequestKind, status: int
+    ) -> None:
+        # Guards against a caller that takes the failure of a run for "not run" and tries again.
+        answer = FakeAnswer(status, [b"failed"])
+        answer.fields = PlatformHeaders().read_upstream(status, (("X-Request-Id", "r"),))
+        world = ForwarderHarness(answer)
+        assert world.run(world.call(kind)) is ErrorKind.OUTCOME_UNKNOWN
+        assert len(world.client.sent_headers) == 1
+
     def test_non_idempotent_request_that_may_have_run_is_not_retried(self) -> None:
         """Guards against running a non-idempotent request twice.
 
