A stream passes on events only, and none whose number goes back

Cause: an answer may have no length and end with its connection, and a faulty upstream sends additional bytes after a complete answer. Both together leave no end of the body but that of the connection, and the splitter took any text up to a blank line for an event. Numbers at or below the last one were passed over without a word, so that parts of two answers could be joined.

Change: an event is made of comments and fields, and within the answer of one upstream its number is above that of the one before. Whatever else comes ends the attempt after the events that were whole: the caller's answer is broken off, not complete, or goes on at another upstream where the route allows that. An upstream that goes on with a stream may still repeat events that the caller has; they are passed over and counted.

Limits: bytes behind a whole body without a length cannot be told from the body. A stream that was whole before the foreign bytes is broken off too.

--- a/mothstand/core/event_stream.py
+++ b/mothstand/core/event_stream.py
@@ -12,9 +12,30 @@
 #: Bytes of the longest end of an event that may have arrived before its last byte.
 _PARTIAL_END_BYTES = 3
 
+#: Maximum bytes of a foreign event that an error quotes.
+_MAX_QUOTED_BYTES = 60
+
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 
 
+#: A line of an event: a comment, or a field with or without a value.
+_EVENT_LINE = re.compile(rb"(?::.*|[A-Za-z][A-Za-z0-9_-]*(?::.*)?)?")
+
+
+class ForeignEventError(Exception):
+    """Raised for bytes that are no event of the stream in which they came.
+
+    Parameters
+    ----------
+    valid_events
+        Events before them that the caller does not have.
+    """
+
+    def __init__(self, message: str, valid_events: bytes) -> None:
+        super().__init__(message)
+        self.valid_events = valid_events
+
+
 class EventTooLongError(Exception):
     """Raised if an event does not end within the maximum size."""
 
@@ -32,6 +53,11 @@
     raw: bytes
     event_id: str
 
+    @property
+    def is_well_formed(self) -> bool:
+        """Whether each line is a comment or a field."""
+        return all(_EVENT_LINE.fullmatch(line) for line in self.raw.splitlines())
+
 
 @dataclass(slots=True)
 class EventSplitter:
@@ -90,16 +116,32 @@
     sent_events: int = 0
     skipped_events: int = 0
     splitter: EventSplitter = field(default_factory=EventSplitter)
+    _run_event_id: str = ""
 
     def restart(self) -> None:
         """Drop a partial event before another upstream continues."""
         self.splitter = EventSplitter()
+        self._run_event_id = ""
 
     def feed(self, data: bytes) -> bytes:
-        """Add a chunk of a body and return its complete events that the caller does not have."""
-        new_events = []
+        """Add a chunk of a body and return its complete events that the caller does not have.
+
+        Raises
+        ------
+        EventTooLongError
+            If an event has no end.
+        ForeignEventError
+            If a part is no event, or its number goes back within the answer of one upstream.
+        """
+        new_events: list[bytes] = []
         for event in self.splitter.feed(data):
-            if self._was_sent(event):
+            if not event.is_well_formed or _is_at_most(event.event_id, self._run_event_id):
+                start = event.raw[:_MAX_QUOTED_BYTES]
+                raise ForeignEventError(
+                    f"no event after {self.last_event_id!r}: {start!r}", b"".join(new_events)
+                )
+            self._run_event_id = event.event_id or self._run_event_id
+            if _is_at_most(event.event_id, self.last_event_id):
                 self.skipped_events += 1
                 continue
             new_events.append(event.raw)
@@ -107,8 +149,9 @@
             self.last_event_id = event.event_id or self.last_event_id
         return b"".join(new_events)
 
-    def _was_sent(self, event: ServerEvent) -> bool:
-        """Return whether an event was sent before, by its numeric id."""
-        if not (event.event_id.isdecimal() and self.last_event_id.isdecimal()):
-            return False
-        return int(event.event_id) <= int(self.last_event_id)
+
+def _is_at_most(event_id: str, other_id: str) -> bool:
+    """Return whether an event's number is not above that of another; False if one has none."""
+    if not (event_id.isdecimal() and other_id.isdecimal()):
+        return False
+    return int(event_id) <= int(other_id)
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -12,7 +12,7 @@
 
 from ..core.adaptive_timeout import AdaptiveTimeout
 from ..core.admission import Admission, random_retry_after_s
-from ..core.event_stream import EventTooLongError
+from ..core.event_stream import EventTooLongError, ForeignEventError
 from ..core.pace import StreamGaps
 from ..core.placement import session_key
 from ..core.retry_budget import RetryBudget
@@ -618,18 +618,22 @@
             self._placement.note_prompt_read(placed)
             self._guard.note_answering(call)
             sent_before = call.progress.sent_events
+            foreign: ForeignEventError | None = None
             try:
                 passed = call.progress.feed(piece)
             except EventTooLongError as error:
                 raise AnswerTooLongError(str(error)) from error
-            if not passed:
-                continue
-            gaps.note_events(call.progress.sent_events - sent_before, self._clock.monotonic_s())
-            if not caller.is_started:
-                self._resumptions.note_first_event(call, placed.upstream)
-                await self._start_stream(call, answer, caller)
-            await caller.write(passed)
-            self._redirects.note_bytes(len(passed) + _EVENT_OVERHEAD_BYTES)
+            except ForeignEventError as error:
+                foreign, passed = error, error.valid_events
+            if passed:
+                gaps.note_events(call.progress.sent_events - sent_before, self._clock.monotonic_s())
+                if not caller.is_started:
+                    self._resumptions.note_first_event(call, placed.upstream)
+                    await self._start_stream(call, answer, caller)
+                await caller.write(passed)
+                self._redirects.note_bytes(len(passed) + _EVENT_OVERHEAD_BYTES)
+            if foreign is not None:
+                raise MayHaveRunError(str(foreign)) from foreign
         if not call.progress.splitter.is_between_events:
             raise ConnectionBrokenError("ended in the middle of an event")
         if answer.ends_with_connection and not caller.is_started:
--- a/mothstand/testing/soak/upstreams.py
+++ b/mothstand/testing/soak/upstreams.py
@@ -295,6 +295,9 @@
                 raise self._end(stream)
             await stream.send(data)
         if framing is Framing.CLOSE:
+            if self._draw(self.shares.extra):
+                self._log.extras += 1
+                await stream.send(self._extra(_head(self._rng, _OK, framing, headers) + run.body))
             raise _ConnectionEndError
         if break_at > last:
             raise self._end(stream)
--- a/mothstand/tests/test_event_stream.py
+++ b/mothstand/tests/test_event_stream.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from ..core.event_stream import EventSplitter, StreamProgress
+import pytest
+
+from ..core.event_stream import EventSplitter, ForeignEventError, StreamProgress
 
 
 def event(number: int) -> bytes:
@@ -41,3 +43,35 @@
         progress.feed(event(1) + event(2))
         progress.restart()
         assert progress.feed(event(2) + event(3)) == event(3)
+
+    @pytest.mark.parametrize(
+        "foreign",
+        [
+            b"HTTP/1.1 503 X\r\nX-Request-Id: r0\r\n\r\n",
+            b"HTTP/1.1 200 X\r\n\r\n" + event(1),
+            b"id: 2\ndata: word\n\n",
+            b"{}\n\n",
+        ],
+    )
+    def test_bytes_behind_the_events_are_not_passed_on(self, foreign: bytes) -> None:
+        # Guards against the answer of another request that is read as events of this stream.
+        for size in range(1, len(event(1) + event(2) + foreign) + 1):
+            body = event(1) + event(2) + foreign
+            progress = StreamProgress()
+            passed = b""
+            with pytest.raises(ForeignEventError):
+                for start in range(0, len(body), size):
+                    try:
+                        passed += progress.feed(body[start : start + size])
+                    except ForeignEventError as error:
+                        passed += error.valid_events
+                        raise
+            assert passed == event(1) + event(2)
+            assert progress.last_event_id == "2"
+
+    @pytest.mark.parametrize(
+        "block",
+        [b": still there\n\n", b"\n\n", b"data: end\n\n", b"x-weight-versions: 2\nid: 3\ndata\n\n"],
+    )
+    def test_comments_and_other_fields_are_events(self, block: bytes) -> None:
+        assert StreamProgress().feed(event(1) + event(2) + block) == event(1) + event(2) + block
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -429,6 +429,16 @@
         assert world.caller.is_aborted
         assert world.caller.body == event(1)
 
+    def test_stream_with_another_answer_behind_it_is_aborted(self) -> None:
+        # Guards against a body without length that passes on what was sent behind it.
+        extra = b"HTTP/1.1 503 X\r\nX-Request-Id: r0\r\n\r\n"
+        world = ForwarderHarness(
+            FakeAnswer(200, [event(1) + event(2) + extra], ends_with_connection=True)
+        )
+        assert world.run(world.call(RequestKind.STREAMING)) is None
+        assert world.caller.is_aborted
+        assert world.caller.body == event(1) + event(2)
+
     def test_resumable_stream_continues_on_another_engine(self) -> None:
         broken = FakeAnswer(200, [event(1), event(2)[:5], MayHaveRunError("reset")])
         world = ForwarderHarness(broken, FakeAnswer(200, [event(2), event(3)]))
