A resumption passes on no event that its caller has

What callers could see: event numbers that go back over their tries, where an upstream begins a resumed stream anew or repeats events; reproduced in a test, not in a run of real processes.

Cause: events that were sent are passed over by the last number that this instance sent, and for a stream that its caller resumed that began at nothing, though the caller names the last event that it has.

Evidence: test_resumption_passes_no_event_that_its_caller_has fails before: events 1, 2 and 3 for a caller that has 2.

Change: the progress of a resumption begins at the caller's Last-Event-Id.

Checked: test_forward, test_resumptions: 78 passed.

--- a/mothstand/gateway/call.py
+++ b/mothstand/gateway/call.py
@@ -158,6 +158,11 @@
     _digest: SuspectId | None = None
     _part_suspects: tuple[Suspect, ...] | None = None
 
+    def __post_init__(self) -> None:
+        """Begin a resumption after the event that its caller has."""
+        if self.is_resumption:
+            self.progress.last_event_id = self.fields.last_event_id
+
     @property
     def is_resumption(self) -> bool:
         """Whether the caller continues a stream of which it has events."""
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import anyio
@@ -439,6 +440,14 @@
         assert world.caller.is_aborted
         assert world.caller.body == event(1) + event(2)
 
+    def test_resumption_passes_no_event_that_its_caller_has(self) -> None:
+        # Guards against numbers that go back where an upstream begins a resumed stream anew.
+        world = ForwarderHarness(FakeAnswer(200, [event(1) + event(2), event(3)]))
+        call = world.call(RequestKind.STREAMING, resumable=True)
+        call = replace(call, fields=replace(call.fields, last_event_id="2"))
+        assert world.run(call) is None
+        assert world.caller.body == event(3)
+
     def test_resumable_stream_continues_on_another_engine(self) -> None:
         broken = FakeAnswer(200, [event(1), event(2)[:5], MayHaveRunError("reset")])
         world = ForwarderHarness(broken, FakeAnswer(200, [event(2), event(3)]))
