Event numbers of any length are compared

A caller got an internal error (500), or its stream broke off, where an upstream's event had a number of over 4,300 digits: such text cannot be converted to an integer, and the ValueError is none of the errors of an attempt.

Before: test_event_numbers_may_have_any_length fails with ValueError. Now numbers are compared by length and digits. Checked: test_event_stream, 13 passed.

--- a/mothstand/core/event_stream.py
+++ b/mothstand/core/event_stream.py
@@ -154,4 +154,10 @@
     """Return whether an event's number is not above that of another; False if one has none."""
     if not (event_id.isdecimal() and other_id.isdecimal()):
         return False
-    return int(event_id) <= int(other_id)
+    return _sort_key(event_id) <= _sort_key(other_id)
+
+
+def _sort_key(number: str) -> tuple[int, str]:
+    """Return a key that orders decimal numbers of any length; only short ones can be converted."""
+    digits = number.lstrip("0")
+    return len(digits), digits
--- a/mothstand/tests/test_event_stream.py
+++ b/mothstand/tests/test_event_stream.py
@@ -75,3 +75,10 @@
     )
     def test_comments_and_other_fields_are_events(self, block: bytes) -> None:
         assert StreamProgress().feed(event(1) + event(2) + block) == event(1) + event(2) + block
+
+    def test_event_numbers_may_have_any_length(self) -> None:
+        # Guards against a request that fails with an internal error for a number of 5,000 digits.
+        first, second = (b"id: 0%s%d\ndata: word\n\n" % (b"1" * 5000, n) for n in (19, 20))
+        assert StreamProgress().feed(first + second) == first + second
+        with pytest.raises(ForeignEventError):
+            StreamProgress().feed(second + first)
