--- a/mothstand/tests/test_relay.py
+++ b/mothstand/tests/test_relay.py
@@ -138,16 +138,22 @@
     """Return a relay in front of an upstream; None for an upstream that is down."""
     upstream_address = f"127.0.0.1:{free_port()}"
     relay = Relay(upstream_address, capacity)
-    runner = web.ServerRunner(relay.server.make_server(), shutdown_timeout=0.1)
-    await runner.setup()
-    host, _, port = relay.address.rpartition(":")
-    await web.TCPSite(runner, host, int(port)).start()
-    try:
+    async with _served_relay(relay):
         if handler is None:
             yield relay
         else:
             async with _served(handler, upstream_address):
                 yield relay
+
+
+@asynccontextmanager
+async def _served_relay(relay: Relay) -> AsyncIterator[None]:
+    runner = web.ServerRunner(relay.server.make_server(), shutdown_timeout=0.1)
+    await runner.setup()
+    host, _, port = relay.address.rpartition(":")
+    await web.TCPSite(runner, host, int(port)).start()
+    try:
+        yield
     finally:
         await relay.client.aclose()
         await relay.upstream_client.aclose()
