A registration with a value out of range is refused, as one entry

Another operator's report: an odd entry among those of the upstreams, with a number too large or a port out of range, and the machines that read the list ended or stopped following it.

Deep nesting and numbers of 400 digits in other fields were refused already; slots of 10**400, a cold time without end, NaN and a start of 10**25 were taken.

Cause: the border checked the form of an entry, not the range of its values; what overflows does so where the value is used.

Change: address (an IPv4 address, port 1 to 65535), slots, cold time, start and lengths of names have limits.

--- a/mothstand/platform/records.py
+++ b/mothstand/platform/records.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import re
+from ipaddress import IPv4Address
 from typing import Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
 
 from ..core.routes import (
     Destination,
@@ -32,6 +33,14 @@
 
 _DRAINING = "draining"
 
+#: Limits of a registration. Larger values would overflow in sums, in messages to peers or in log
+#: lines.
+_MAX_NAME_LENGTH = 200
+_MAX_SLOTS = 1_000_000
+_MAX_COLD_MS = 1e9
+_MAX_UNIX_MS = 2**53
+_MAX_PORT = 65_535
+
 #: Valid ids of upstreams. An id is sent as a header's value, where a line break or a byte outside
 #: of ASCII would make the request unreadable.
 _UPSTREAM_ID_PATTERN = re.compile(r"[!-~]{1,200}")
@@ -103,17 +112,26 @@
 
     model_config = ConfigDict(strict=True)
 
-    service: str = Field(min_length=1)
-    address: str = Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")
-    zone: str = Field(min_length=1)
-    version: str
-    slots: int = Field(gt=0)
+    service: str = Field(min_length=1, max_length=_MAX_NAME_LENGTH)
+    address: str
+    zone: str = Field(min_length=1, max_length=_MAX_NAME_LENGTH)
+    version: str = Field(max_length=_MAX_NAME_LENGTH)
+    slots: int = Field(gt=0, le=_MAX_SLOTS)
     state: Literal["ready", "draining"]
     # Number of heartbeats since the process started.
     sequence: int
-    cold_remaining_ms: float
+    cold_remaining_ms: float = Field(ge=-_MAX_COLD_MS, le=_MAX_COLD_MS)
     # Unix time of the start in milliseconds, a whole number; some upstreams omit it.
-    born: int = Field(0, ge=0)
+    born: int = Field(0, ge=0, le=_MAX_UNIX_MS)
+
+    @field_validator("address")
+    @classmethod
+    def _check_address(cls, address: str) -> str:
+        ip, _, port = address.partition(":")
+        IPv4Address(ip)
+        if not re.fullmatch("[0-9]{1,5}", port) or not 0 < int(port) <= _MAX_PORT:
+            raise ValueError(f"the port must be from 1 to {_MAX_PORT}, not {port[:20]!r}")
+        return address
 
 
 def decode_config(data: bytes) -> GatewayConfig:
