Any single record of another writer is skipped by its reader alone

The same report of another operator, sought in all other records that are read: members, claims, renewals, crash records, the release history, what peers hand over at a start, reports of upstreams, the operators' configuration.

Members, claims and renewals with infinite or 64-bit-exceeding numbers and configurations with such priorities, limits and prepaid totals were accepted and would overflow in sums and in messages to peers. A member that cannot be decoded ended the bootstrap's round.

Cause: the same as of the registrations: form was checked, range was not; and readers expect a ValueError of a decoder, while numbers out of range raise others.

Change: validated models have bounded types (gateway/bounded.py); a configuration with such a value is refused whole, the version before stays in force.

--- a/mothstand/gateway/bootstrap.py
+++ b/mothstand/gateway/bootstrap.py
@@ -72,7 +72,11 @@
             emit(Event.PEER_SUSPECTED, peer=address, error=str(error))
             return
         for record in state.members:
-            peer_address = decode_member(record).member.peer.address
+            try:
+                peer_address = decode_member(record).member.peer.address
+            except ValueError as error:
+                emit(Event.RECORD_SKIPPED, key=record.key, offset=record.offset, error=str(error))
+                continue
             if peer_address not in (*self._addresses, self._own_address):
                 self._addresses.append(peer_address)
         if not state.config:
--- a/mothstand/gateway/claim_manager.py
+++ b/mothstand/gateway/claim_manager.py
@@ -312,7 +312,7 @@
                 continue
             try:
                 decoded = decode(record)
-            except ValueError as error:
+            except Exception as error:
                 # Every reader skips the same records, so all tables stay equal.
                 emit(Event.RECORD_SKIPPED, offset=record.offset, error=str(error))
                 continue
--- a/mothstand/gateway/feeds.py
+++ b/mothstand/gateway/feeds.py
@@ -330,7 +330,7 @@
         raw = record.value or b""
         try:
             config = self._decode(raw)
-        except ValueError as error:
+        except Exception as error:
             # The last valid configuration stays in force.
             emit(Event.RECORD_SKIPPED, key=record.key, offset=record.offset, error=str(error))
             return
--- a/mothstand/gateway/ledger_records.py
+++ b/mothstand/gateway/ledger_records.py
@@ -10,6 +10,7 @@
 from ..core.loans import Peer
 from ..core.renewals import Renewal
 from ..types import BudgetName
+from .bounded import Quantity, Seconds, Tokens
 from .store import KeyedRecord, Stream
 
 if TYPE_CHECKING:
@@ -28,12 +29,12 @@
     budget: str
     instance: str
     incarnation: str
-    claimed: int
-    base: int
-    window: int
-    spent: int
-    demand: float
-    held: int = 0
+    claimed: Tokens
+    base: Tokens
+    window: Tokens
+    spent: Tokens
+    demand: Quantity
+    held: Tokens = 0
 
 
 class _InstanceValue(BaseModel):
@@ -42,7 +43,7 @@
     instance: str
     incarnation: str
     address: str
-    wall_s: float
+    wall_s: Seconds
 
 
 def claims_stream(shard: Shard) -> Stream:
--- a/mothstand/gateway/member_feed.py
+++ b/mothstand/gateway/member_feed.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from pydantic import BaseModel, Field, ValidationError
+from pydantic import BaseModel, ValidationError
 
 from ..core.burst_shares import BurstShares, SharerNotice
 from ..core.fleet import Capacity, FleetView, Member
@@ -16,6 +16,7 @@
 from ..core.upstreams import UpstreamKey
 from ..events import Event, emit
 from ..types import DataCentre
+from .bounded import Offset, Quantity, Seconds, UnixMilliseconds
 from .feeds import KeyedFeed
 from .store import KeyedRecord, Store, StoreConflictError, Stream, StreamPage
 
@@ -45,9 +46,9 @@
     """A rate limit that an upstream names, or none if it named one before."""
 
     upstream: str
-    born_ms: int = 0
-    rate_per_s: float | None = Field(None, ge=0, allow_inf_nan=False)
-    age_s: float = Field(ge=0, allow_inf_nan=False)
+    born_ms: UnixMilliseconds = 0
+    rate_per_s: Quantity | None = None
+    age_s: Quantity
 
 
 class _MemberValue(BaseModel):
@@ -56,10 +57,10 @@
     incarnation: str
     address: str
     data_centre: str
-    cores: float = _UNKNOWN_CAPACITY.cores
-    link_mbit_per_s: float = _UNKNOWN_CAPACITY.link_mbit_per_s
-    read_to: int = _UNKNOWN_NOTICE.read_to
-    lease_s: float = _UNKNOWN_NOTICE.lease_s
+    cores: Quantity = _UNKNOWN_CAPACITY.cores
+    link_mbit_per_s: Quantity = _UNKNOWN_CAPACITY.link_mbit_per_s
+    read_to: Offset = _UNKNOWN_NOTICE.read_to
+    lease_s: Seconds = _UNKNOWN_NOTICE.lease_s
     may_have_used: bool = _UNKNOWN_NOTICE.may_have_used
     slow_upstreams: tuple[str, ...] = ()
     rate_limits: tuple[_LimitValue, ...] = ()
@@ -305,7 +306,8 @@
             return None
         try:
             announcement = decode_member(record)
-        except ValueError as error:
+        except Exception as error:
+            # Whatever another writer left, the others are read.
             emit(Event.RECORD_SKIPPED, key=record.key, offset=record.offset, error=str(error))
             return None
         if not self.fleet.has_announced(record.key):
--- a/mothstand/gateway/quarantine/feed.py
+++ b/mothstand/gateway/quarantine/feed.py
@@ -295,7 +295,8 @@
                 self._cleared_keys.discard(record.key)
                 return self._drop_crash(record.key)
             return self._add_crash(decode_crash(record), record, source=source)
-        except ValueError as error:
+        except Exception as error:
+            # Whatever another writer left, the others are read.
             emit(Event.RECORD_SKIPPED, key=record.key, offset=record.offset, error=str(error))
             return False
 
--- a/mothstand/gateway/quarantine/records.py
+++ b/mothstand/gateway/quarantine/records.py
@@ -13,6 +13,7 @@
 from ...core.quarantine import Probe, UpstreamCrash
 from ...core.suspects import SuspectId
 from ...core.upstreams import UpstreamKey
+from ..bounded import Offset, UnixMilliseconds
 from ..store import KeyedRecord
 
 if TYPE_CHECKING:
@@ -27,17 +28,17 @@
 class _DatedValue(BaseModel):
     """Value with a time in milliseconds since the Unix epoch."""
 
-    at_ms: int
+    at_ms: UnixMilliseconds
 
 
 class _CrashValue(_DatedValue):
     """Crash of an upstream; the key begins with the id of the suspect."""
 
     upstream: str
-    born_ms: int
+    born_ms: UnixMilliseconds
     request: str
     instance: str
-    known_ends: int
+    known_ends: Offset
     part: str = ""
 
 
--- a/mothstand/gateway/release_history.py
+++ b/mothstand/gateway/release_history.py
@@ -13,10 +13,11 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from pydantic import BaseModel, Field, ValidationError
+from pydantic import BaseModel, ValidationError
 
 from ..core.backoff import Backoff
 from ..events import Event, emit
+from .bounded import Count, Offset
 from .store import KeyedRecord, StoreError, StoreTrimmedError, Stream
 
 if TYPE_CHECKING:
@@ -62,9 +63,9 @@
         Version of the configuration in force if no route has moved within the retention time, or 0.
     """
 
-    registrations_to: int = Field(ge=0)
+    registrations_to: Count
     versions: dict[str, tuple[str, ...]]
-    settled_config: int
+    settled_config: Offset
 
 
 #: What is known of the time before the first record: nothing, so all registrations are read.
@@ -227,7 +228,7 @@
                     continue
                 try:
                     upstream = self._decode(record.key, record.value)
-                except ValueError:
+                except Exception:
                     # The feed logs what it cannot decode.
                     continue
                 self._origins.note_upstream(upstream)
--- a/mothstand/gateway/upstream_feed.py
+++ b/mothstand/gateway/upstream_feed.py
@@ -202,7 +202,8 @@
             return None
         try:
             upstream = self._decode(record.key, record.value)
-        except ValueError as error:
+        except Exception as error:
+            # Whatever another writer left, the others are read.
             if self._skipped.get(record.key) != record.offset:
                 self._skipped[record.key] = record.offset
                 emit(Event.RECORD_SKIPPED, key=record.key, offset=record.offset, error=str(error))
--- a/mothstand/platform/records.py
+++ b/mothstand/platform/records.py
@@ -18,6 +18,7 @@
     Route,
 )
 from ..core.upstreams import RegisteredUpstream
+from ..gateway.bounded import Count, Offset, Priority, Quantity, Tokens, UnixMilliseconds
 from ..gateway.store import Stream
 from ..types import DataCentre, Region
 
@@ -38,7 +39,6 @@
 _MAX_NAME_LENGTH = 200
 _MAX_SLOTS = 1_000_000
 _MAX_COLD_MS = 1e9
-_MAX_UNIX_MS = 2**53
 _MAX_PORT = 65_535
 
 #: Valid ids of upstreams. An id is sent as a header's value, where a line break or a byte outside
@@ -48,7 +48,7 @@
 
 class _Destination(BaseModel):
     service: str
-    weight: float
+    weight: Quantity
 
 
 class _Route(BaseModel):
@@ -56,51 +56,51 @@
     host: str
     path_prefix: str
     kind: RequestKind
-    timeout_ms: float
+    timeout_ms: Quantity
     # The latency objective for full credit, not a limit.
-    goal_ms: float = 0
-    priority: int = 5
+    goal_ms: Quantity = 0
+    priority: Priority = 5
     # Exactly one of the two is set; `split` has a weight for each service.
     service: str = ""
     split: list[_Destination] = Field(default_factory=list)
-    attempts: int = 1
+    attempts: Count = 1
     public: bool = False
     resumable: bool = False
     home_regions: list[str] = Field(default_factory=list)
 
 
 class _Engine(BaseModel):
-    slots: int = 0
+    slots: Count = 0
     # Tokens in one event of a stream.
-    stride: int = 1
+    stride: Count = 1
 
 
 class _Service(BaseModel):
     name: str
-    connection_limit: int = 100
+    connection_limit: Count = 100
     engine: _Engine | None = None
-    cold_start_s: float = 0
-    cold_per_s: float = 0
+    cold_start_s: Quantity = 0
+    cold_per_s: Quantity = 0
 
 
 class _Tenant(BaseModel):
     name: str
     keys: list[str] = Field(default_factory=list)
-    priority: int | None = None
+    priority: Priority | None = None
     # Running total of the tokens paid for, not the remainder.
-    prepaid: int | None = None
+    prepaid: Tokens | None = None
     home_regions: list[str] = Field(default_factory=list)
 
 
 class _Limits(BaseModel):
-    header_bytes: int = 16384
-    body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15000
+    header_bytes: Count = 16384
+    body_bytes: Count = 4_194_304
+    header_timeout_ms: Quantity = 3000
+    idle_timeout_ms: Quantity = 15000
 
 
 class _Config(BaseModel):
-    version: int
+    version: Offset
     routes: list[_Route] = Field(default_factory=list)
     services: list[_Service] = Field(default_factory=list)
     limits: _Limits = Field(default_factory=_Limits)
@@ -122,7 +122,7 @@
     sequence: int
     cold_remaining_ms: float = Field(ge=-_MAX_COLD_MS, le=_MAX_COLD_MS)
     # Unix time of the start in milliseconds, a whole number; some upstreams omit it.
-    born: int = Field(0, ge=0, le=_MAX_UNIX_MS)
+    born: UnixMilliseconds = 0
 
     @field_validator("address")
     @classmethod
--- a/mothstand/platform/reports.py
+++ b/mothstand/platform/reports.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from ..gateway.bounded import UnixMilliseconds
 
 #: Path at which an upstream reports its state without using a slot.
 REPORT_PATH = "/report"
@@ -14,7 +16,7 @@
     model_config = ConfigDict(strict=True)
 
     # Unix time of the start in milliseconds; some upstreams omit it.
-    born: int | None = Field(None, ge=0)
+    born: UnixMilliseconds | None = None
 
 
 def decode_born_ms(data: bytes) -> int | None:
--- a/mothstand/tests/test_odd_entries.py
+++ b/mothstand/tests/test_odd_entries.py
@@ -2,25 +2,37 @@
 
 from __future__ import annotations
 
+import copy
 import json
 import time
-from typing import TYPE_CHECKING
+from datetime import UTC, datetime
+from typing import TYPE_CHECKING, Any
 
 import httpx
 import pytest
 
-from ..platform.records import decode_upstream
+from ..core.claims import Claim, Holder
+from ..core.fleet import Capacity, Member
+from ..core.loans import Peer
+from ..core.quarantine import UpstreamCrash
+from ..core.renewals import Renewal
+from ..core.suspects import SuspectId
+from ..core.upstreams import UpstreamKey
+from ..gateway.ledger_records import decode, encode_claim, encode_renewal
+from ..gateway.member_feed import decode_member, encode_member
+from ..gateway.quarantine.records import decode_crash, encode_crash, record_age
+from ..gateway.store import KeyedRecord
+from ..platform.records import decode_config, decode_upstream
 from ..testing.gateway_fleet import PREFIX, SERVICE, GatewayFleet, request_headers
 from ..testing.registrations import registration
+from ..types import BudgetName, DataCentre
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
     from pathlib import Path
 
     from ..testing.fleet import FleetProcess
 
-pytestmark = pytest.mark.processes
-
 _ENTRY = registration(SERVICE, "127.0.0.1:9")
 
 #: Values that stand for a field, as JSON.
@@ -85,6 +97,7 @@
     assert statuses == [200] * len(statuses)
 
 
+@pytest.mark.processes
 def test_odd_registrations_neither_end_an_instance_nor_stop_it_from_following(
     tmp_path: Path,
 ) -> None:
@@ -120,3 +133,97 @@
     # Guards against a value that overflows only where it is used.
     with pytest.raises(ValueError, match="not a registration"):
         decode_upstream("i-1", value)
+
+
+_MEMBER = encode_member(Member(Peer("a", "1", "127.0.0.1:1"), DataCentre("sto-a"), Capacity()))
+_CLAIM = encode_claim(Claim(BudgetName("b"), Holder("a", "1"), 9, 0, 9, 0, 1.0))
+_RENEWAL = encode_renewal(Renewal(Peer("a", "1", "127.0.0.1:1"), 1.0, 0))
+_CRASH = encode_crash(
+    UpstreamCrash(SuspectId("d"), UpstreamKey("i-1", 1), "r", "a", 0), datetime.now(UTC)
+)
+
+
+@pytest.mark.parametrize("number", ["1e400", "NaN", "1" + "0" * 25, "-1" + "0" * 25, "[]"])
+@pytest.mark.parametrize(
+    ("record", "decode", "fields"),
+    [
+        (_MEMBER, decode_member, ("cores", "link_mbit_per_s", "read_to", "lease_s")),
+        (_CLAIM, decode, ("claimed", "base", "window", "spent", "demand", "held")),
+        (_RENEWAL, decode, ("wall_s",)),
+        (_CRASH, decode_crash, ("at_ms", "born_ms", "known_ends")),
+    ],
+    ids=["member", "claim", "renewal", "crash"],
+)
+def test_record_of_an_instance_with_a_number_out_of_range_is_refused(
+    record: KeyedRecord,
+    decode: Callable[[KeyedRecord], object],
+    fields: tuple[str, ...],
+    number: str,
+) -> None:
+    # Guards against sums and messages to peers that overflow where the number is used.
+    decode(record)
+    for field in fields:
+        assert record.value is not None
+        text = json.dumps({**json.loads(record.value), field: "VALUE"})
+        odd = KeyedRecord(record.key, text.replace('"VALUE"', number).encode())
+        with pytest.raises(ValueError):
+            decode(odd)
+
+
+def test_old_crash_record_of_any_age_is_skipped() -> None:
+    # Guards against a reader that ends for a time that no duration can hold.
+    text = json.dumps({**json.loads(_CRASH.value or b""), "at_ms": "VALUE"})
+    odd = KeyedRecord(_CRASH.key, text.replace('"VALUE"', "-1" + "0" * 25).encode())
+    with pytest.raises(ValueError):
+        record_age(odd, datetime.now(UTC))
+
+
+_CONFIG: dict[str, Any] = {
+    "version": 2,
+    "routes": [
+        {
+            "name": "r",
+            "host": "h",
+            "path_prefix": "/",
+            "kind": "idempotent",
+            "timeout_ms": 1000,
+            "goal_ms": 100,
+            "priority": 1,
+            "service": "s",
+            "attempts": 2,
+        }
+    ],
+    "services": [{"name": "s", "connection_limit": 9, "engine": {"slots": 8, "stride": 1}}],
+    "limits": {"header_bytes": 9000, "body_bytes": 9000},
+    "tenants": [{"name": "t", "keys": ["k"], "priority": 1, "prepaid": 9}],
+}
+
+
+@pytest.mark.parametrize("number", ["1e400", "NaN", "1" + "0" * 25])
+@pytest.mark.parametrize(
+    "path",
+    [
+        ("version",),
+        *(("routes", 0, name) for name in ("timeout_ms", "goal_ms", "priority", "attempts")),
+        ("services", 0, "connection_limit"),
+        ("services", 0, "engine", "slots"),
+        ("services", 0, "engine", "stride"),
+        ("limits", "header_bytes"),
+        ("limits", "body_bytes"),
+        ("tenants", 0, "priority"),
+        ("tenants", 0, "prepaid"),
+    ],
+    ids=lambda path: ".".join(map(str, path)),
+)
+def test_configuration_with_a_number_out_of_range_is_refused_whole(
+    path: tuple[str | int, ...], number: str
+) -> None:
+    # Guards against a version that is in force and overflows in a message to a peer.
+    decode_config(json.dumps(_CONFIG).encode())
+    odd: Any = copy.deepcopy(_CONFIG)
+    inner = odd
+    for key in path[:-1]:
+        inner = inner[key]
+    inner[path[-1]] = "VALUE"
+    with pytest.raises(ValueError, match="not a configuration"):
+        decode_config(json.dumps(odd).replace('"VALUE"', number).encode())
