A request of more tokens than sums hold is malformed

What callers saw: 503 "stopping" from a whole instance, after one request. Found while looking for the cause of odd entries elsewhere; it needs no other writer.

Cause: the same: a number is checked for its form, and overflows where it is used. The request was asked of the budget's other claimant: "MS1004 task_failed ... ValueError('Value out of range:') ... claims". An instance whose claims fail takes no more requests.

Change: token counts and prompt parts above 10^9 are malformed (400). Errors quote at most 80 characters of them.

Evidence: test_instances_outlive_a_request_of_too_many_tokens and test_request_of_more_tokens_than_sums_hold_is_refused fail before. Checked: test_odd_entries, test_preview, test_gateway, test_users_platform pass.

--- a/mothstand/core/prompt.py
+++ b/mothstand/core/prompt.py
@@ -4,6 +4,14 @@
 
 from dataclasses import dataclass
 
+#: Maximum tokens of a request or a part of it. Sums over all requests of a budget stay within the
+#: integers that messages between instances hold.
+MAX_TOKENS = 10**9
+_MAX_DIGITS = 20
+
+#: Maximum characters of a caller's text that an error quotes.
+_MAX_QUOTED = 80
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -55,9 +63,13 @@
     try:
         counts = int(first), int(second)
     except ValueError:
-        raise ValueError(f"token counts {text!r}: write PROMPT,OUTPUT in whole numbers") from None
-    if min(counts) < 0:
-        raise ValueError(f"token counts {text!r}: write numbers of 0 or more")
+        raise ValueError(
+            f"token counts {text[:_MAX_QUOTED]!r}: write PROMPT,OUTPUT in whole numbers"
+        ) from None
+    if min(counts) < 0 or max(counts) > MAX_TOKENS:
+        raise ValueError(
+            f"token counts {text[:_MAX_QUOTED]!r}: write numbers from 0 to {MAX_TOKENS}"
+        )
     return counts
 
 
@@ -73,6 +85,10 @@
     for entry in filter(None, (piece.strip() for piece in text.split(","))):
         part_id, _, tokens = entry.rpartition(":")
         if not part_id or not tokens.isdecimal():
-            raise ValueError(f"prompt part {entry!r}: write ID:TOKENS")
+            raise ValueError(f"prompt part {entry[:_MAX_QUOTED]!r}: write ID:TOKENS")
+        if len(tokens) > _MAX_DIGITS or int(tokens) > MAX_TOKENS:
+            raise ValueError(
+                f"prompt part {entry[:_MAX_QUOTED]!r}: write at most {MAX_TOKENS} tokens"
+            )
         parts.append(PromptPart(part_id, int(tokens)))
     return tuple(parts)
--- a/mothstand/tests/test_odd_entries.py
+++ b/mothstand/tests/test_odd_entries.py
@@ -14,6 +14,7 @@
 from ..core.claims import Claim, Holder
 from ..core.fleet import Capacity, Member
 from ..core.loans import Peer
+from ..core.prompt import parse_parts, parse_token_counts
 from ..core.quarantine import UpstreamCrash
 from ..core.renewals import Renewal
 from ..core.suspects import SuspectId
@@ -135,6 +136,31 @@
         decode_upstream("i-1", value)
 
 
+@pytest.mark.parametrize("counts", ["1,9999999999999999999999999", "9" * 30 + ",1", "1000000001,1"])
+def test_request_of_more_tokens_than_sums_hold_is_refused(counts: str) -> None:
+    # Guards against an instance that stops because one caller names a number of 25 digits.
+    with pytest.raises(ValueError, match="token counts"):
+        parse_token_counts(counts)
+    with pytest.raises(ValueError, match="prompt part"):
+        parse_parts(f"aa:{max(counts.split(','), key=len)}")
+
+
+@pytest.mark.processes
+def test_instances_outlive_a_request_of_too_many_tokens(tmp_path: Path) -> None:
+    # Guards against a request that is asked of peers in a number that no message holds.
+    with GatewayFleet(tmp_path) as fleet:
+        fleet.start_engine("e1")
+        fleet.publish(prepaid_tokens=1_000_000)
+        instances = [fleet.start_instance(name) for name in ("a", "b")]
+        time.sleep(2.0)
+        for instance in instances:
+            answer = fleet.send_request(instance, f"odd-{instance.name}", tokens="1," + "9" * 25)
+            assert answer.status_code == 400
+        for instance in instances:
+            assert fleet.send_request(instance, f"after-{instance.name}").status_code == 200
+            assert "MS1004" not in fleet.log(instance)
+
+
 _MEMBER = encode_member(Member(Peer("a", "1", "127.0.0.1:1"), DataCentre("sto-a"), Capacity()))
 _CLAIM = encode_claim(Claim(BudgetName("b"), Holder("a", "1"), 9, 0, 9, 0, 1.0))
 _RENEWAL = encode_renewal(Renewal(Peer("a", "1", "127.0.0.1:1"), 1.0, 0))
