A connection to a peer that closes at once is a failed call

AttributeError("'Connection' object has no attribute '_transport'") ... stream origins". The task is started again; copies of origins that it held for other peers waited meanwhile.

Cause: a call waits for the attempt to connect in a task of its own, so that the connection may end between both; the library then has no transport, and raises an AttributeError, which is none of the errors of a call.

Change: a connection that is closed when the wait for it ends raises ConnectionResetError.

Evidence: test_connection_that_closes_before_its_first_call_is_a_failed_call fails before with that AttributeError. Checked: test_slow_connections, 8 passed.

--- a/mothstand/gateway/lending.py
+++ b/mothstand/gateway/lending.py
@@ -287,6 +287,8 @@
             self._connect_task.add_done_callback(_consume_exception)
         protocol = await asyncio.shield(self._connect_task)
         self.has_connected = True
+        if protocol.connection.is_closing():
+            raise ConnectionResetError("the connection was closed as soon as it was established")
         return protocol
 
     @property
--- a/mothstand/tests/test_slow_connections.py
+++ b/mothstand/tests/test_slow_connections.py
@@ -8,6 +8,7 @@
 
 import anyio
 import pytest
+from grpclib.client import Channel
 
 from ..core.relaying import RelayOffer
 from ..core.upstreams import RegisteredUpstream
@@ -246,6 +247,28 @@
         link.close()
         assert len(failures) == 20
 
+    @pytest.mark.anyio
+    async def test_connection_that_closes_before_its_first_call_is_a_failed_call(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        # Guards against a task that ends because a peer died just as a call was connected to it.
+        create = Channel._create_connection
+
+        async def close_at_once(channel: Channel) -> Any:
+            protocol = await create(channel)
+            protocol.connection._transport.abort()
+            await asyncio.sleep(0.01)
+            return protocol
+
+        monkeypatch.setattr(Channel, "_create_connection", close_at_once)
+        listening = await asyncio.start_server(lambda _, writer: writer.close(), "127.0.0.1", 0)
+        host, port = listening.sockets[0].getsockname()
+        link = GrpcPeerLink()
+        with pytest.raises(PeerError):
+            await link.registrations_gapless_read_s(f"{host}:{port}")
+        link.close()
+        listening.close()
+
 
 async def _no_loan(_: object) -> LoanReply:
     return LoanReply(0, 0)
