Requests without ids, and repetitions under one id, do not fail on a used connection

Cause: a second answer with an id on a connection proves nothing, and the empty id counted as one; nothing kept a repetition away from the connection that had carried its id.

Change: a request closes the idle connection that carried an answer with its id before, so that its own answer cannot be doubted and a copy of the earlier one is never read. The check on the connection stays for the others; its test switches the new memory off. Answers without an id promise nothing, so they are not compared.

--- a/mothstand/gateway/sockets.py
+++ b/mothstand/gateway/sockets.py
@@ -5,7 +5,8 @@
 import asyncio
 import functools
 import socket
-from collections import deque
+import weakref
+from collections import OrderedDict, deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,9 @@
 #: Latest request ids that a connection remembers.
 _MAX_REMEMBERED_IDS = 64
 
+#: Latest answers whose connections are remembered.
+_MAX_REMEMBERED_ANSWERS = 20_000
+
 #: Maximum bytes of what was not asked for in a log line.
 _MAX_LOGGED_BYTES = 80
 
@@ -108,6 +112,11 @@
         if not self._is_receiving and self._has_unread_bytes():
             self._close_unsolicited()
 
+    def close_if_idle(self) -> None:
+        """Close the connection if no request uses it."""
+        if self._is_idle:
+            self.close()
+
     def set_response_params(self, **options: Any) -> None:
         """Prepare for the answer to a request."""
         self._is_idle = False
@@ -194,6 +203,35 @@
     return isinstance(protocol, StrictResponseHandler) and protocol.note_answered(request_id)
 
 
+class AnsweredRequests:
+    """Connections of the latest answers, so that a request with the same id gets another one.
+
+    Notes
+    -----
+    A second answer with an id on a connection proves nothing. A caller may keep its id for a
+    repetition, and each of these would fail on a connection that carried the id before.
+    """
+
+    def __init__(self) -> None:
+        self._connections: OrderedDict[tuple[str, str], weakref.ref[StrictResponseHandler]]
+        self._connections = OrderedDict()
+
+    def note(self, address: str, request_id: str, response: aiohttp.ClientResponse) -> None:
+        """Remember the connection of an answer."""
+        if not isinstance(response._protocol, StrictResponseHandler):
+            return
+        self._connections[address, request_id] = weakref.ref(response._protocol)
+        if len(self._connections) > _MAX_REMEMBERED_ANSWERS:
+            self._connections.popitem(last=False)
+
+    def close_idle(self, address: str, request_id: str) -> None:
+        """Close the connection that carried an answer with this id, unless it is in use."""
+        reference = self._connections.pop((address, request_id), None)
+        connection = None if reference is None else reference()
+        if connection is not None:
+            connection.close_if_idle()
+
+
 class BackgroundConnector(aiohttp.TCPConnector):
     """Connection pool that continues to connect after the request has timed out.
 
--- a/mothstand/gateway/upstream_client.py
+++ b/mothstand/gateway/upstream_client.py
@@ -14,6 +14,7 @@
 
 from ..core.answer_limits import MAX_REFUSAL_BYTES, MAX_REPORT_BYTES
 from .sockets import (
+    AnsweredRequests,
     close_connection,
     close_idle,
     connection_use,
@@ -152,6 +153,7 @@
         self._connect_timeout_s = settings.timing.connect_timeout_s
         self._connector = make_connector(settings, on_late_connect)
         self._http = make_session(self._connector)
+        self._answered = AnsweredRequests()
 
     async def send(
         self, upstream: RegisteredUpstream, request: OutgoingRequest, headers: RawHeaders
@@ -169,6 +171,7 @@
         the connect timeout is down, behind a network partition, or drops connections because it is
         full.
         """
+        self._answered.close_idle(upstream.address, request.request_id)
         try:
             response = await self._http.request(
                 request.method,
@@ -193,11 +196,14 @@
             described = describe_answer(response, fields)
             close_connection(response)
             raise MayHaveRunError(f"answer of another request, {fields.request_id!r}{described}")
-        if is_repeated_answer(response, request.request_id):
+        # Without ids, only answers that promise nothing get here, the same ones each time.
+        if request.request_id and is_repeated_answer(response, request.request_id):
             # Attempts of one request have the same id, so this may be the answer to an earlier one.
             described = describe_answer(response, fields)
             close_connection(response)
             raise MayHaveRunError(f"second answer with the same id{described}")
+        if request.request_id:
+            self._answered.note(upstream.address, request.request_id, response)
         if fields.is_misdirected:
             # The request may meet this process again, under its own id.
             described = describe_answer(response, fields)
--- a/mothstand/tests/test_upstream_client.py
+++ b/mothstand/tests/test_upstream_client.py
@@ -11,6 +11,7 @@
 import pytest
 
 from ..core.upstreams import RegisteredUpstream
+from ..gateway import sockets
 from ..gateway.upstream_client import (
     MayHaveRunError,
     MisdirectedError,
@@ -243,9 +244,10 @@
 
     @pytest.mark.parametrize("status", [_FULL, "500 Failed"])
     async def test_answer_with_an_id_that_its_connection_carried_before_proves_nothing(
-        self, status: str
+        self, status: str, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         # Guards against the answer to an earlier attempt of a request, sent once more.
+        monkeypatch.setattr(sockets, "_MAX_REMEMBERED_ANSWERS", 0)
         first = _answer(status, "X-Request-Id: r", "X-Not-Executed: 1")
         own = _answer("200 OK", "X-Request-Id: r")
         upstream = ScriptedUpstream([first, _answer("200 OK", "X-Request-Id: r1"), first + own])
@@ -257,6 +259,33 @@
                 await client.send(registered, _request("r"), ())
         assert upstream.connections == 1
 
+    @pytest.mark.parametrize("status", [_FULL, "500 Failed"])
+    async def test_repeated_request_does_not_use_the_connection_of_its_first_answer(
+        self, status: str
+    ) -> None:
+        # Guards against a repetition that gets the answer to the first attempt once more.
+        upstream = RejectingUpstream([_answer(status, "X-Request-Id: r", "X-Not-Executed: 1")])
+        fields = (("X-Request-Id", "r"),)
+        async with upstream.client() as (client, registered):
+            with pytest.raises(NotRunError):
+                await client.send(registered, _request("r"), fields)
+            assert (await client.send(registered, _request("r"), fields)).status == 200
+        assert upstream.connections == 2
+
+    @pytest.mark.parametrize("request_id", ["", "kept"], ids=["no id", "one id"])
+    async def test_requests_without_ids_or_with_one_id_are_all_answered(
+        self, request_id: str
+    ) -> None:
+        # Guards against each second answer on a connection being taken for an earlier one.
+        fields = (("X-Request-Id", request_id),) if request_id else ()
+        own = _answer("200 OK", *(f"{name}: {value}" for name, value in fields))
+        upstream = ScriptedUpstream([own] * 6)
+        async with upstream.client() as (client, registered):
+            for _ in range(6):
+                answer = await client.send(registered, _request(request_id), fields)
+                assert answer.status == 200
+                answer.close()
+
     @pytest.mark.parametrize("pause_s", [0.0, 0.02], ids=["glued", "later"])
     async def test_connection_with_bytes_behind_an_answer_is_not_used_again(
         self, pause_s: float
@@ -295,6 +324,27 @@
         writer.close()
 
 
+@dataclass(slots=True)
+class RejectingUpstream(ScriptedUpstream):
+    """Upstream that rejects one request, and sends that again before the next answer there."""
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        rejection = b""
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                request_id = head.partition("X-Request-Id: ")[2].partition("\r\n")[0]
+                if self.answers:
+                    rejection = self.answers.pop()
+                    writer.write(rejection)
+                else:
+                    writer.write(rejection + _answer("200 OK", f"X-Request-Id: {request_id}"))
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        writer.close()
+
+
 @dataclass(slots=True)
 class FollowedUpstream(ScriptedUpstream):
     """Upstream that sends further bytes behind each answer.
