A request reaches its upstream with exactly its path and query

What callers saw: a request for '/a?' ran as '/a', and '/a#b' as '/a' (real processes, one instance and a raw upstream), which is a request that no caller sent.

Cause: the target was parsed as a URL, which drops an empty query and a fragment.

Change: the target is given to the library as a path that is not parsed, for upstreams and for peers that relay.

--- a/mothstand/gateway/relay_client.py
+++ b/mothstand/gateway/relay_client.py
@@ -6,7 +6,6 @@
 
 import aiohttp
 from multidict import CIMultiDict
-from yarl import URL
 
 from .relay_protocol import RelayOutcome, read_outcome, without_outcome
 from .sockets import close_connection
@@ -20,6 +19,7 @@
     close_refused,
     make_connector,
     make_session,
+    request_url,
 )
 
 if TYPE_CHECKING:
@@ -92,7 +92,7 @@
         try:
             response = await self._http.request(
                 request.method,
-                URL(f"http://{peer.offer.address}{request.target}", encoded=True),
+                request_url(peer.offer.address, request.target),
                 headers=CIMultiDict((*headers, *attempt.headers())),
                 data=request.body or None,
                 allow_redirects=False,
--- a/mothstand/gateway/upstream_client.py
+++ b/mothstand/gateway/upstream_client.py
@@ -175,7 +175,7 @@
         try:
             response = await self._http.request(
                 request.method,
-                URL(f"http://{upstream.address}{request.target}", encoded=True),
+                request_url(upstream.address, request.target),
                 headers=CIMultiDict(headers),
                 data=request.body or None,
                 allow_redirects=False,
@@ -258,6 +258,15 @@
         await self._http.close()
 
 
+def request_url(address: str, target: str) -> URL:
+    """Return the URL by which a request is sent with exactly this target.
+
+    A URL of the whole text would lose an empty query and a fragment.
+    """
+    host, _, port = address.rpartition(":")
+    return URL.build(scheme="http", host=host, port=int(port), path=target, encoded=True)
+
+
 def make_connector(
     settings: GatewaySettings, on_late_connect: Callable[[str], None] | None = None
 ) -> aiohttp.TCPConnector:
--- a/mothstand/tests/test_upstream_client.py
+++ b/mothstand/tests/test_upstream_client.py
@@ -60,6 +60,7 @@
     answers: list[bytes]
     connections: int = 0
     seen: list[UpstreamFields] = field(default_factory=list)
+    targets: list[str] = field(default_factory=list)
 
     @asynccontextmanager
     async def client(self) -> AsyncIterator[tuple[UpstreamClient, RegisteredUpstream]]:
@@ -84,7 +85,8 @@
         self.connections += 1
         try:
             while self.answers:
-                await reader.readuntil(b"\r\n\r\n")
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.targets.append(head.split(b" ")[1].decode())
                 writer.write(self.answers.pop(0))
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError):
@@ -197,6 +199,18 @@
         assert {fields.request_id for fields in upstream.seen} <= set(upstream.statuses)
 
 
+class TestTargets:
+    @pytest.mark.parametrize(
+        "target", ["/a?", "/a#b", "/a?#", "/a?b?c#d", "/a/../b?", "//a/b", "/a%zz", "/[a]|\\", "/%2F"]
+    )
+    async def test_target_reaches_the_upstream_unchanged(self, target: str) -> None:
+        # Guards against an upstream that runs another path or query than the caller's.
+        upstream = ScriptedUpstream([_answer("200 OK", "X-Request-Id: r")])
+        async with upstream.client() as (client, registered):
+            await client.send(registered, OutgoingRequest("POST", target, "r", b""), ())
+        assert upstream.targets == [target]
+
+
 #: An answer of another request as it may be sent once more, in part: its id stands last.
 _OTHER_FIELDS = (
     "X-Not-Executed: 1",
