An answer to an HTTP/1.0 caller that is broken off ends with a reset

What callers saw: a stream that broke off at its upstream reached a caller of HTTP/1.0 as a complete one (real processes: two events, then an orderly end of the connection).

Cause: such a caller knows the end of a stream by that of the connection alone, and breaking off ended it in order. Aborting the transport would as well: it closes the socket.

Evidence: test_answer_to_an_old_caller_that_is_broken_off_ends_with_a_reset fails before; the real processes then show a reset, for a short stream and for 15 MB to a slow caller.

Limit: a process that is killed ends these connections in order, as before.

Checked: test_caller_connections, test_sockets pass.

--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
 from ..core.config_freshness import OUTDATED_RETRY_AFTER_S
@@ -22,6 +22,7 @@
 from .call import Call, CallerConnection, CallerGoneError
 from .caller_connections import CallerServer
 from .request_body import read_body
+from .sockets import reset
 from .upstream_client import OutgoingRequest
 
 if TYPE_CHECKING:
@@ -90,7 +91,12 @@
 
     def abort(self) -> None:
         """Close the connection before the end of the body, so that the caller detects the error."""
-        if self._request.transport is not None:
+        if self._request.transport is None:
+            return
+        if self._request.version < HttpVersion11:
+            # There the end of the connection is that of the body; only a reset tells the error.
+            reset(self._request.transport)
+        else:
             self._request.transport.close()
 
     async def send_complete(
--- a/mothstand/gateway/sockets.py
+++ b/mothstand/gateway/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import socket
+import struct
 import weakref
 from collections import OrderedDict, deque
 from dataclasses import dataclass
@@ -29,6 +30,9 @@
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
 
+#: Option by which closing a socket resets its connection: switched on, no time to send the rest.
+_NO_LINGER = struct.pack("ii", 1, 0)
+
 #: Latest request ids that a connection remembers.
 _MAX_REMEMBERED_IDS = 64
 
@@ -54,6 +58,17 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
 
 
+def reset(transport: asyncio.Transport) -> None:
+    """End a connection so that its other end gets an error, not an end; what was sent may be lost.
+
+    Aborting a transport alone closes its socket, which the other end reads as an end.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    transport.abort()
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionUse:
     """Which connection an answer came on, for log lines.
--- a/mothstand/tests/test_caller_connections.py
+++ b/mothstand/tests/test_caller_connections.py
@@ -13,9 +13,10 @@
 
 from ..core.routes import RequestLimits
 from ..gateway.caller_connections import CallerServer
+from ..gateway.server import HttpCaller
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from anyio.abc import SocketStream
 
@@ -35,6 +36,16 @@
     return web.Response(body=await request.read())
 
 
+async def _broken_off(request: web.BaseRequest) -> web.StreamResponse:
+    caller = HttpCaller(request, lambda: False)
+    await caller.start(200, "OK", ())
+    await caller.write(b"id: 1\n\n")
+    await anyio.sleep(0.05)
+    caller.abort()
+    assert caller.response is not None
+    return caller.response
+
+
 @pytest.fixture
 def anyio_backend() -> str:
     """Return the event loop that the server library needs."""
@@ -42,8 +53,10 @@
 
 
 @asynccontextmanager
-async def connection() -> AsyncIterator[SocketStream]:
-    server = CallerServer(_echo, lambda: _LIMITS, initial_idle_timeout_s=9.0, access_log=None)
+async def connection(
+    handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]] = _echo,
+) -> AsyncIterator[SocketStream]:
+    server = CallerServer(handler, lambda: _LIMITS, initial_idle_timeout_s=9.0, access_log=None)
     runner = web.ServerRunner(server)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
@@ -64,6 +77,24 @@
         return received
 
 
+class TestBrokenAnswers:
+    @pytest.mark.anyio
+    async def test_answer_to_an_old_caller_that_is_broken_off_ends_with_a_reset(self) -> None:
+        # Guards against a part of a stream that looks complete where only its end frames it.
+        async with connection(_broken_off) as stream:
+            await stream.send(b"GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+            with pytest.raises(anyio.BrokenResourceError):
+                await rest_of(stream)
+
+    @pytest.mark.anyio
+    async def test_answer_that_is_broken_off_has_no_last_chunk(self) -> None:
+        async with connection(_broken_off) as stream:
+            await stream.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            answer = await rest_of(stream)
+        assert b"chunked" in answer
+        assert answer.endswith(b"id: 1\n\n\r\n")
+
+
 class TestCallerConnections:
     @pytest.mark.anyio
     async def test_slowly_sent_head_gets_408(self) -> None:
--- a/mothstand/tests/test_upstream_client.py
+++ b/mothstand/tests/test_upstream_client.py
@@ -201,7 +201,8 @@
 
 class TestTargets:
     @pytest.mark.parametrize(
-        "target", ["/a?", "/a#b", "/a?#", "/a?b?c#d", "/a/../b?", "//a/b", "/a%zz", "/[a]|\\", "/%2F"]
+        "target",
+        ["/a?", "/a#b", "/a?#", "/a?b?c#d", "/a/../b?", "//a/b", "/a%zz", "/[a]|\\", "/%2F"],
     )
     async def test_target_reaches_the_upstream_unchanged(self, target: str) -> None:
         # Guards against an upstream that runs another path or query than the caller's.
