Events end at an empty line however their lines end

What callers could see: an event twice. Where an event's lines end in a line feed and its empty line in a carriage return with one (or the like), two events were taken for one with the number of the first, so that a stream that goes on elsewhere repeats the second. Reproduced in the splitter, not in a run of processes.

Evidence: test_events_end_at_an_empty_line_however_lines_end fails before for three of eight mixes, in any pieces.

Change: the end of a line and the empty line may each end in their own way. After a line feed, a carriage return at the end of what was received may be half of a line end, and counts with the next byte.

--- a/mothstand/core/event_stream.py
+++ b/mothstand/core/event_stream.py
@@ -7,7 +7,13 @@
 
 from .answer_limits import MAX_EVENT_BYTES
 
-_EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+#: End of a line and an empty line, each of which may end in its own way. A carriage return in the
+#: end may be half of a line end, so that it counts once the next byte is there.
+_EVENT_END = re.compile(
+    rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n)"
+    rb"|\r\r"
+    rb"|(?:\r\n|\n)\r(?=[^\n])"
+)
 
 #: Bytes of the longest end of an event that may have arrived before its last byte.
 _PARTIAL_END_BYTES = 3
--- a/mothstand/tests/test_event_stream.py
+++ b/mothstand/tests/test_event_stream.py
@@ -82,3 +82,32 @@
         assert StreamProgress().feed(first + second) == first + second
         with pytest.raises(ForeignEventError):
             StreamProgress().feed(second + first)
+
+
+#: End of a line and of the empty line behind it, and bytes of the last event that may be held.
+_EVENT_ENDS = [
+    (b"\n", b"\n", b""),
+    (b"\r\n", b"\r\n", b""),
+    (b"\r", b"\r", b""),
+    (b"\n", b"\r\n", b""),
+    (b"\r\n", b"\n", b""),
+    (b"\r", b"\r\n", b"\n"),
+    (b"\n", b"\r", b"id: 4\ndata: x\n\r"),
+    (b"\r\n", b"\r", b"id: 4\r\ndata: x\r\n\r"),
+]
+
+
+@pytest.mark.parametrize(("line_end", "empty_line", "held"), _EVENT_ENDS)
+@pytest.mark.parametrize("step", [1, 2, 3, 100])
+def test_events_end_at_an_empty_line_however_lines_end(
+    line_end: bytes, empty_line: bytes, held: bytes, step: int
+) -> None:
+    # Guards against two events taken for one with the number of the first, which comes twice.
+    progress = StreamProgress()
+    body = b"".join(
+        b"id: %d" % number + line_end + b"data: x" + line_end + empty_line for number in range(1, 5)
+    )
+    passed = b"".join(progress.feed(body[at : at + step]) for at in range(0, len(body), step))
+    assert passed in (body, body.removesuffix(held))
+    expected = 3 if held.startswith(b"id") else 4
+    assert (progress.sent_events, progress.last_event_id) == (expected, str(expected))
