A head that callers cannot get is no answer

Cause: the client's parser takes heads that the server library does not send, and the status was not looked at.

Evidence: test_head_that_callers_cannot_get_is_no_answer fails before in all six cases.

Change: such a head proves nothing, like one joined from two: 502, or another attempt where the request may run twice. A status below 200 (the library skips interim answers, but not 101 and 000) is one too.

Checked: test_upstream_client, test_truncated_answers, 57 passed.

--- a/mothstand/gateway/upstream_client.py
+++ b/mothstand/gateway/upstream_client.py
@@ -45,6 +45,12 @@
 
 _STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
 
+#: Statuses below are not those of an answer.
+_FIRST_STATUS = 200
+
+#: Characters that a head must not hold; a caller's connection would break at them.
+_CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+
 
 class NotRunError(Exception):
     """No byte of the request was sent, or the upstream reports that it did not run it."""
@@ -190,6 +196,9 @@
         if _is_joined(response, raw):
             close_connection(response)
             raise MayHaveRunError(f"a head joined from two; status {response.status}")
+        if not _can_be_passed_on(response, raw):
+            close_connection(response)
+            raise MayHaveRunError(f"a head that is none; status {response.status}")
         if not fields.answers(request.request_id):
             # Where the next answer is expected, an upstream may send one of an earlier request
             # again. It says nothing of this request, whatever its status.
@@ -309,6 +318,12 @@
     return any(_STATUS_LINE.search(text) for text in texts)
 
 
+def _can_be_passed_on(response: aiohttp.ClientResponse, headers: RawHeaders) -> bool:
+    """Return whether a head can be sent to a caller: the parser takes more than the server does."""
+    texts = (response.reason or "", *(value for _, value in headers))
+    return response.status >= _FIRST_STATUS and not any(_CONTROL.search(text) for text in texts)
+
+
 def describe_answer(response: aiohttp.ClientResponse, fields: UpstreamFields) -> str:
     """Return what was concluded from a head and the connection that it came on, for the log."""
     says = " that says not run" if fields.has_not_run else ""
--- a/mothstand/tests/test_upstream_client.py
+++ b/mothstand/tests/test_upstream_client.py
@@ -199,6 +199,29 @@
         assert {fields.request_id for fields in upstream.seen} <= set(upstream.statuses)
 
 
+class TestUnsoundHeads:
+    @pytest.mark.parametrize(
+        ("status", "field"),
+        [
+            ("000 None", "X-A: 1"),
+            ("101 Switching Protocols", "Upgrade: x"),
+            ("200 O\x01K", "X-A: 1"),
+            ("503 F\x7full", "X-Not-Executed: 1"),
+            ("200 OK", "X-A: a\x01b"),
+            ("200 OK", "X-A: a\x0bb"),
+        ],
+    )
+    async def test_head_that_callers_cannot_get_is_no_answer(self, status: str, field: str) -> None:
+        # Guards against a caller's connection that breaks at, or gets, what is no answer.
+        own = _answer("200 OK", "X-Request-Id: r2")
+        upstream = ScriptedUpstream([_answer(status, "X-Request-Id: r1", field), own])
+        async with upstream.client() as (client, registered):
+            with pytest.raises(MayHaveRunError):
+                await client.send(registered, _request("r1"), ())
+            assert (await client.send(registered, _request("r2"), ())).status == 200
+        assert upstream.connections == 2
+
+
 class TestTargets:
     @pytest.mark.parametrize(
         "target",
