Header values reach upstreams and callers with the bytes that were received

What callers saw (real processes): a request whose id holds bytes outside of ASCII ran under another id, and got 502 'answer of another request'; other headers reached the upstream changed, and a tenant's name did on its way through a peer that relays.

Cause: received bytes were read as Latin-1, and the library sends text as UTF-8.

Evidence: test_bytes_of_header_values_reach_upstream_and_caller_unchanged fails before.

Change: received values are sent such that their bytes stay the same. The library cannot send bytes that are not UTF-8: where they stand in an id, a model, token counts, parts or an event id, the request is malformed (400); in other headers they change as before.

Checked: test_users_platform, test_upstream_client, test_relay, test_forward: 173 passed.

--- a/mothstand/platform/headers.py
+++ b/mothstand/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING
 
 from ..core.prompt import Prompt, parse_parts, parse_token_counts
 from ..gateway.headers import (
@@ -14,6 +15,9 @@
     without_headers,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 _REQUEST_ID = "X-Request-Id"
 _DEADLINE = "X-Deadline-Milliseconds"
 _KEY = "X-Api-Key"
@@ -87,11 +91,33 @@
     return next(iter(_header_values(headers, name)), "")
 
 
+def _as_received(text: str) -> str:
+    """Return received text such that the library sends the bytes that were received.
+
+    Received bytes are read as Latin-1, and the library sends UTF-8. Bytes that are not UTF-8 cannot
+    be sent unchanged.
+    """
+    if text.isascii():
+        return text
+    try:
+        return text.encode("latin-1").decode()
+    except UnicodeError:
+        return text
+
+
+def _all_as_received(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+    return [(name, _as_received(value)) for name, value in headers]
+
+
 class PlatformHeaders(HeaderTranslator):
     """Reads and writes headers under the platform's names."""
 
     def read_caller(self, headers: RawHeaders) -> CallerFields:
         """Return the fields of a caller's request headers."""
+        for name in (_REQUEST_ID, _MODEL, _TOKENS, _PARTS, _LAST_EVENT_ID):
+            value = _header_value(headers, name)
+            if not value.isascii() and _as_received(value) == value:
+                raise ValueError(f"{name} {value[:_MAX_LOGGED_VALUE]!r}: write UTF-8")
         deadline = _header_value(headers, _DEADLINE)
         try:
             deadline_s = float(deadline) / 1000 if deadline else None
@@ -109,22 +135,21 @@
 
     def to_upstream(self, headers: RawHeaders, fields: ForwardFields) -> RawHeaders:
         """Return a caller's headers as they are forwarded to an upstream."""
-        forwarded = without_headers(
-            headers, _HOP_BY_HOP_HEADERS | _RESERVED_HEADERS | _connection_specific_headers(headers)
-        )
+        names = _HOP_BY_HOP_HEADERS | _RESERVED_HEADERS | _connection_specific_headers(headers)
+        forwarded = _all_as_received(without_headers(headers, names))
         forwarded.append((_UPSTREAM_ID, fields.upstream_id))
         forwarded.append((_DEADLINE, str(max(1, int(fields.remaining_s * 1000)))))
         forwarded.append((_PRIORITY, str(min(_LOWEST_PRIORITY, max(0, fields.priority)))))
         if fields.workspace:
             forwarded.append((_WORKSPACE, fields.workspace))
         if fields.last_event_id:
-            forwarded.append((_LAST_EVENT_ID, fields.last_event_id))
+            forwarded.append((_LAST_EVENT_ID, _as_received(fields.last_event_id)))
         return tuple(forwarded)
 
     def relayed_to_upstream(self, headers: RawHeaders, elapsed_s: float) -> RawHeaders:
         """Return the headers of a relayed request, with its deadline reduced."""
-        forwarded = without_headers(
-            headers, _HOP_BY_HOP_HEADERS | _connection_specific_headers(headers)
+        forwarded = _all_as_received(
+            without_headers(headers, _HOP_BY_HOP_HEADERS | _connection_specific_headers(headers))
         )
         return tuple(
             (
@@ -149,15 +174,14 @@
 
     def to_caller(self, headers: RawHeaders) -> RawHeaders:
         """Return an upstream's headers as they are sent to the caller."""
-        return tuple(
-            without_headers(headers, _HOP_BY_HOP_HEADERS | _connection_specific_headers(headers))
-        )
+        names = _HOP_BY_HOP_HEADERS | _connection_specific_headers(headers)
+        return tuple(_all_as_received(without_headers(headers, names)))
 
     def refusal_headers(self, request_id: str, retry_after_s: float | None) -> RawHeaders:
         """Return the headers of an answer that the gateway itself produces."""
         headers = [("Content-Type", "application/json")]
         if request_id:
-            headers.append((_REQUEST_ID, request_id))
+            headers.append((_REQUEST_ID, _as_received(request_id)))
         if retry_after_s is not None:
             headers.append((_RETRY_AFTER, f"{retry_after_s:.3f}"))
         return tuple(headers)
--- a/mothstand/tests/test_users_platform.py
+++ b/mothstand/tests/test_users_platform.py
@@ -4,6 +4,7 @@
 
 import json
 import struct
+from typing import TYPE_CHECKING
 
 import pytest
 
@@ -14,6 +15,9 @@
 from ..platform.records import decode_config, decode_upstream
 from ..platform.store import decode_page, encode_record
 
+if TYPE_CHECKING:
+    from ..gateway.headers import RawHeaders
+
 _CONFIG = {
     "version": 7,
     "routes": [
@@ -240,3 +244,34 @@
         assert translator.read_upstream(503, (("X-Not-Executed", "1"),)).has_not_run
         assert not translator.read_upstream(503, ()).has_not_run
         assert translator.read_upstream(421, ()).is_misdirected
+
+
+def _sent(headers: RawHeaders) -> dict[str, bytes]:
+    """Return header values as the library sends them."""
+    return {name: value.encode() for name, value in headers}
+
+
+def _received(headers: dict[str, bytes]) -> RawHeaders:
+    return tuple((name, value.decode("latin-1")) for name, value in headers.items())
+
+
+class TestUnusualBytes:
+    def test_bytes_of_header_values_reach_upstream_and_caller_unchanged(self) -> None:
+        # Guards against a request that runs under an id that no caller sent, and gets 502.
+        headers = {"X-Request-Id": "r-é".encode(), "X-Model": "模".encode(), "X-A": b"a"}
+        translator = PlatformHeaders()
+        fields = ForwardFields("i-1", "låneavd", 1.0, 0, "händelse".encode().decode("latin-1"))
+        forwarded = _sent(translator.to_upstream(_received(headers), fields))
+        assert {name: forwarded[name] for name in headers} == headers
+        assert forwarded["X-Tenant"] == "låneavd".encode()
+        assert forwarded["Last-Event-Id"] == "händelse".encode()
+        relayed = _sent(translator.relayed_to_upstream(_received(forwarded), 0.0))
+        assert relayed == forwarded
+        assert _sent(translator.to_caller(_received(headers))) == headers
+        request_id = translator.read_caller(_received(headers)).request_id
+        assert _sent(translator.refusal_headers(request_id, None))["X-Request-Id"] == "r-é".encode()
+
+    @pytest.mark.parametrize("name", ["X-Request-Id", "X-Model", "Last-Event-Id"])
+    def test_value_that_cannot_be_forwarded_unchanged_is_malformed(self, name: str) -> None:
+        with pytest.raises(ValueError, match=name):
+            PlatformHeaders().read_caller(_received({name: b"r-\xe9"}))
