Any limit that an upstream names can be announced

What happened since (real process): after one answer with 'Server-Limit: 1e308' the instance no longer read or announced the fleet's members, 'MS1004 task_failed ... rate_per_s Input should be less than or equal to', five times a second. Others take an instance that does not announce itself for gone.

Cause: announced limits got an upper bound, for those who read them and for the one who writes them; the header had none.

Evidence: test_any_limit_that_an_upstream_names_can_be_announced fails before for limits above 10^15.

Change: a limit above 10^9 requests a second counts as that.

Checked: the test, 5 passed.

--- a/mothstand/platform/headers.py
+++ b/mothstand/platform/headers.py
@@ -35,6 +35,9 @@
 _RETRY_AFTER = "Retry-After"
 _RATE_LIMIT = "Server-Limit"
 
+#: Higher limits count as this one, which no upstream reaches. Instances announce limits to others.
+_MAX_RATE_LIMIT_PER_S = 1e9
+
 #: Characters of an invalid header value that are logged.
 _MAX_LOGGED_VALUE = 40
 
@@ -198,7 +201,7 @@
         except ValueError:
             limit_per_s = math.nan
         if math.isfinite(limit_per_s) and limit_per_s >= 0:
-            limits_per_s.append(limit_per_s)
+            limits_per_s.append(min(_MAX_RATE_LIMIT_PER_S, limit_per_s))
         else:
             invalid = invalid or value[:_MAX_LOGGED_VALUE]
     return min(limits_per_s, default=None), invalid
--- a/mothstand/tests/test_odd_entries.py
+++ b/mothstand/tests/test_odd_entries.py
@@ -16,6 +16,7 @@
 from ..core.loans import Peer
 from ..core.prompt import parse_parts, parse_token_counts
 from ..core.quarantine import UpstreamCrash
+from ..core.rate_limits import LimitNotice
 from ..core.renewals import Renewal
 from ..core.suspects import SuspectId
 from ..core.upstreams import UpstreamKey
@@ -23,6 +24,7 @@
 from ..gateway.member_feed import decode_member, encode_member
 from ..gateway.quarantine.records import decode_crash, encode_crash, record_age
 from ..gateway.store import KeyedRecord
+from ..platform.headers import PlatformHeaders
 from ..platform.records import decode_config, decode_upstream
 from ..testing.gateway_fleet import PREFIX, SERVICE, GatewayFleet, request_headers
 from ..testing.registrations import registration
@@ -253,3 +255,13 @@
     inner[path[-1]] = "VALUE"
     with pytest.raises(ValueError, match="not a configuration"):
         decode_config(json.dumps(odd).replace('"VALUE"', number).encode())
+
+
+@pytest.mark.parametrize("limit", ["1e16", "1e308", "9" * 300, "5e-324", "0"])
+def test_any_limit_that_an_upstream_names_can_be_announced(limit: str) -> None:
+    # Guards against an instance that no longer announces itself after an answer with a high limit.
+    fields = PlatformHeaders().read_upstream(200, (("Server-Limit", limit),))
+    notice = LimitNotice(UpstreamKey("i-1", 0), fields.rate_limit_per_s, 0.0)
+    member = Member(Peer("a", "inc", "127.0.0.1:1"), DataCentre("a"))
+    record = encode_member(member, limit_notices=(notice,))
+    assert decode_member(record).limit_notices == (notice,)
