Known red: a complete answer is lost with bytes behind it that begin no head

The parser raises for the packet as a whole, and the library drops the messages of it. The attempt counts as a broken connection, which is a reason to look for a crash of the upstream. Not mended here: where the answer ends is known to the parser alone, and it cannot be asked after the error.

--- a/mothstand/tests/test_upstream_client.py
+++ b/mothstand/tests/test_upstream_client.py
@@ -199,6 +199,23 @@
         assert {fields.request_id for fields in upstream.seen} <= set(upstream.statuses)
 
 
+class TestBytesBehindAnswers:
+    @pytest.mark.parametrize("behind", [b"garbage", b"\x00\xff"])
+    async def test_complete_answer_counts_whatever_bytes_come_with_its_end(
+        self, behind: bytes
+    ) -> None:
+        # Guards against an answer that is lost, 502, since bytes behind it are no head.
+        upstream = FollowedUpstream([], behind=behind)
+        async with upstream.client() as (client, registered):
+            for request_id in ("r1", "r2"):
+                answer = await client.send(
+                    registered, _request(request_id), (("X-Request-Id", request_id),)
+                )
+                assert await answer.read_piece() == b"whole"
+                answer.close()
+        assert upstream.connections == 2
+
+
 class TestUnsoundHeads:
     @pytest.mark.parametrize(
         ("status", "field"),
