--- a/mothstand/gateway/upstream_client.py
+++ b/mothstand/gateway/upstream_client.py
@@ -14,6 +14,7 @@
 
 from ..core.answer_limits import MAX_REFUSAL_BYTES, MAX_REPORT_BYTES
 from .sockets import (
+    AnsweredRequests,
     close_connection,
     close_idle,
     connection_use,
@@ -44,6 +45,12 @@
 
 _STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
 
+#: Statuses below are not those of an answer.
+_FIRST_STATUS = 200
+
+#: Characters that a head must not hold; a caller's connection would break at them.
+_CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+
 
 class NotRunError(Exception):
     """No byte of the request was sent, or the upstream reports that it did not run it."""
@@ -152,6 +159,7 @@
         self._connect_timeout_s = settings.timing.connect_timeout_s
         self._connector = make_connector(settings, on_late_connect)
         self._http = make_session(self._connector)
+        self._answered = AnsweredRequests()
 
     async def send(
         self, upstream: RegisteredUpstream, request: OutgoingRequest, headers: RawHeaders
@@ -169,10 +177,11 @@
         the connect timeout is down, behind a network partition, or drops connections because it is
         full.
         """
+        self._answered.close_idle(upstream.address, request.request_id)
         try:
             response = await self._http.request(
                 request.method,
-                URL(f"http://{upstream.address}{request.target}", encoded=True),
+                request_url(upstream.address, request.target),
                 headers=CIMultiDict(headers),
                 data=request.body or None,
                 allow_redirects=False,
@@ -187,17 +196,23 @@
         if _is_joined(response, raw):
             close_connection(response)
             raise MayHaveRunError(f"a head joined from two; status {response.status}")
+        if not _can_be_passed_on(response, raw):
+            close_connection(response)
+            raise MayHaveRunError(f"a head that is none; status {response.status}")
         if not fields.answers(request.request_id):
             # Where the next answer is expected, an upstream may send one of an earlier request
             # again. It says nothing of this request, whatever its status.
             described = describe_answer(response, fields)
             close_connection(response)
             raise MayHaveRunError(f"answer of another request, {fields.request_id!r}{described}")
-        if is_repeated_answer(response, request.request_id):
+        # Without ids, only answers that promise nothing get here, the same ones each time.
+        if request.request_id and is_repeated_answer(response, request.request_id):
             # Attempts of one request have the same id, so this may be the answer to an earlier one.
             described = describe_answer(response, fields)
             close_connection(response)
             raise MayHaveRunError(f"second answer with the same id{described}")
+        if request.request_id:
+            self._answered.note(upstream.address, request.request_id, response)
         if fields.is_misdirected:
             # The request may meet this process again, under its own id.
             described = describe_answer(response, fields)
@@ -252,6 +267,15 @@
         await self._http.close()
 
 
+def request_url(address: str, target: str) -> URL:
+    """Return the URL by which a request is sent with exactly this target.
+
+    A URL of the whole text would lose an empty query and a fragment.
+    """
+    host, _, port = address.rpartition(":")
+    return URL.build(scheme="http", host=host, port=int(port), path=target, encoded=True)
+
+
 def make_connector(
     settings: GatewaySettings, on_late_connect: Callable[[str], None] | None = None
 ) -> aiohttp.TCPConnector:
@@ -294,6 +318,12 @@
     return any(_STATUS_LINE.search(text) for text in texts)
 
 
+def _can_be_passed_on(response: aiohttp.ClientResponse, headers: RawHeaders) -> bool:
+    """Return whether a head can be sent to a caller: the parser takes more than the server does."""
+    texts = (response.reason or "", *(value for _, value in headers))
+    return response.status >= _FIRST_STATUS and not any(_CONTROL.search(text) for text in texts)
+
+
 def describe_answer(response: aiohttp.ClientResponse, fields: UpstreamFields) -> str:
     """Return what was concluded from a head and the connection that it came on, for the log."""
     says = " that says not run" if fields.has_not_run else ""
