--- a/mothstand/gateway/sockets.py
+++ b/mothstand/gateway/sockets.py
@@ -37,7 +37,7 @@
 _MAX_REMEMBERED_IDS = 64
 
 #: Latest answers whose connections are remembered.
-_MAX_REMEMBERED_ANSWERS = 20_000
+_MAX_REMEMBERED_ANSWERS = 2_000
 
 #: Maximum bytes of what was not asked for in a log line.
 _MAX_LOGGED_BYTES = 80
