--- a/mothstand/testing/soak/callers.py
+++ b/mothstand/testing/soak/callers.py
@@ -29,6 +29,8 @@
 _CONNECT_TIMEOUT_S = 1.0
 _OK = 200
 
+_MAX_BODY_BYTES = 900_000
+
 #: Time for which a connection is watched after a complete answer, now and then.
 _WATCH_S = 0.02
 
@@ -93,9 +95,10 @@
             if left_s < 0.1 or not addresses:
                 return
             name = self._rng.choice(sorted(addresses))
-            attempt = Attempt(
-                f"{subject}-{number}", kind, subject, name, time.monotonic(), after_event
-            )
+            request_id = f"{subject}-{0 if kind is Kind.KEPT_ID else number}"
+            attempt = Attempt(request_id, kind, subject, name, time.monotonic(), after_event)
+            if previous := self._log.attempts.get(request_id):
+                attempt.protocol_error = previous.protocol_error
             self._log.attempts[attempt.request_id] = attempt
             with anyio.move_on_after(left_s) as scope:
                 await self._try(attempt, addresses[name], resumes, left_s)
@@ -124,7 +127,10 @@
             with anyio.CancelScope() as scope:
                 if self._rng.random() < self._leaving_share:
                     scope.deadline = anyio.current_time() + self._rng.uniform(0.0, 0.3)
-                await connection.stream.send(self._encode(connection, attempt, resumes, left_s))
+                for number, piece in enumerate(self._encode(connection, attempt, resumes, left_s)):
+                    if number:
+                        await anyio.sleep(self._rng.choice((0.0, self._rng.uniform(0.0, 0.1))))
+                    await connection.stream.send(piece)
                 is_kept = await self._receive(connection, attempt)
             attempt.has_left = scope.cancelled_caught
         except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream):
@@ -148,14 +154,21 @@
 
     def _encode(
         self, connection: _Connection, attempt: Attempt, resumes: str, left_s: float
-    ) -> bytes:
-        body = json.dumps({"subject": attempt.subject}).encode()
+    ) -> list[bytes]:
+        """Return the pieces of a request, which are sent with pauses between them."""
+        fill = "x" * (self._rng.randrange(_MAX_BODY_BYTES) if self._rng.random() < 0.05 else 0)
+        body = json.dumps({"subject": attempt.subject, "fill": fill}).encode()
+        is_split = self._rng.random() < 0.3
+        is_chunked = self._rng.random() < 0.3
+        framing = ("Transfer-Encoding", "chunked")
+        if not is_chunked:
+            framing = ("Content-Length", str(len(body)))
         headers = [
             ("Host", HOST),
             ("X-Request-Id", attempt.request_id),
             ("X-Api-Key", KEY),
             ("X-Deadline-Milliseconds", str(int(left_s * 1000))),
-            ("Content-Length", str(len(body))),
+            framing,
         ]
         if attempt.kind.is_stream:
             headers += [
@@ -166,9 +179,12 @@
         if attempt.after_event:
             headers += [("Last-Event-Id", str(attempt.after_event)), ("Resumes", resumes)]
         request = h11.Request(method="POST", target=attempt.kind.value, headers=headers)
-        encoded = connection.protocol.send(request)
-        encoded += connection.protocol.send(h11.Data(data=body))
-        return encoded + connection.protocol.send(h11.EndOfMessage())
+        send = connection.protocol.send
+        cut = self._rng.randrange(len(body)) if is_split or is_chunked else 0
+        pieces = [send(request) or b""]
+        pieces += [send(h11.Data(data=part)) or b"" for part in (body[:cut], body[cut:]) if part]
+        pieces.append(send(h11.EndOfMessage()) or b"")
+        return pieces if is_split else [b"".join(pieces)]
 
     async def _receive(self, connection: _Connection, attempt: Attempt) -> bool:
         """Receive an answer; return whether the connection can be used again."""
--- a/mothstand/testing/soak/checks.py
+++ b/mothstand/testing/soak/checks.py
@@ -51,6 +51,10 @@
         for request_id in log.runs
         if request_id not in log.attempts
     ]
+    found += [
+        Violation("UNASKED", request_id, f"body of another request: {body!r}")
+        for request_id, body in log.foreign_bodies.items()
+    ]
     return found
 
 
--- a/mothstand/testing/soak/history.py
+++ b/mothstand/testing/soak/history.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import re
 import signal
 import time
 from dataclasses import dataclass, field
@@ -33,6 +34,9 @@
 _EVENT_S = (0.03, 0.1, 0.3)
 _KEYED_UPSTREAMS = "keyed.servers"
 
+#: Internal errors, and ends of readers of what others write.
+_INTERNAL_ERRORS = re.compile("MS9001|MS1004|Traceback")
+
 #: Time for which late runs may still begin after the last answer.
 _SETTLE_S = 1.0
 
@@ -83,6 +87,7 @@
     _shares: FaultShares = field(init=False)
     _event_s: float = field(init=False)
     _down: set[str] = field(default_factory=set)
+    _ending: set[str] = field(default_factory=set)
     _started: int = 0
     _releases: int = 0
     _config_version: int = 0
@@ -104,7 +109,7 @@
             outcome_counts(self.log),
             self._shares,
             self.log.extras,
-            sum(text.count("MS9001") + text.count("Traceback") for text in logs),
+            sum(len(_INTERNAL_ERRORS.findall(text)) for text in logs),
         )
 
     async def _play(self) -> None:
@@ -168,6 +173,7 @@
                 "path_prefix": kind.value,
                 "kind": {
                     Kind.ONCE: "non_idempotent",
+                    Kind.KEPT_ID: "non_idempotent",
                     Kind.REPEATABLE: "idempotent",
                 }.get(kind, "streaming"),
                 "timeout_ms": 4000,
@@ -199,6 +205,8 @@
             self._reload_instance,
             self._pause_instance,
             self._cut_instance,
+            self._isolate_instance,
+            self._stall_upstream,
             self._crash_upstream,
             self._release_upstream,
             self._lose_store,
@@ -229,21 +237,24 @@
         await self._restart([self._draw_instance()], signal.SIGTERM)
 
     async def _restart(self, names: list[str], number: signal.Signals) -> None:
-        """End instances and start them again; callers use them until they are gone."""
-        names = [name for name in names if name not in self._down]
-        self._down.update(names if number is signal.SIGTERM else ())
+        """End instances and start them again; some callers use them until they are gone."""
+        names = [name for name in names if name not in self._ending]
+        self._ending.update(names)
+        if number is not signal.SIGTERM or self._rng.random() < 0.5:
+            self._down.update(names)
         for name in names:
             process = self._instances[name].process
             process.send_signal(number)
             if number is signal.SIGTERM and self._rng.random() < 0.5:
                 process.send_signal(signal.SIGHUP)
-        self._down.update(names)
         for name in names:
             await to_thread.run_sync(self._instances[name].process.wait)
+        self._down.update(names)
         await anyio.sleep(self._rng.uniform(0.0, 0.5))
         for name in names:
             self._instances[name] = self._fleet.restart_instance(name)
             self._down.discard(name)
+            self._ending.discard(name)
 
     async def _reload_instance(self, _: TaskGroup) -> None:
         process = self._instances[self._draw_instance()].process
@@ -269,6 +280,23 @@
         await anyio.sleep(self._rng.uniform(0.5, 3.0))
         self._fleet.partition_ports(instance, PartitionMode.OPEN, ports)
 
+    async def _isolate_instance(self, _: TaskGroup) -> None:
+        """Cut an instance off from all upstreams, so that its peers relay, and kill one of them."""
+        name = self._draw_instance()
+        ports = frozenset(int(u.address.rpartition(":")[2]) for u in self._upstreams)
+        mode = self._rng.choice([m for m in PartitionMode if m is not PartitionMode.OPEN])
+        self._fleet.partition_ports(self._instances[name], mode, ports)
+        await anyio.sleep(self._rng.uniform(1.0, 3.0))
+        peers = sorted(self._instances.keys() - {name})
+        if peers and self._rng.random() < 0.6:
+            await self._restart([self._rng.choice(peers)], signal.SIGKILL)
+        await anyio.sleep(self._rng.uniform(0.0, 3.0))
+        self._fleet.partition_ports(self._instances[name], PartitionMode.OPEN, ports)
+
+    async def _stall_upstream(self, _: TaskGroup) -> None:
+        if self._upstreams:
+            self._rng.choice(self._upstreams).stall(self._rng.uniform(0.1, 2.0))
+
     async def _crash_upstream(self, upstream_tasks: TaskGroup) -> None:
         """End an upstream; another one starts at its address."""
         if not self._upstreams:
--- a/mothstand/testing/soak/records.py
+++ b/mothstand/testing/soak/records.py
@@ -15,6 +15,8 @@
     """Kind of a request; the values are the paths of the routes."""
 
     ONCE = "/once/"
+    #: As `ONCE`, but its caller keeps the id of a request that was refused.
+    KEPT_ID = "/kept-id/"
     REPEATABLE = "/repeatable/"
     STREAM = "/stream/"
     RESUMABLE = "/resumable/"
@@ -90,6 +92,7 @@
     runs: defaultdict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
     attempts: dict[str, Attempt] = field(default_factory=dict)
     versions: defaultdict[str, list[str]] = field(default_factory=lambda: defaultdict(list))
+    foreign_bodies: dict[str, bytes] = field(default_factory=dict)
     extras: int = 0
     lines: list[str] = field(default_factory=list)
 
--- a/mothstand/testing/soak/upstreams.py
+++ b/mothstand/testing/soak/upstreams.py
@@ -9,7 +9,8 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING
+from itertools import pairwise
+from typing import TYPE_CHECKING, cast
 
 import anyio
 from anyio.abc import SocketAttribute
@@ -21,7 +22,7 @@
 if TYPE_CHECKING:
     import random
 
-    from anyio.abc import Listener, SocketStream, TaskGroup
+    from anyio.abc import SocketListener, SocketStream, TaskGroup
 
     from .records import SoakLog
 
@@ -30,6 +31,18 @@
 _MISDIRECTED = 421
 _FULL = 503
 
+#: Connections that wait while none are accepted.
+_BACKLOG = 8
+
+#: Longest times for which a request waits unread, and between two pieces of an answer.
+_MAX_UNREAD_S = 0.8
+_MAX_SPLIT_S = 0.3
+
+_INTERIM_ANSWERS = (
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n",
+)
+
 #: Closes a socket with a reset.
 _RESET = struct.pack("ii", 1, 0)
 
@@ -79,6 +92,16 @@
         Run, and never answered.
     extra
         Complete answers, rejections too, with bytes behind them.
+    split
+        Answers and events that are sent in pieces, cut at any byte, with pauses.
+    unread
+        Requests that wait unread, with what is behind them on their connection.
+    closed
+        Complete answers, rejections too, whose connection ends soon after them, said or not.
+    early
+        Rejections that are sent before the body is read.
+    interim
+        Answers behind an interim one.
     """
 
     rejected: float = 0.0
@@ -88,6 +111,11 @@
     broken: float = 0.0
     silent: float = 0.0
     extra: float = 0.0
+    split: float = 0.0
+    unread: float = 0.0
+    closed: float = 0.0
+    early: float = 0.0
+    interim: float = 0.0
 
     @classmethod
     def draw(cls, rng: random.Random) -> FaultShares:
@@ -97,7 +125,18 @@
             return rng.uniform(0.1, 1.0) * highest if rng.random() < 0.7 else 0.0
 
         return cls(
-            share(0.5), share(0.1), share(0.03), share(0.05), share(0.1), share(0.02), share(0.3)
+            share(0.5),
+            share(0.1),
+            share(0.03),
+            share(0.05),
+            share(0.1),
+            share(0.02),
+            share(0.3),
+            share(0.3),
+            share(0.1),
+            share(0.3),
+            share(1.0),
+            share(0.2),
         )
 
 
@@ -110,7 +149,10 @@
     method: str
     path: str
     headers: dict[str, str]
-    body: bytes
+
+    @property
+    def body_bytes(self) -> int:
+        return int(self.headers.get("content-length", 0))
 
     @property
     def request_id(self) -> str:
@@ -154,6 +196,7 @@
         self._event_s = event_s
         self._slots = slots
         self._running = 0
+        self._stalled_until_s = 0.0
         self._scope = anyio.CancelScope()
 
     def entry(self, *, is_draining: bool = False) -> dict[str, object]:
@@ -170,20 +213,31 @@
     async def start(self, tasks: TaskGroup, port: int = 0) -> None:
         """Listen, at an unused port if none is given."""
         listener = await anyio.create_tcp_listener(
-            local_host="127.0.0.1", local_port=port, reuse_port=False
+            local_host="127.0.0.1", local_port=port, backlog=_BACKLOG, reuse_port=False
         )
         own_port = listener.extra(SocketAttribute.local_port)
         self.address = f"127.0.0.1:{own_port}"
-        tasks.start_soon(self._listen, listener.listeners[0])
+        tasks.start_soon(self._listen, cast("SocketListener", listener.listeners[0]))
 
     def crash(self) -> None:
         """End at once; all connections are reset."""
         self._scope.cancel()
 
-    async def _listen(self, listener: Listener[SocketStream]) -> None:
+    def stall(self, stalled_s: float) -> None:
+        """Accept no connection and read no request for some seconds."""
+        self._stalled_until_s = time.monotonic() + stalled_s
+
+    async def _await_stall(self) -> None:
+        while (left_s := self._stalled_until_s - time.monotonic()) > 0:
+            await anyio.sleep(left_s)
+
+    async def _listen(self, listener: SocketListener) -> None:
         with self._scope:
             try:
-                await listener.serve(self._serve)
+                async with anyio.create_task_group() as tasks:
+                    while True:
+                        tasks.start_soon(self._serve, await listener.accept())
+                        await self._await_stall()
             finally:
                 with anyio.CancelScope(shield=True):
                     await listener.aclose()
@@ -193,10 +247,13 @@
         late = b""
         try:
             while True:
-                request = await _read_request(reader)
+                request = await _read_head(reader)
                 if late:
                     await stream.send(late)
-                late = await self._answer(stream, request)
+                await self._await_stall()
+                if self._draw(self.shares.unread):
+                    await anyio.sleep(self._rng.uniform(0.0, _MAX_UNREAD_S))
+                late = await self._answer(stream, reader, request)
         except (_ConnectionEndError, anyio.EndOfStream, anyio.IncompleteRead):
             pass
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
@@ -208,29 +265,71 @@
             with anyio.CancelScope(shield=True), suppress(OSError):
                 await stream.aclose()
 
-    async def _answer(self, stream: SocketStream, request: _Request) -> bytes:
+    async def _answer(
+        self, stream: SocketStream, reader: BufferedByteReceiveStream, request: _Request
+    ) -> bytes:
         """Answer a request; return the bytes to send when the next one has arrived."""
         if request.method == "GET":
             report = json.dumps({"born": self.born_ms, "running": self._running}).encode()
             await stream.send(_head(self._rng, _OK, Framing.SIZED, [], report) + report)
             return b""
-        if request.headers.get("x-expected-instance") != self.upstream_id:
-            return await self._reject(stream, request, _MISDIRECTED)
-        if self._running >= self._slots or self._rng.random() < self.shares.rejected:
-            return await self._reject(stream, request, self._rng.choice((_FULL, 429)))
+        status = self._rejection(request)
+        if status and self._draw(self.shares.early):
+            late = await self._reject(stream, request, status)
+            await anyio.sleep(self._rng.uniform(0.0, 0.05))
+            await self._read_subject(reader, request)
+            return late
+        subject = await self._read_subject(reader, request)
+        if status:
+            return await self._reject(stream, request, status)
         self._running += 1
         try:
-            return await self._run(stream, request)
+            return await self._run(stream, request, subject)
         finally:
             self._running -= 1
 
+    def _rejection(self, request: _Request) -> int:
+        """Return the status of a request that is not run, or 0."""
+        if request.headers.get("x-expected-instance") != self.upstream_id:
+            return _MISDIRECTED
+        if self._running >= self._slots or self._draw(self.shares.rejected):
+            return self._rng.choice((_FULL, 429))
+        return 0
+
+    async def _read_subject(self, reader: BufferedByteReceiveStream, request: _Request) -> str:
+        body = await reader.receive_exactly(request.body_bytes)
+        try:
+            subject = str(json.loads(body)["subject"])
+        except ValueError:
+            subject = ""
+        if not request.request_id.startswith(subject) or not subject:
+            self._log.foreign_bodies[request.request_id] = body[:80]
+        return subject
+
     async def _reject(self, stream: SocketStream, request: _Request, status: int) -> bytes:
         headers = [("X-Request-Id", request.request_id), ("X-Not-Executed", "1")]
+        await self._send_interim(stream)
         return await self._send_sized(stream, status, headers, b"")
 
-    async def _run(self, stream: SocketStream, request: _Request) -> bytes:
+    async def _send_interim(self, stream: SocketStream) -> None:
+        if self._draw(self.shares.interim):
+            await self._send(stream, self._rng.choice(_INTERIM_ANSWERS))
+
+    async def _send(self, stream: SocketStream, data: bytes) -> None:
+        """Send bytes at once, or in pieces with pauses."""
+        cuts = []
+        if len(data) > 1 and self._draw(self.shares.split):
+            cuts = sorted(self._rng.randrange(1, len(data)) for _ in range(self._rng.randint(1, 4)))
+            head_end = data.find(b"\r\n\r\n") + 4
+            if self._rng.random() < 0.5 and 4 <= head_end < len(data):
+                cuts = [head_end]
+        for begin, end in pairwise([0, *cuts, len(data)]):
+            if begin:
+                await anyio.sleep(self._rng.uniform(0.0, _MAX_SPLIT_S))
+            await stream.send(data[begin:end])
+
+    async def _run(self, stream: SocketStream, request: _Request, subject: str) -> bytes:
         kind = Kind(request.path)
-        subject = json.loads(request.body)["subject"]
         run = Run(self.upstream_id, self.version, time.monotonic(), _OK, "", b"")
         runs = self._log.runs[request.request_id]
         runs.append(run)
@@ -246,6 +345,7 @@
             run.status = 504
         elif self._draw(self.shares.failed):
             run.status = 500
+        await self._send_interim(stream)
         headers = [("X-Request-Id", request.request_id), ("X-Server-Signature", run.signature)]
         if kind.is_stream and run.status == _OK:
             return await self._send_stream(stream, request, run, headers, subject)
@@ -260,11 +360,11 @@
         framing = self._rng.choice(list(Framing))
         data = _head(self._rng, run.status, framing, headers, run.body) + _encode(framing, run.body)
         if self._draw(self.shares.broken):
-            await stream.send(data[: self._rng.randrange(1, len(data) - 1)])
+            await self._send(stream, data[: self._rng.randrange(1, len(data) - 1)])
             # Without a length, only a reset shows that the body is not complete.
             raise self._end(stream, must_reset=framing is Framing.CLOSE)
         if framing is Framing.CLOSE:
-            await stream.send(data)
+            await self._send(stream, data)
             raise _ConnectionEndError
         if framing is Framing.CHUNKED:
             return await self._send_with_extra(stream, data)
@@ -283,7 +383,7 @@
         first = int(request.headers.get("last-event-id") or 0) + 1
         last = self._stream_events
         break_at = self._rng.randint(first, last + 1) if self._draw(self.shares.broken) else 0
-        await stream.send(_head(self._rng, _OK, framing, headers))
+        await self._send(stream, _head(self._rng, _OK, framing, headers))
         for number in range(first, last + 1):
             await anyio.sleep(self._rng.uniform(0.0, self._event_s))
             raw = event(number, subject, self.version)
@@ -291,13 +391,15 @@
             data = _encode_piece(framing, raw)
             if number == break_at:
                 cut = self._rng.randrange(1, len(data) - (1 if framing is Framing.CLOSE else 0))
-                await stream.send(data[:cut])
+                await self._send(stream, data[:cut])
                 raise self._end(stream)
-            await stream.send(data)
+            await self._send(stream, data)
         if framing is Framing.CLOSE:
             if self._draw(self.shares.extra):
                 self._log.extras += 1
-                await stream.send(self._extra(_head(self._rng, _OK, framing, headers) + run.body))
+                await self._send(
+                    stream, self._extra(_head(self._rng, _OK, framing, headers) + run.body)
+                )
             raise _ConnectionEndError
         if break_at > last:
             raise self._end(stream)
@@ -316,8 +418,14 @@
         streamed: tuple[list[tuple[str, str]], bytes] | None = None,
     ) -> bytes:
         """Send an answer, or the end of a stream; return the extra bytes to send later."""
+        if self._draw(self.shares.closed):
+            if streamed is None and self._rng.random() < 0.5:
+                data = data.replace(b"\r\n", b"\r\nConnection: close\r\n", 1)
+            await self._send(stream, data)
+            await anyio.sleep(self._rng.choice((0.0, self._rng.uniform(0.0, 0.05))))
+            raise self._end(stream)
         if not self._draw(self.shares.extra):
-            await stream.send(data)
+            await self._send(stream, data)
             return b""
         answer = data
         if streamed is not None:
@@ -327,14 +435,14 @@
         self._log.extras += 1
         when = self._rng.choice(list(ExtraTime))
         if when is ExtraTime.GLUED:
-            await stream.send(data + extra)
+            await self._send(stream, data + extra)
             return b""
-        await stream.send(data)
+        await self._send(stream, data)
         if when is ExtraTime.LATE:
             return extra
         await anyio.sleep(self._rng.uniform(0.0, 0.01))
         cut = self._rng.randrange(1, len(extra) + 1)
-        await stream.send(extra[:cut])
+        await self._send(stream, extra[:cut])
         return extra[cut:] if self._rng.random() < 0.5 else b""
 
     def _extra(self, answer: bytes) -> bytes:
@@ -366,13 +474,12 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
 
 
-async def _read_request(reader: BufferedByteReceiveStream) -> _Request:
+async def _read_head(reader: BufferedByteReceiveStream) -> _Request:
     head = await reader.receive_until(b"\r\n\r\n", _MAX_HEAD_BYTES)
     first_line, *lines = head.decode("latin-1").split("\r\n")
     headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines)}
-    body = await reader.receive_exactly(int(headers.get("content-length", 0)))
     method, path, _ = first_line.split(" ")
-    return _Request(method, path, headers, body)
+    return _Request(method, path, headers)
 
 
 def _head(
