Partitioned instances outlive a socket that closes as a partition begins

The thread that follows the partition's file ended with an OSError (bad file descriptor), so the instance stayed cut off, or was never cut off again, for the rest of a run. Now the option of a closed socket is skipped; all other errors still end the thread.

--- a/mothstand/testing/partitioned_gateway.py
+++ b/mothstand/testing/partitioned_gateway.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import ctypes
+import errno
 import json
 import os
 import socket
@@ -118,15 +119,24 @@
         self.partition = partition
         for sock, port in self._sockets.items():
             if was_hanging and sock in was_cut:
-                sock.setsockopt(socket.SOL_SOCKET, _SO_DETACH_FILTER, 0)
+                _set_option(sock, _SO_DETACH_FILTER, 0)
             if not self.is_cut(port):
                 continue
             if partition.mode is PartitionMode.HANG:
-                sock.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, _FILTER)
+                _set_option(sock, _SO_ATTACH_FILTER, _FILTER)
             elif partition.mode is PartitionMode.RESET:
                 _libc.connect(sock.fileno(), _UNSPECIFIED, len(_UNSPECIFIED))
 
 
+def _set_option(sock: socket.socket, option: int, value: int | bytes) -> None:
+    """Set an option of a socket; the event loop may have closed it meanwhile."""
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, option, value)
+    except OSError as error:
+        if error.errno != errno.EBADF:
+            raise
+
+
 def _partition_loop(sockets: PartitionedSockets) -> None:
     """Make all event loops of this process connect through the partition."""
     sock_connect = uvloop.Loop.sock_connect
