--- a/mothstand/testing/soak/checks.py
+++ b/mothstand/testing/soak/checks.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .records import PROMISES, Kind
+from .records import MAX_ATTEMPTS, PROMISES, Kind
 
 if TYPE_CHECKING:
     from .records import Attempt, Run, SoakLog
@@ -15,6 +15,7 @@
 #: An event of a stream: its number and its data.
 EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
 _SUCCESSES = range(200, 300)
+_DENIALS = range(300, 500)
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,13 +27,15 @@
     detail: str
 
 
-def violations(log: SoakLog, stream_events: int) -> list[Violation]:
+def violations(log: SoakLog, stream_events: int, *, is_undisturbed: bool) -> list[Violation]:
     """Return all broken rules.
 
     Parameters
     ----------
     stream_events
         Number of events of a complete stream.
+    is_undisturbed
+        Whether all instances ran all the time, so that each request has an answer.
     """
     found = []
     for attempt in log.attempts.values():
@@ -40,9 +43,14 @@
         for rule, detail in (
             *_run_violations(attempt, runs),
             *_answer_violations(attempt, runs),
+            *_denials(attempt),
             *(_stream_violations(attempt, stream_events) if attempt.kind.is_stream else ()),
         ):
             found.append(Violation(rule, attempt.request_id, detail))
+        if is_undisturbed and not attempt.status and not attempt.has_left:
+            found.append(Violation("LOST", attempt.request_id, "no answer"))
+        if is_undisturbed and len(runs) > MAX_ATTEMPTS:
+            found.append(Violation("BUDGET", attempt.request_id, f"{len(runs)} runs"))
     for subject, versions in log.versions.items():
         if len(set(versions)) > 1:
             found.append(Violation("ORDER", subject, f"joined from versions {versions}"))
@@ -59,10 +67,13 @@
 
 
 def _run_violations(attempt: Attempt, runs: list[Run]) -> list[tuple[str, str]]:
-    if attempt.kind.may_run_twice:
-        return []
     found = []
     places = [run.upstream_id for run in runs]
+    if len(set(places)) < len(places):
+        # Only an upstream that counts as not reached is tried again.
+        found.append(("TWICE", f"{attempt.kind.name} ran at {places}, at one of them again"))
+    if attempt.kind.may_run_twice:
+        return found
     if len(runs) > 1:
         found.append(("TWICE", f"{attempt.kind.name} ran at {places}"))
     if runs and attempt.status in PROMISES:
@@ -89,6 +100,12 @@
     return found
 
 
+def _denials(attempt: Attempt) -> list[tuple[str, str]]:
+    """Return whether a proper request was denied by an instance itself."""
+    is_denied = attempt.status in _DENIALS and attempt.status not in PROMISES
+    return [("DENIED", f"{attempt.status}")] if is_denied and not attempt.signature else []
+
+
 def _stream_violations(attempt: Attempt, stream_events: int) -> list[tuple[str, str]]:
     if attempt.status not in _SUCCESSES:
         return []
--- a/mothstand/testing/soak/history.py
+++ b/mothstand/testing/soak/history.py
@@ -16,7 +16,7 @@
 from ..partitioned_gateway import PartitionMode
 from .callers import Callers
 from .checks import Violation, outcome_counts, violations
-from .records import Kind, SoakLog
+from .records import MAX_ATTEMPTS, Kind, SoakLog
 from .upstreams import FaultShares, FaultyUpstream
 
 if TYPE_CHECKING:
@@ -105,7 +105,9 @@
             logs = [self._fleet.log(p) for p in self._instances.values()]
         (self.folder / "record.txt").write_text("\n".join(self.log.lines), encoding="utf-8")
         return SoakResult(
-            violations(self.log, _STREAM_EVENTS),
+            violations(
+                self.log, _STREAM_EVENTS, is_undisturbed=not self.settings.disruptions_per_s
+            ),
             outcome_counts(self.log),
             self._shares,
             self.log.extras,
@@ -180,7 +182,7 @@
                 "goal_ms": 300,
                 "priority": 0,
                 "service": _SERVICE,
-                "attempts": 2 if kind.may_run_twice else 1,
+                "attempts": MAX_ATTEMPTS if kind.may_run_twice else 1,
                 "resumable": kind is Kind.RESUMABLE,
             }
             for kind in Kind
--- a/mothstand/testing/soak/records.py
+++ b/mothstand/testing/soak/records.py
@@ -10,6 +10,9 @@
 #: Statuses that promise that a request has not run and never will.
 PROMISES = frozenset({408, 421, 429, 503})
 
+#: Runs that the routes allow a request that may run more than once.
+MAX_ATTEMPTS = 2
+
 
 class Kind(Enum):
     """Kind of a request; the values are the paths of the routes."""
--- a/mothstand/testing/soak/upstreams.py
+++ b/mothstand/testing/soak/upstreams.py
@@ -81,7 +81,7 @@
     rejected
         Rejected, not run.
     failed
-        Run, answered with a server error.
+        Run, answered with a server error, or with the status of a rejection.
     timed_out
         Run up to the deadline, answered with 504.
     lost
@@ -102,6 +102,8 @@
         Rejections that are sent before the body is read.
     interim
         Answers behind an interim one.
+    turned_away
+        Connections that are reset when they are accepted, as over a limit.
     """
 
     rejected: float = 0.0
@@ -116,6 +118,7 @@
     closed: float = 0.0
     early: float = 0.0
     interim: float = 0.0
+    turned_away: float = 0.0
 
     @classmethod
     def draw(cls, rng: random.Random) -> FaultShares:
@@ -137,6 +140,7 @@
             share(0.3),
             share(1.0),
             share(0.2),
+            share(0.2),
         )
 
 
@@ -246,6 +250,8 @@
         reader = BufferedByteReceiveStream(stream)
         late = b""
         try:
+            if self._draw(self.shares.turned_away):
+                raise self._end(stream, must_reset=True)
             while True:
                 request = await _read_head(reader)
                 if late:
@@ -271,8 +277,7 @@
         """Answer a request; return the bytes to send when the next one has arrived."""
         if request.method == "GET":
             report = json.dumps({"born": self.born_ms, "running": self._running}).encode()
-            await stream.send(_head(self._rng, _OK, Framing.SIZED, [], report) + report)
-            return b""
+            return await self._send_sized(stream, _OK, [], report)
         status = self._rejection(request)
         if status and self._draw(self.shares.early):
             late = await self._reject(stream, request, status)
@@ -344,7 +349,8 @@
             await anyio.sleep(int(request.headers["x-deadline-milliseconds"]) / 1000)
             run.status = 504
         elif self._draw(self.shares.failed):
-            run.status = 500
+            # Without `X-Not-Executed` no status says that a request has not run.
+            run.status = self._rng.choice((500, _FULL, 429))
         await self._send_interim(stream)
         headers = [("X-Request-Id", request.request_id), ("X-Server-Signature", run.signature)]
         if kind.is_stream and run.status == _OK:
@@ -378,15 +384,15 @@
         headers: list[tuple[str, str]],
         subject: str,
     ) -> bytes:
-        framing = self._rng.choice((Framing.CHUNKED, Framing.CLOSE))
+        framing = self._rng.choice(list(Framing))
         headers = [*headers, ("Content-Type", "text/event-stream")]
         first = int(request.headers.get("last-event-id") or 0) + 1
         last = self._stream_events
         break_at = self._rng.randint(first, last + 1) if self._draw(self.shares.broken) else 0
-        await self._send(stream, _head(self._rng, _OK, framing, headers))
-        for number in range(first, last + 1):
+        events = [event(number, subject, self.version) for number in range(first, last + 1)]
+        await self._send(stream, _head(self._rng, _OK, framing, headers, b"".join(events)))
+        for number, raw in enumerate(events, first):
             await anyio.sleep(self._rng.uniform(0.0, self._event_s))
-            raw = event(number, subject, self.version)
             run.body += raw
             data = _encode_piece(framing, raw)
             if number == break_at:
@@ -403,7 +409,8 @@
             raise _ConnectionEndError
         if break_at > last:
             raise self._end(stream)
-        return await self._send_with_extra(stream, b"0\r\n\r\n", (headers, run.body))
+        end = b"0\r\n\r\n" if framing is Framing.CHUNKED else b""
+        return await self._send_with_extra(stream, end, (headers, run.body))
 
     async def _send_sized(
         self, stream: SocketStream, status: int, headers: list[tuple[str, str]], body: bytes
