--- a/mothstand/testing/soak/history.py
+++ b/mothstand/testing/soak/history.py
@@ -283,15 +283,16 @@
         self._fleet.partition_ports(instance, PartitionMode.OPEN, ports)
 
     async def _isolate_instance(self, _: TaskGroup) -> None:
-        """Cut an instance off from all upstreams, so that its peers relay, and kill one of them."""
+        """Cut an instance off from all upstreams, so that its peers relay, and kill peers."""
         name = self._draw_instance()
         ports = frozenset(int(u.address.rpartition(":")[2]) for u in self._upstreams)
         mode = self._rng.choice([m for m in PartitionMode if m is not PartitionMode.OPEN])
         self._fleet.partition_ports(self._instances[name], mode, ports)
-        await anyio.sleep(self._rng.uniform(1.0, 3.0))
         peers = sorted(self._instances.keys() - {name})
-        if peers and self._rng.random() < 0.6:
-            await self._restart([self._rng.choice(peers)], signal.SIGKILL)
+        for _repeat in range(self._rng.randint(0, 2) if peers else 0):
+            await anyio.sleep(self._rng.uniform(0.5, 2.0))
+            victims = peers if self._rng.random() < 0.5 else [self._rng.choice(peers)]
+            await self._restart(victims, signal.SIGKILL)
         await anyio.sleep(self._rng.uniform(0.0, 3.0))
         self._fleet.partition_ports(self._instances[name], PartitionMode.OPEN, ports)
 
