An event with fields has one of an event, and its last number counts

With several ids in one event the first counted; clients take the last. Before: the four new cases of test_event_stream fail. Checked: test_event_stream.

--- a/mothstand/core/event_stream.py
+++ b/mothstand/core/event_stream.py
@@ -24,8 +24,12 @@
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 
 
-#: A line of an event: a comment, or a field with or without a value.
-_EVENT_LINE = re.compile(rb"(?::.*|[A-Za-z][A-Za-z0-9_-]*(?::.*)?)?")
+#: A line of an event: a comment, or a field with or without a value. The name of a field has no
+#: slash, so that a status line is none.
+_EVENT_LINE = re.compile(rb"(?:\xef\xbb\xbf)?(?::.*|[^\x00-\x20:/]+(?::.*)?)?")
+
+#: A field that an event with any fields has.
+_STANDARD_FIELD = re.compile(rb"(?:\xef\xbb\xbf)?(?:data|event|id|retry)(?::.*)?")
 
 
 class ForeignEventError(Exception):
@@ -61,8 +65,12 @@
 
     @property
     def is_well_formed(self) -> bool:
-        """Whether each line is a comment or a field."""
-        return all(_EVENT_LINE.fullmatch(line) for line in self.raw.splitlines())
+        """Whether each line is a comment or a field, and one of the fields is that of an event."""
+        lines = self.raw.splitlines()
+        if not all(_EVENT_LINE.fullmatch(line) for line in lines):
+            return False
+        fields = [line for line in lines if line and not line.startswith(b":")]
+        return not fields or any(_STANDARD_FIELD.fullmatch(line) for line in fields)
 
 
 @dataclass(slots=True)
@@ -92,8 +100,9 @@
         start = 0
         for end in _EVENT_END.finditer(self._buffer, searched_bytes):
             raw = bytes(self._buffer[start : end.end()])
-            id_match = _EVENT_ID.search(raw)
-            events.append(ServerEvent(raw, id_match.group(1).decode("latin-1") if id_match else ""))
+            ids = _EVENT_ID.findall(raw)
+            # As for clients, the last one counts.
+            events.append(ServerEvent(raw, ids[-1].decode("latin-1") if ids else ""))
             start = end.end()
         del self._buffer[:start]
         if not events and len(self._buffer) > self.max_event_bytes:
--- a/mothstand/tests/test_event_stream.py
+++ b/mothstand/tests/test_event_stream.py
@@ -50,7 +50,9 @@
             b"HTTP/1.1 503 X\r\nX-Request-Id: r0\r\n\r\n",
             b"HTTP/1.1 200 X\r\n\r\n" + event(1),
             b"id: 2\ndata: word\n\n",
+            b"id: 3\nid: 2\ndata: word\n\n",
             b"{}\n\n",
+            b"Request-Id: r0\r\nContent-Length: 0\r\n\r\n",
         ],
     )
     def test_bytes_behind_the_events_are_not_passed_on(self, foreign: bytes) -> None:
@@ -71,7 +73,14 @@
 
     @pytest.mark.parametrize(
         "block",
-        [b": still there\n\n", b"\n\n", b"data: end\n\n", b"x-weight-versions: 2\nid: 3\ndata\n\n"],
+        [
+            b": still there\n\n",
+            b"\n\n",
+            b"data: end\n\n",
+            b"x-weight-versions: 2\nid: 3\ndata\n\n",
+            b"\xef\xbb\xbfid: 3\ndata: word\n\n",
+            b"my.field: 1\ndata: word\n\n",
+        ],
     )
     def test_comments_and_other_fields_are_events(self, block: bytes) -> None:
         assert StreamProgress().feed(event(1) + event(2) + block) == event(1) + event(2) + block
