Prepaid totals up to 2^60 and negative limits are no reason to refuse a configuration

Found by the review: since the limits on numbers, a configuration with a prepaid total above 2^53, as someone writes for 'no limit', or with a connection limit of -1 was refused whole, which the code before took. The limits are those of 64-bit sums now. Checked: test_odd_entries, test_claims.

--- a/mothstand/platform/records.py
+++ b/mothstand/platform/records.py
@@ -18,7 +18,7 @@
     Route,
 )
 from ..core.upstreams import RegisteredUpstream
-from ..gateway.bounded import Count, Offset, Priority, Quantity, Tokens, UnixMilliseconds
+from ..gateway.bounded import Offset, Priority, Quantity, Tokens, UnixMilliseconds, WholeNumber
 from ..gateway.store import Stream
 from ..types import DataCentre, Region
 
@@ -63,21 +63,21 @@
     # Exactly one of the two is set; `split` has a weight for each service.
     service: str = ""
     split: list[_Destination] = Field(default_factory=list)
-    attempts: Count = 1
+    attempts: WholeNumber = 1
     public: bool = False
     resumable: bool = False
     home_regions: list[str] = Field(default_factory=list)
 
 
 class _Engine(BaseModel):
-    slots: Count = 0
+    slots: WholeNumber = 0
     # Tokens in one event of a stream.
-    stride: Count = 1
+    stride: WholeNumber = 1
 
 
 class _Service(BaseModel):
     name: str
-    connection_limit: Count = 100
+    connection_limit: WholeNumber = 100
     engine: _Engine | None = None
     cold_start_s: Quantity = 0
     cold_per_s: Quantity = 0
@@ -93,8 +93,8 @@
 
 
 class _Limits(BaseModel):
-    header_bytes: Count = 16384
-    body_bytes: Count = 4_194_304
+    header_bytes: WholeNumber = 16384
+    body_bytes: WholeNumber = 4_194_304
     header_timeout_ms: Quantity = 3000
     idle_timeout_ms: Quantity = 15000
 
--- a/mothstand/tests/test_odd_entries.py
+++ b/mothstand/tests/test_odd_entries.py
@@ -248,6 +248,9 @@
 ) -> None:
     # Guards against a version that is in force and overflows in a message to a peer.
     decode_config(json.dumps(_CONFIG).encode())
+    decode_config(
+        json.dumps(_CONFIG).replace('"prepaid": 9', '"prepaid": 1000000000000000000').encode()
+    )
     odd: Any = copy.deepcopy(_CONFIG)
     inner = odd
     for key in path[:-1]:
