A request whose deadline has passed is refused and not sent

It is refused at once, not run. A caller that is gone when it is refused is no library error (MS9002) any more, but counted as gone. Before: test_request_whose_deadline_has_passed_is_refused_and_not_sent fails (timed_out). Checked: test_forward, test_gateway.

--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -201,8 +201,11 @@
         RefusedError
             If the request failed before any part of an answer was sent.
         """
+        remaining_s = self._remaining_s(call)
+        if remaining_s <= 0:
+            raise RefusedError(Refusal(ErrorKind.OVERLOADED, "its deadline has passed"))
         try:
-            with anyio.fail_after(max(0.0, self._remaining_s(call))):
+            with anyio.fail_after(remaining_s):
                 await self._try_upstreams(call, caller)
         except TimeoutError:
             if caller.is_started:
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -195,14 +195,15 @@
         request_id = ""
         resumes = ""
         try:
-            headers = _raw_headers(request)
-            fields = self._read_fields(headers)
-            request_id = fields.request_id
-            resumes = fields.logged_resumes
-            await self._serve(request, headers, fields, caller, arrived_s)
-        except RefusedError as error:
-            refusal = self._unless_stale(error.refusal, arrived_s)
-            await self._refuse(caller, request_id, refusal, arrived_s, resumes)
+            try:
+                headers = _raw_headers(request)
+                fields = self._read_fields(headers)
+                request_id = fields.request_id
+                resumes = fields.logged_resumes
+                await self._serve(request, headers, fields, caller, arrived_s)
+            except RefusedError as error:
+                refusal = self._unless_stale(error.refusal, arrived_s)
+                await self._refuse(caller, request_id, refusal, arrived_s, resumes)
         except CallerGoneError:
             # Logged as request_left already; the library closes the connection.
             self._metrics.counts["callers_gone"] += 1
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -339,6 +339,13 @@
         call = world.call(RequestKind.NON_IDEMPOTENT, timeout_s=0.1)
         assert world.run(call) is ErrorKind.TIMED_OUT
 
+    def test_request_whose_deadline_has_passed_is_refused_and_not_sent(self) -> None:
+        # Guards against a run, and a 504, for a request that cannot be served any more.
+        world = ForwarderHarness(FakeAnswer(200, [b"late"]))
+        call = world.call(RequestKind.NON_IDEMPOTENT, timeout_s=0.0)
+        assert world.run(call) is ErrorKind.OVERLOADED
+        assert not world.client.sent_headers
+
     def test_upstream_deadline_leaves_time_to_report_that_request_did_not_run(self) -> None:
         """Guards against a 504 and uncertain tokens for a request that never ran.
 
