Soak's checks find broken bodies of others, joined runs and exchanged request bodies

Cause: planted logs showed checks that were blind. A body that broke off was not compared with its run; events of a stream that may run once were compared by number and subject only, so that two runs or two software versions could be joined; no check compared the body that a run got with its caller's.

Change: a broken body is a prefix of its run's (MIXED); each event is one of a run of the request, all events of a stream that may run once come from one run, and one answer has one version (ORDER); a run repeats its request's subject (UNASKED).

--- a/mothstand/testing/soak/checks.py
+++ b/mothstand/testing/soak/checks.py
@@ -40,7 +40,7 @@
         for rule, detail in (
             *_run_violations(attempt, runs),
             *_answer_violations(attempt, runs),
-            *(_stream_violations(attempt, stream_events) if attempt.kind.is_stream else ()),
+            *(_stream_violations(attempt, runs, stream_events) if attempt.kind.is_stream else ()),
         ):
             found.append(Violation(rule, attempt.request_id, detail))
     for subject, versions in log.versions.items():
@@ -55,9 +55,14 @@
 
 
 def _run_violations(attempt: Attempt, runs: list[Run]) -> list[tuple[str, str]]:
-    if attempt.kind.may_run_twice:
-        return []
     found = []
+    for run in runs:
+        pieces = [match[2] for match in EVENT.finditer(run.body)] or [run.body]
+        subjects = {event_data(piece).get("subject", "") for piece in pieces if piece}
+        if subjects - {attempt.subject}:
+            found.append(("UNASKED", f"ran with the body of {subjects} at {run.upstream_id}"))
+    if attempt.kind.may_run_twice:
+        return found
     places = [run.upstream_id for run in runs]
     if len(runs) > 1:
         found.append(("TWICE", f"{attempt.kind.name} ran at {places}"))
@@ -82,22 +87,35 @@
     is_whole = not (attempt.kind.is_stream and attempt.status in _SUCCESSES)
     if is_whole and attempt.is_complete and signed and attempt.body != signed[0].body:
         found.append(("MIXED", f"{len(attempt.body)} of {len(signed[0].body)} bytes, or others"))
+    if is_whole and signed and not signed[0].body.startswith(attempt.body):
+        found.append(("MIXED", f"{len(attempt.body)} bytes, not the first ones of the answer"))
     return found
 
 
-def _stream_violations(attempt: Attempt, stream_events: int) -> list[tuple[str, str]]:
+def _stream_violations(
+    attempt: Attempt, runs: list[Run], stream_events: int
+) -> list[tuple[str, str]]:
     if attempt.status not in _SUCCESSES:
         return []
     found = []
     numbers = []
+    versions = set()
     end = 0
     for match in EVENT.finditer(attempt.body):
         if match.start() != end:
             break
         end = match.end()
         numbers.append(int(match[1]))
-        if event_data(match[2]).get("subject") != attempt.subject:
+        data = event_data(match[2])
+        versions.add(data.get("version", ""))
+        if data.get("subject") != attempt.subject:
             found.append(("ORDER", f"event {numbers[-1]} of another stream: {match[2][:80]!r}"))
+        elif not any(match[0] in run.body for run in runs):
+            found.append(("ORDER", f"event {numbers[-1]} of no run: {match[2][:80]!r}"))
+    if len(versions) > 1:
+        found.append(("ORDER", f"joined from versions {sorted(versions)}"))
+    if not attempt.kind.may_run_twice and not any(r.body.startswith(attempt.body) for r in runs):
+        found.append(("ORDER", "events that no single run sent"))
     if attempt.body[end:]:
         found.append(("ORDER", f"no event: {attempt.body[end : end + 80]!r}"))
     first = attempt.after_event + 1
