Tests: crowds of callers that do not behave, against real processes

Each test starts a store, an engine and an instance on loopback, lets a crowd send on raw sockets, and judges that the process lives, that its peak of resident memory stays below the smallest machine (160 MB) or its descriptors below a bound, and that an ordinary caller which repeats refused requests is answered, while the crowd stays and after it. No times, no shares. Limits are lowered through the process itself (open files) and by the smallest machine, so that the same test runs on code without settings for them.

The engine stand-in pads events on request and records at most 10,000 characters of a body.

--- a/mothstand/standins/users_engine.py
+++ b/mothstand/standins/users_engine.py
@@ -6,7 +6,8 @@
 body, with ``--crash-part ID`` one whose prompt has that part. With ``--rate-limit TEXT`` all its
 answers name that limit. With ``--arrivals PATH`` it appends a line for each request to a file that
 outlives it. The data of its events is the ``--version`` of its software, of which a stream has
-``--event-count``. ``GET /report`` tells when it was started, ``--born-ms``.
+``--event-count``, each with ``--padding-bytes`` more. ``GET /report`` tells when it was started,
+``--born-ms``.
 """
 
 from __future__ import annotations
@@ -37,6 +38,9 @@
 #: Seconds from the start of a run to the crash that it causes.
 _CRASH_AFTER_S = 0.05
 
+#: Maximum characters of a body that are recorded of an arrival.
+_MAX_RECORDED_BODY = 10_000
+
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
@@ -74,6 +78,8 @@
         Events of a stream.
     born_ms
         Unix time of its start that it reports.
+    padding_bytes
+        Bytes of a comment in each event.
     """
 
     def __init__(
@@ -87,8 +93,10 @@
         version: str,
         event_count: int,
         born_ms: int,
+        padding_bytes: int,
     ) -> None:
         self._born_ms = born_ms
+        self._padding = f":{'x' * padding_bytes}\n" if padding_bytes else ""
         self._version = version
         self._event_count = event_count
         self._limit_headers = {"Server-Limit": rate_limit} if rate_limit else {}
@@ -116,7 +124,7 @@
                 os._exit(1)
             for number in range(first, self._event_count + 1):
                 await anyio.sleep(self._event_interval_s)
-                yield f"id: {number}\ndata: {self._version}\n\n".encode()
+                yield f"id: {number}\n{self._padding}data: {self._version}\n\n".encode()
 
         headers = {
             "X-Request-Id": request_id,
@@ -134,7 +142,8 @@
     def _record_arrival(self, request_id: str, body: str, *, is_crash: bool = False) -> None:
         if self._arrivals_path is None:
             return
-        arrival = Arrival(time.monotonic(), self._upstream_id, request_id, body, is_crash)
+        recorded = body[:_MAX_RECORDED_BODY]
+        arrival = Arrival(time.monotonic(), self._upstream_id, request_id, recorded, is_crash)
         with self._arrivals_path.open("a", encoding="utf-8") as lines:
             lines.write(json.dumps(asdict(arrival)) + "\n")
 
@@ -158,6 +167,7 @@
     version: str = "word",
     event_count: int = 5,
     born_ms: int = 0,
+    padding_bytes: int = 0,
 ) -> None:
     """Serve until SIGTERM."""
     engine = UsersEngineStandIn(
@@ -170,6 +180,7 @@
         str(version),
         event_count,
         born_ms,
+        padding_bytes,
     )
     routes = [
         Route("/journal", engine.journal, methods=["GET"]),
--- a/mothstand/testing/gateway_fleet.py
+++ b/mothstand/testing/gateway_fleet.py
@@ -81,6 +81,7 @@
         version: str = "v1",
         event_count: int = 5,
         born_ms: int = _BORN_MS,
+        padding_bytes: int = 0,
         is_registered: bool = True,
     ) -> FleetProcess:
         """Start and register an engine that sends an event every `event_s` seconds.
@@ -101,6 +102,8 @@
             Events of a stream.
         born_ms
             Unix time of its start, as it says.
+        padding_bytes
+            Bytes that each event has more.
         is_registered
             Whether the store gets to know of it; else an earlier registration of its id remains.
         """
@@ -114,6 +117,7 @@
             f"--version={version}",
             f"--event-count={event_count}",
             f"--born-ms={born_ms}",
+            f"--padding-bytes={padding_bytes}",
         )
         engine = self._start_standin(name, "users_engine", *options, address=address)
         if is_registered:
@@ -133,11 +137,14 @@
         data_centre: str = "sto-a",
         can_be_partitioned: bool = False,
         shares_load: bool = False,
+        max_descriptors: int = 0,
     ) -> FleetProcess:
         """Start a gateway instance and wait until it is ready.
 
         Parameters
         ----------
+        max_descriptors
+            Limit on the open files of the process; 0 to leave it as it is.
         shares_load
             Whether all parts of load sharing are switched on, for fleets of two and more.
         can_be_partitioned
@@ -161,6 +168,9 @@
         if can_be_partitioned:
             module = "mothstand.testing.partitioned_gateway"
             command = (sys.executable, "-m", module, str(path), str(self._partition_path(name)))
+        if max_descriptors:
+            module = "mothstand.testing.limited_gateway"
+            command = (sys.executable, "-m", module, str(path), str(max_descriptors))
         self._commands[name] = command
         process = self._spawn(name, command, callers, peers)
         self._ready_urls[name] = f"http://{ready}/readiness"
