Instances remember ids of callers by digests where they may be long

Callers choose the ids of requests and of prompt parts, up to the size of a head. Per upstream connection 64 request ids were kept, 2,000 for all, and per upstream 2,000 ids of parts: 30 MB for each upstream that a client alone can fill. Request ids are kept as 128-bit digests now; ids of parts over 64 characters are known by their digest in all of the core. What goes to upstreams are the caller's headers as before.

--- a/mothstand/core/prompt.py
+++ b/mothstand/core/prompt.py
@@ -4,11 +4,16 @@
 
 from dataclasses import dataclass
 
+import xxhash
+
 #: Maximum tokens of a request or a part of it. Sums over all requests of a budget stay within the
 #: integers that messages between instances hold.
 MAX_TOKENS = 10**9
 _MAX_DIGITS = 20
 
+#: Longer ids of parts are known by their digest: instances remember thousands of them.
+_MAX_ID_LENGTH = 64
+
 #: Maximum characters of a caller's text that an error quotes.
 _MAX_QUOTED = 80
 
@@ -90,5 +95,11 @@
             raise ValueError(
                 f"prompt part {entry[:_MAX_QUOTED]!r}: write at most {MAX_TOKENS} tokens"
             )
-        parts.append(PromptPart(part_id, int(tokens)))
+        parts.append(PromptPart(_bounded_id(part_id), int(tokens)))
     return tuple(parts)
+
+
+def _bounded_id(part_id: str) -> str:
+    if len(part_id) <= _MAX_ID_LENGTH:
+        return part_id
+    return xxhash.xxh3_128_hexdigest(part_id.encode("utf-8", "surrogateescape"))
--- a/mothstand/gateway/sockets.py
+++ b/mothstand/gateway/sockets.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
+import xxhash
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
@@ -106,7 +107,8 @@
         self._requests = 0
         self._is_idle = False
         self._is_receiving = False
-        self._answered_ids: deque[str] = deque(maxlen=_MAX_REMEMBERED_IDS)
+        # Digests, since callers may send ids of any length.
+        self._answered_ids: deque[int] = deque(maxlen=_MAX_REMEMBERED_IDS)
 
     @property
     def use(self) -> ConnectionUse:
@@ -116,8 +118,9 @@
 
     def note_answered(self, request_id: str) -> bool:
         """Note whose answer came; return whether one with that id had come on it before."""
-        is_repeated = request_id in self._answered_ids
-        self._answered_ids.append(request_id)
+        digest = _digest(request_id)
+        is_repeated = digest in self._answered_ids
+        self._answered_ids.append(digest)
         return is_repeated
 
     def note_idle(self) -> None:
@@ -218,6 +221,10 @@
     return isinstance(protocol, StrictResponseHandler) and protocol.note_answered(request_id)
 
 
+def _digest(request_id: str) -> int:
+    return xxhash.xxh3_128_intdigest(request_id.encode("utf-8", "surrogateescape"))
+
+
 class AnsweredRequests:
     """Connections of the latest answers, so that a request with the same id gets another one.
 
@@ -228,20 +235,20 @@
     """
 
     def __init__(self) -> None:
-        self._connections: OrderedDict[tuple[str, str], weakref.ref[StrictResponseHandler]]
+        self._connections: OrderedDict[tuple[str, int], weakref.ref[StrictResponseHandler]]
         self._connections = OrderedDict()
 
     def note(self, address: str, request_id: str, response: aiohttp.ClientResponse) -> None:
         """Remember the connection of an answer."""
         if not isinstance(response._protocol, StrictResponseHandler):
             return
-        self._connections[address, request_id] = weakref.ref(response._protocol)
+        self._connections[address, _digest(request_id)] = weakref.ref(response._protocol)
         if len(self._connections) > _MAX_REMEMBERED_ANSWERS:
             self._connections.popitem(last=False)
 
     def close_idle(self, address: str, request_id: str) -> None:
         """Close the connection that carried an answer with this id, unless it is in use."""
-        reference = self._connections.pop((address, request_id), None)
+        reference = self._connections.pop((address, _digest(request_id)), None)
         connection = None if reference is None else reference()
         if connection is not None:
             connection.close_if_idle()
