A body is sent to an upstream in slices, not as a copy

The library joins head and body to write them at once, so each body stood in memory twice while its upstream read it. Bodies above 64 kB are written in slices now, the next one when the connection has taken the one before; smaller ones go out in one packet as before. Relayed requests likewise.

--- a/mothstand/gateway/relay_client.py
+++ b/mothstand/gateway/relay_client.py
@@ -19,6 +19,7 @@
     close_refused,
     make_connector,
     make_session,
+    payload_of,
     request_url,
 )
 
@@ -94,7 +95,7 @@
                 request.method,
                 request_url(peer.offer.address, request.target),
                 headers=CIMultiDict((*headers, *attempt.headers())),
-                data=request.body or None,
+                data=payload_of(request.body),
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(total=None, sock_connect=self._connect_timeout_s),
             )
--- a/mothstand/gateway/upstream_client.py
+++ b/mothstand/gateway/upstream_client.py
@@ -25,6 +25,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from aiohttp.abc import AbstractStreamWriter
+
     from ..core.upstreams import RegisteredUpstream
     from ..settings.gateway import GatewaySettings
     from .headers import HeaderTranslator, RawHeaders, UpstreamFields
@@ -41,6 +43,9 @@
 #: Time for an upstream to say something of itself; a caller waits meanwhile.
 _REPORT_TIMEOUT_S = 0.4
 
+#: Bytes of a body that are handed to a connection at once.
+_SLICE_BYTES = 65_536
+
 _OK = 200
 
 _STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
@@ -183,7 +188,7 @@
                 request.method,
                 request_url(upstream.address, request.target),
                 headers=CIMultiDict(headers),
-                data=request.body or None,
+                data=payload_of(request.body),
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(total=None, sock_connect=self._connect_timeout_s),
             )
@@ -267,6 +272,25 @@
         await self._http.close()
 
 
+class _SlicedPayload(aiohttp.payload.BytesPayload):
+    """Body that is sent in slices; as a whole it would be copied to the connection's buffer."""
+
+    async def write_with_length(
+        self, writer: AbstractStreamWriter, content_length: int | None
+    ) -> None:
+        """Send the body, the next slice when the one before is on its way."""
+        content = memoryview(self._value)[:content_length]
+        for begin in range(0, len(content), _SLICE_BYTES):
+            await writer.write(bytes(content[begin : begin + _SLICE_BYTES]))
+
+
+def payload_of(body: bytes) -> bytes | aiohttp.payload.Payload | None:
+    """Return a request's body as the client library sends it."""
+    if len(body) <= _SLICE_BYTES:
+        return body or None
+    return _SlicedPayload(body)
+
+
 def request_url(address: str, target: str) -> URL:
     """Return the URL by which a request is sent with exactly this target.
 
