Memory of ended requests goes back to the system

By default glibc raises the size from which a block is mapped by itself up to 32 MB, with the blocks that are freed.

--- a/mothstand/gateway/program.py
+++ b/mothstand/gateway/program.py
@@ -11,6 +11,7 @@
 from ..process_signals import ProcessSignals
 from ..process_start import ProcessStart
 from ..settings.gateway import read_gateway_settings
+from . import allocator
 from .instance import GatewayInstance
 from .log_output import set_up_events
 
@@ -35,6 +36,7 @@
     start = process_start or ProcessStart(clock.monotonic_s(), ProcessSignals.receive())
     settings = read_gateway_settings(Path(path))
     set_up_events(clock)
+    allocator.set_up()
 
     async def run() -> None:
         # Connection pools belong to the running loop.
