A compressed request body reaches its upstream as it was sent

Cause: the server library decompresses by default. It is told not to, for callers and for relayed requests; the limit on bodies counts the bytes that are sent.

--- a/mothstand/gateway/relay_server.py
+++ b/mothstand/gateway/relay_server.py
@@ -120,6 +120,7 @@
             keepalive_timeout=_IDLE_TIMEOUT_S,
             max_line_size=_MAX_HEAD_BYTES,
             max_field_size=_MAX_HEAD_BYTES,
+            auto_decompress=False,
             access_log=None,
         )
 
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -181,6 +181,7 @@
             handler_cancellation=True,
             max_line_size=_MAX_HEAD_BYTES,
             max_field_size=_MAX_HEAD_BYTES,
+            auto_decompress=False,
             access_log=None,
         )
 
--- a/mothstand/tests/test_gateway.py
+++ b/mothstand/tests/test_gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import re
 import threading
 import time
@@ -13,7 +14,7 @@
 from ..core.fleet import ANNOUNCE_INTERVAL_S
 from ..core.renewals import UNLOCK_S
 from ..testing.fleet import wait_until
-from ..testing.gateway_fleet import GatewayFleet
+from ..testing.gateway_fleet import PREFIX, GatewayFleet, request_headers
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -51,6 +52,18 @@
         assert ran[0]["x-tenant"] == "seniors"
         assert "x-api-key" not in ran[0]
 
+    def test_body_with_a_content_encoding_reaches_its_upstream_as_sent(
+        self, fleet: GatewayFleet
+    ) -> None:
+        # Guards against a body that is decompressed on its way, though its headers say otherwise.
+        fleet.start_engine("e-1")
+        instance = fleet.start_instance("a")
+        sent = b"not compressed at all"
+        headers = request_headers("r-1") | {"Content-Encoding": "gzip"}
+        answer = httpx.post(instance.url + PREFIX, headers=headers, content=sent, timeout=10)
+        assert answer.status_code == 200
+        assert json.loads(fleet.arrivals_path.read_text(encoding="utf-8"))["body"] == sent.decode()
+
     def test_bad_requests_are_refused_before_any_upstream(self, fleet: GatewayFleet) -> None:
         engine = fleet.start_engine("e-1")
         instance = fleet.start_instance("a")
