All that callers send is held within one account, bounded by the machine's memory

Cause: nothing counts what callers send. Bodies were read without a bound for all of them and without a time, heads up to 128 fields of 64 kB, requests behind a running one up to what the library reads ahead, and each running request takes some 50 kB and four copies of its head besides. Bodies in single bytes cost the parser 40 times the processor time of others, also after their callers had gone, so that ordinary callers got no answer.

Change: `CallerMemory` (core/caller_memory.py) is the one account. Its capacity is half of what the machine has beyond the process itself ([callers] memory_mb, from limits.memory_mb; 160 without it). Each connection counts its bytes from their arrival to the end of their request, and takes the cost of a request before its head is parsed: many heads are parsed in one pass of the loop. When the account is full, holdings without progress go first, the longest stalled first; a body that sends on slowly keeps its place, and in calm no rate is asked. Then what arrives is refused as not run (503 memory_full with Retry-After, by its Content-Length before it is read). Large holdings may take 60 %, so that small requests are served beside them. A body has the deadline of its request (408 body_too_slow). The rest of a refused body is read and dropped unparsed, at most 8 MiB, so that the refusal reaches its sender. A body whose chunk framing exceeds its content by more than 16 KiB gets 413. Behind a running request 64 KiB are read on. Relayed bodies come out of the same account. Metrics caller_memory_*, callers_refused_*; event CALLERS_REFUSED, a line a second and reason at most.

Requests without end are given up.

--- a/mothstand/errors.py
+++ b/mothstand/errors.py
@@ -30,6 +30,8 @@
     MALFORMED_REQUEST = "malformed_request"
     BODY_TOO_LARGE = "body_too_large"
     HEAD_TOO_LARGE = "head_too_large"
+    BODY_TOO_SLOW = "body_too_slow"
+    MEMORY_FULL = "memory_full"
     KEY_REUSED = "key_reused"
     KEY_RUNNING = "key_running"
     ANSWER_NOT_KEPT = "answer_not_kept"
@@ -92,6 +94,12 @@
     ErrorKind.MALFORMED_REQUEST: ErrorAnswer(400, _NOT_RUN, None, "The request cannot be read."),
     ErrorKind.BODY_TOO_LARGE: ErrorAnswer(413, _NOT_RUN, None, "The body is too large."),
     ErrorKind.HEAD_TOO_LARGE: ErrorAnswer(431, _NOT_RUN, None, "The headers are too large."),
+    ErrorKind.BODY_TOO_SLOW: ErrorAnswer(
+        408, _NOT_RUN, None, "The body did not arrive before the request's deadline."
+    ),
+    ErrorKind.MEMORY_FULL: ErrorAnswer(
+        503, _NOT_RUN, 1, "The instance's memory for callers is full. Another one may have room."
+    ),
     ErrorKind.KEY_REUSED: ErrorAnswer(
         422, _NOT_RUN, None, "This Idempotency-Key belongs to another body. Use a new key."
     ),
--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -11,6 +11,9 @@
 
 from absl import logging
 
+#: Maximum characters of a text in a log line.
+_MAX_LOGGED_CHARACTERS = 2_000
+
 
 class Event(Enum):
     """Closed list of log events, each with number, absl level and meaning."""
@@ -227,6 +230,11 @@
     END_DROPPED = (6021, logging.ERROR, "A crash record was dropped: too many wait for the store.")
     REQUEST_REFUSED = (7001, logging.INFO, "A request was refused.")
     HEAD_TOO_SLOW = (7005, logging.INFO, "A connection was closed before its head was complete.")
+    CALLERS_REFUSED = (
+        7006,
+        logging.WARNING,
+        "Connections or requests were refused or closed for lack of memory.",
+    )
     SETTLE_PENDING = (7002, logging.WARNING, "A settlement could not be delivered yet.")
     REQUEST_ANSWERED = (7003, logging.INFO, "A request got an upstream's answer.")
     REQUEST_LEFT = (7004, logging.INFO, "A caller disconnected before its answer was complete.")
@@ -254,6 +262,13 @@
     return None if seconds is None else round(seconds, 3)
 
 
+def _shortened(value: Any) -> Any:
+    """Return a value of a log line; callers choose ids and may send long ones."""
+    if isinstance(value, str) and len(value) > _MAX_LOGGED_CHARACTERS:
+        return value[:_MAX_LOGGED_CHARACTERS] + "..."
+    return value
+
+
 def emit(event: Event, /, **fields: Any) -> None:
     """Log one event as a line of its number, its name and its fields as JSON."""
     logging.log(
@@ -261,5 +276,5 @@
         "MS%d %s %s",
         event.number,
         event.name.lower(),
-        json.dumps(fields, default=str, sort_keys=True),
+        json.dumps({k: _shortened(v) for k, v in fields.items()}, default=str, sort_keys=True),
     )
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -8,6 +8,7 @@
 import anyio
 from aiohttp import web
 
+from ..core.caller_memory import CallerMemory, CallerMemoryPolicy
 from ..core.config_freshness import ConfigFreshness
 from ..core.eligibility import Eligibility
 from ..core.evacuation import Evacuations
@@ -28,6 +29,7 @@
 from ..process_start import BACKLOG
 from ..settings.instance import Address
 from ..types import BudgetName
+from . import allocator
 from .accounts import Accounts
 from .bootstrap import Bootstrap
 from .evacuations import EvacuationTracker, OperatorNewsPolling
@@ -102,6 +104,11 @@
         )
         self._metrics = GatewayMetrics()
         self._health = PlatformHealth(clock)
+        self._caller_memory = CallerMemory(
+            CallerMemoryPolicy().capacity_bytes(settings.callers.memory_mb),
+            clock,
+            on_relieved=allocator.trim,
+        )
         self._store = parts.store
         self._prepaid_tokens: dict[BudgetName, int] = {}
         translator: HeaderTranslator = parts.headers
@@ -260,6 +267,7 @@
             self._probes,
             self._crash_detector,
             self._shutdown,
+            self._caller_memory,
             clock,
             self._metrics,
         )
@@ -302,6 +310,7 @@
             forwarder,
             resumptions,
             self._redirects,
+            self._caller_memory,
             clock,
             self._metrics,
             self._shutdown,
@@ -494,6 +503,12 @@
             )
             quarantined = self._quarantine_feed.quarantine.quarantined(self._clock.monotonic_s())
             self._metrics.counts["quarantined_suspects"] = len(quarantined)
+            self._metrics.counts["caller_memory_bytes"] = self._caller_memory.used_bytes
+            self._metrics.counts["caller_memory_peak_bytes"] = self._caller_memory.peak_bytes
+            self._metrics.counts["caller_memory_capacity_bytes"] = (
+                self._caller_memory.capacity_bytes
+            )
+            self._metrics.counts["caller_memory_evictions"] = self._caller_memory.evictions
             return web.Response(text=self._metrics.text())
         is_outdated = self._config_feed.freshness.is_outdated(self._clock.monotonic_s())
         self._redirects.update_readiness()
--- a/mothstand/gateway/relay_server.py
+++ b/mothstand/gateway/relay_server.py
@@ -13,9 +13,11 @@
 from multidict import CIMultiDict
 
 from ..core.relaying import RelayOffer, RelayPolicy
+from ..core.routes import RequestLimits
 from ..core.suspects import Suspect, has_lived_on, part_suspects
 from ..errors import RefusedError
 from ..events import Event, emit
+from .caller_connections import CallerServer
 from .quarantine.crash_detector import AttemptSuspect, BrokenAttempt
 from .relay_protocol import (
     RelayOutcome,
@@ -40,6 +42,7 @@
     from collections.abc import Callable
 
     from ..clock import Clock
+    from ..core.caller_memory import CallerMemory
     from ..core.eligibility import Eligibility
     from ..core.fleet import Capacity
     from ..core.routes import GatewayConfig
@@ -55,8 +58,8 @@
 
 _MAX_HEAD_BYTES = 65_536
 
-#: Idle connections of peers are closed after this time.
-_IDLE_TIMEOUT_S = 30.0
+#: Idle connections of peers are closed after 30 seconds.
+_LIMITS = RequestLimits(header_timeout_s=10.0, idle_timeout_s=30.0)
 
 #: Maximum unreachable upstreams that an offer names.
 _MAX_UNREACHABLE_IDS = 200
@@ -95,6 +98,7 @@
         probes: ReachabilityProbes,
         crash_detector: CrashDetector,
         shutdown: Shutdown,
+        memory: CallerMemory,
         clock: Clock,
         metrics: GatewayMetrics,
     ) -> None:
@@ -109,15 +113,18 @@
         self._probes = probes
         self._crash_detector = crash_detector
         self._shutdown = shutdown
+        self._memory = memory
         self._clock = clock
         self._metrics = metrics
 
     def make_server(self) -> web.Server:
         """Return the server to listen with."""
-        return web.Server(
+        return CallerServer(
             self._handle,
+            lambda: _LIMITS,
+            initial_idle_timeout_s=_LIMITS.idle_timeout_s,
+            memory=self._memory,
             handler_cancellation=True,
-            keepalive_timeout=_IDLE_TIMEOUT_S,
             max_line_size=_MAX_HEAD_BYTES,
             max_field_size=_MAX_HEAD_BYTES,
             auto_decompress=False,
@@ -178,7 +185,7 @@
         try:
             # Read before a rejection too: a connection that is closed with unread bytes is reset,
             # and the other instance could not tell that nothing was sent.
-            body = await self._read_body(request)
+            body = await self._read_body(request, fields)
             outgoing = OutgoingRequest(request.method, request.raw_path, fields.request_id, body)
             if not accepts:
                 raise _Failure(RelayOutcome.REJECTED, f"{self.running_requests - 1} are running")
@@ -193,12 +200,14 @@
             if answer is not None:
                 answer.close()
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
+    async def _read_body(self, request: web.BaseRequest, fields: CallerFields) -> bytes:
         config = self._config()
         if config is None:
             raise _Failure(RelayOutcome.REJECTED, "no configuration yet")
         try:
-            return await read_body(request, config.limits.body_bytes)
+            return await read_body(
+                request, max_bytes=config.limits.body_bytes, timeout_s=_remaining_s(fields)
+            )
         except RefusedError as error:
             raise _Failure(RelayOutcome.REJECTED, error.refusal.detail) from error
 
@@ -349,3 +358,8 @@
             elapsed_s=round(self._clock.monotonic_s() - arrived_s, 3),
         )
         return web.Response(status=_NO_ANSWER, headers=CIMultiDict(with_outcome((), outcome)))
+
+
+def _remaining_s(fields: CallerFields) -> float:
+    """Return the time that the other instance waits; without a deadline, as it does."""
+    return _LIMITS.idle_timeout_s if fields.deadline_s is None else fields.deadline_s
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+import math
 import traceback
+from collections import Counter
 from contextlib import contextmanager
 from dataclasses import replace
 from pathlib import Path
@@ -20,7 +22,7 @@
 from ..events import Event, emit, rounded
 from ..types import BudgetName
 from .call import Call, CallerConnection, CallerGoneError
-from .caller_connections import CallerServer
+from .caller_connections import CallerServer, is_discarding
 from .request_body import read_body
 from .sockets import reset
 from .upstream_client import OutgoingRequest
@@ -29,6 +31,7 @@
     from collections.abc import Callable, Iterator
 
     from ..clock import Clock
+    from ..core.caller_memory import CallerMemory
     from ..core.claims import Reservation, Usage
     from ..core.config_freshness import ConfigFreshness
     from ..core.routes import GatewayConfig, GatewayWorkspace, RequestLimits, Route
@@ -49,6 +52,9 @@
 #: Idle timeout of connections that began before the first configuration.
 _INITIAL_IDLE_TIMEOUT_S = 75.0
 
+#: Seconds between two log lines on what is refused for one reason.
+_REFUSALS_LOG_INTERVAL_S = 1.0
+
 #: Maximum characters of a caller's event id that are logged.
 _MAX_LOGGED_EVENT_ID = 20
 
@@ -112,7 +118,7 @@
             await response.write_eof()
 
     async def _prepare(self, response: web.StreamResponse) -> None:
-        if self._must_close():
+        if self._must_close() or is_discarding(self._request):
             response.force_close()
         self.response = response
         with _translate_disconnect():
@@ -137,6 +143,8 @@
         Returns the configuration in force, or None before the first one.
     freshness
         Tells how long ago that configuration was known to be the newest.
+    memory
+        Account of what all callers together make the instance hold.
     shutdown
         State of a stop: connections are closed after their answer, later requests are refused.
     startup_wait
@@ -153,12 +161,15 @@
         forwarder: Forwarder,
         resumptions: Resumptions,
         redirects: Redirects,
+        memory: CallerMemory,
         clock: Clock,
         metrics: GatewayMetrics,
         shutdown: Shutdown,
         startup_wait: StartupWait,
     ) -> None:
         self.running_requests = 0
+        self._unlogged_refusals: Counter[str] = Counter()
+        self._refusals_logged_s: dict[str, float] = {}
         self._startup_wait = startup_wait
         self._config = config
         self._freshness = freshness
@@ -168,6 +179,7 @@
         self._forwarder = forwarder
         self._resumptions = resumptions
         self._redirects = redirects
+        self._memory = memory
         self._clock = clock
         self._metrics = metrics
         self._shutdown = shutdown
@@ -178,6 +190,8 @@
             self._handle,
             self._limits,
             initial_idle_timeout_s=_INITIAL_IDLE_TIMEOUT_S,
+            memory=self._memory,
+            on_refused=self._note_refused,
             handler_cancellation=True,
             max_line_size=_MAX_HEAD_BYTES,
             max_field_size=_MAX_HEAD_BYTES,
@@ -185,6 +199,22 @@
             access_log=None,
         )
 
+    def _note_refused(self, reason: str) -> None:
+        """Count what is refused for lack of room, and log a line a second for each reason."""
+        self._metrics.counts["callers_refused_" + reason.replace(" ", "_")] += 1
+        self._unlogged_refusals[reason] += 1
+        now_s = self._clock.monotonic_s()
+        if now_s - self._refusals_logged_s.get(reason, -math.inf) < _REFUSALS_LOG_INTERVAL_S:
+            return
+        self._refusals_logged_s[reason] = now_s
+        emit(
+            Event.CALLERS_REFUSED,
+            reason=reason,
+            count=self._unlogged_refusals.pop(reason),
+            memory_bytes=self._memory.used_bytes,
+            memory_capacity_bytes=self._memory.capacity_bytes,
+        )
+
     def _limits(self) -> RequestLimits | None:
         config = self._config()
         return None if config is None else config.limits
@@ -285,15 +315,16 @@
         config: GatewayConfig,
     ) -> None:
         """Read the body of a request that is not redirected, and run it."""
-        body = await read_body(request, config.limits.body_bytes)
+        route = self._route(config, fields, request.raw_path)
+        remaining_s = arrived_s + _limit_s(route, fields) - self._clock.monotonic_s()
+        body = await read_body(
+            request, max_bytes=config.limits.body_bytes, timeout_s=max(0.0, remaining_s)
+        )
         self._redirects.note_bytes(len(body))
         # Reading a body may take longer than the next version.
         config = self._config() or config
         route = self._route(config, fields, request.raw_path)
         workspace = self._workspace(config, route, fields)
-        limit_s = route.timeout_s
-        if fields.deadline_s is not None:
-            limit_s = min(limit_s, fields.deadline_s)
         call = Call(
             fields=fields,
             headers=headers,
@@ -303,7 +334,7 @@
             priority=request_priority(route, workspace),
             request=OutgoingRequest(request.method, request.raw_path, fields.request_id, body),
             arrived_s=arrived_s,
-            deadline_s=arrived_s + limit_s,
+            deadline_s=arrived_s + _limit_s(route, fields),
             permitted_regions=permitted_regions(
                 route.homes, frozenset() if workspace is None else workspace.homes
             ),
@@ -463,6 +494,13 @@
         )
 
 
+def _limit_s(route: Route, fields: CallerFields) -> float:
+    """Return the time from a request's arrival to its deadline."""
+    if fields.deadline_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, fields.deadline_s)
+
+
 def _first_request_id(route: Route, fields: CallerFields) -> str:
     """Return the id of the first request of a stream, which chose its service."""
     if route.is_resumable and fields.last_event_id and fields.resumes:
--- a/mothstand/settings/gateway.py
+++ b/mothstand/settings/gateway.py
@@ -34,6 +34,16 @@
     )
 
 
+class CallersSection(SectionModel):
+    """``[callers]``: what callers can make the instance hold."""
+
+    memory_mb: float = Field(
+        160.0,
+        gt=0,
+        description="megabytes of memory that the process may take, above 0",
+    )
+
+
 class GatewayListenSection(SectionModel):
     """``[listen]``: addresses on which the process listens."""
 
@@ -152,6 +162,7 @@
     warmup: WarmupSection
     regions: RegionsSection
     load_sharing: LoadSharingSection
+    callers: CallersSection
 
     @property
     def load_sharing_policy(self) -> LoadSharingPolicy:
@@ -185,6 +196,7 @@
     "warmup": WarmupSection,
     "regions": RegionsSection,
     "load_sharing": LoadSharingSection,
+    "callers": CallersSection,
 }
 
 
--- a/mothstand/testing/budget_fleet.py
+++ b/mothstand/testing/budget_fleet.py
@@ -23,6 +23,7 @@
 from ..log.health import PlatformHealth
 from ..peers.failures import PeerError
 from ..settings.gateway import (
+    CallersSection,
     GatewayInstanceSection,
     GatewayListenSection,
     GatewaySettings,
@@ -380,4 +381,5 @@
         warmup=WarmupSection.model_validate({}),
         regions=RegionsSection.model_validate({}),
         load_sharing=LoadSharingSection.model_validate({}),
+        callers=CallersSection.model_validate({}),
     )
--- a/mothstand/testing/eligibility.py
+++ b/mothstand/testing/eligibility.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ..core.caller_memory import CallerMemory
 from ..core.eligibility import Eligibility
 from ..core.evacuation import Evacuations
 from ..core.fleet import FleetView, Member
@@ -33,6 +34,10 @@
     from ..gateway.store import Store
 
 
+#: Bound for all that an instance of a test holds for callers.
+CALLER_MEMORY_BYTES = 48_000_000
+
+
 def fleet_view(name: str, others: int = 0, *, read_s: float = 0.0) -> FleetView:
     """Return the view of an instance on a fleet with other instances, as read at a time."""
     data_centre = DataCentre("sto-a")
@@ -81,6 +86,11 @@
     return PrefillScheduling(sharing, CalendarScheduler(), link, clock, metrics)
 
 
+def caller_memory(clock: Clock) -> CallerMemory:
+    """Return an account of what is held for callers."""
+    return CallerMemory(CALLER_MEMORY_BYTES, clock)
+
+
 def unrestricted_eligibility(
     directory: UpstreamDirectory,
     *,
--- a/mothstand/tests/test_caller_connections.py
+++ b/mothstand/tests/test_caller_connections.py
@@ -11,9 +11,14 @@
 import pytest
 from aiohttp import web
 
+from ..clock import SystemClock
+from ..core.caller_memory import CallerMemory
 from ..core.routes import RequestLimits
+from ..errors import RefusedError
 from ..gateway.caller_connections import CallerServer
+from ..gateway.request_body import read_body
 from ..gateway.server import HttpCaller
+from ..testing.eligibility import caller_memory
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -52,11 +57,27 @@
     return "asyncio"
 
 
+def make_server(
+    handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    memory: CallerMemory | None = None,
+) -> CallerServer:
+    return CallerServer(
+        handler,
+        lambda: _LIMITS,
+        initial_idle_timeout_s=9.0,
+        memory=memory or caller_memory(SystemClock()),
+        handler_cancellation=True,
+        access_log=None,
+    )
+
+
 @asynccontextmanager
 async def connection(
     handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]] = _echo,
+    *,
+    memory_bytes: int = 10_000_000,
 ) -> AsyncIterator[SocketStream]:
-    server = CallerServer(handler, lambda: _LIMITS, initial_idle_timeout_s=9.0, access_log=None)
+    server = make_server(handler, CallerMemory(memory_bytes, SystemClock()))
     runner = web.ServerRunner(server)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
@@ -77,6 +98,108 @@
         return received
 
 
+async def _read_and_answer(request: web.BaseRequest) -> web.StreamResponse:
+    """Answer like the gateway: with the body, or with the refusal of it."""
+    caller = HttpCaller(request, lambda: False)
+    try:
+        body = await read_body(request, max_bytes=_LIMITS.body_bytes, timeout_s=0.5)
+        await caller.send_complete(200, "OK", (), body)
+    except RefusedError as error:
+        kind = error.refusal.kind.value.encode()
+        await caller.send_complete(error.refusal.answer.status, "", (), kind)
+    assert caller.response is not None
+    return caller.response
+
+
+_CHUNKED_HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def _sized_head(size_bytes: int) -> bytes:
+    return f"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: {size_bytes}\r\n\r\n".encode()
+
+
+class TestBodies:
+    @pytest.mark.anyio
+    async def test_body_that_does_not_arrive_in_time_gets_408(self) -> None:
+        # Guards against bodies that are waited for as long as their callers stay.
+        async with connection(_read_and_answer) as stream:
+            await stream.send(_sized_head(100) + b"x" * 99)
+            assert (await stream.receive()).startswith(b"HTTP/1.1 408 ")
+
+    @pytest.mark.anyio
+    async def test_body_that_cannot_be_held_gets_503_before_it_is_read(self) -> None:
+        # Guards against a promise that its sender cannot read, since unread bytes reset it.
+        async with connection(_read_and_answer, memory_bytes=200_000) as stream:
+            await stream.send(_sized_head(900_000))
+            for _ in range(90):
+                await stream.send(b"x" * 10_000)
+            answer = await stream.receive()
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert answer.endswith(b"memory_full")
+        assert b"Connection: close" in answer
+
+    @pytest.mark.anyio
+    async def test_chunked_body_that_cannot_be_held_gets_503(self) -> None:
+        async with connection(_read_and_answer, memory_bytes=200_000) as stream:
+            await stream.send(_CHUNKED_HEAD)
+            for _ in range(90):
+                await stream.send(b"2710\r\n" + b"x" * 10_000 + b"\r\n")
+            answer = await stream.receive()
+        assert answer.endswith(b"memory_full")
+
+    @pytest.mark.anyio
+    async def test_body_over_the_limit_gets_413_before_it_is_read(self) -> None:
+        async with connection(_read_and_answer) as stream:
+            await stream.send(_sized_head(_LIMITS.body_bytes + 1))
+            assert (await stream.receive()).startswith(b"HTTP/1.1 413 ")
+
+    @pytest.mark.anyio
+    async def test_body_in_small_chunks_is_read_completely(self) -> None:
+        async with connection(_read_and_answer) as stream:
+            await stream.send(_CHUNKED_HEAD + b"10\r\n0123456789abcdef\r\n" * 20_000 + b"0\r\n\r\n")
+            received = b""
+            while len(received) < 320_000:
+                received += await stream.receive()
+        assert received.startswith(b"HTTP/1.1 200 ")
+        assert received.count(b"0123456789abcdef") == 20_000
+
+    @pytest.mark.anyio
+    async def test_body_of_mostly_framing_gets_413(self) -> None:
+        # Guards against bytes that cost the processor many times what others cost.
+        async with connection(_read_and_answer) as stream:
+            await stream.send(_CHUNKED_HEAD + b"1\r\nx\r\n" * 50_000)
+            assert (await stream.receive()).startswith(b"HTTP/1.1 413 ")
+
+    @pytest.mark.anyio
+    async def test_account_is_empty_after_requests_and_connections(self) -> None:
+        # Guards against an account that fills with what is not held any more.
+        memory = CallerMemory(10_000_000, SystemClock())
+        server = make_server(_read_and_answer, memory)
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        port = runner.addresses[0][1]
+        for sent in (
+            b"",
+            b"POST /",
+            _sized_head(4) + b"abcd" + _sized_head(4) + b"ab",
+            _sized_head(900_000) + b"x" * 800_000,
+            _sized_head(2_000_000) + b"x" * 800_000,
+            _CHUNKED_HEAD + b"1\r\nx\r\n" * 50_000,
+            b"no head\r\n\r\n",
+            _sized_head(4) + b"abcd" + _sized_head(900_000) + b"x" * 800_000,
+        ):
+            for stay_s in (0.0, 0.05, 0.7):
+                async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                    await stream.send(sent)
+                    await anyio.sleep(stay_s)
+        with anyio.move_on_after(5.0):
+            while server.connections:
+                await anyio.sleep(0.01)
+        await runner.cleanup()
+        assert memory.used_bytes == 0
+
+
 class TestBrokenAnswers:
     @pytest.mark.anyio
     async def test_answer_to_an_old_caller_that_is_broken_off_ends_with_a_reset(self) -> None:
@@ -133,7 +256,7 @@
         A body that arrived one turn of the event loop after its head, while the request was handed
         to its handler, was mistaken for the next head. The answer took longer than a head may.
         """
-        server = CallerServer(_slow_echo, lambda: _LIMITS, initial_idle_timeout_s=9.0)
+        server = make_server(_slow_echo)
         runner = web.ServerRunner(server)
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", 0).start()
--- a/mothstand/tests/test_relay.py
+++ b/mothstand/tests/test_relay.py
@@ -40,7 +40,7 @@
 from ..platform.headers import PlatformHeaders
 from ..platform.records import decode_config
 from ..testing.budget_fleet import gateway_settings
-from ..testing.eligibility import unrestricted_eligibility
+from ..testing.eligibility import caller_memory, unrestricted_eligibility
 from ..testing.fleet import free_port
 from ..types import DataCentre
 
@@ -101,6 +101,7 @@
             self.probes,
             self.crash_detector,
             self.shutdown,
+            caller_memory(clock),
             clock,
             metrics,
         )
