Answers that callers do not take come out of the account, and such callers are given up

What callers saw: an instance could be ended by callers that send small requests and read nothing. Cause: whole answers up to 1 MB counted nowhere, longer ones against 48 MB of their own, more than the smallest machine has; streams counted nowhere; the library keeps the last answer of each open connection; and a connection with unsent bytes was closed by waiting for its caller, for ever.

Unsent bytes of a connection are counted after each write; while there are any, a look a second tells whether its caller takes some; one that takes nothing for the idle timeout, or longest when the account is full, gets a reset. The body of an answer is dropped once it is written. Of an answer 64 KiB are read ahead instead of 256.

--- a/mothstand/core/event_stream.py
+++ b/mothstand/core/event_stream.py
@@ -109,6 +109,11 @@
             raise EventTooLongError(f"an event of over {self.max_event_bytes} bytes")
         return events
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the event that is not complete yet."""
+        return len(self._buffer)
+
     @property
     def is_between_events(self) -> bool:
         """Whether the body received so far ends with a complete event."""
--- a/mothstand/gateway/answer_bodies.py
+++ b/mothstand/gateway/answer_bodies.py
@@ -1,29 +1,34 @@
-"""Reads whole bodies of answers within the memory that they may take."""
+"""Reads answers within the memory that they may take."""
 
 from __future__ import annotations
 
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 from typing import TYPE_CHECKING
 
-from ..core.answer_limits import (
-    MAX_BODY_BYTES,
-    MAX_SMALL_BODY_BYTES,
-    HeldBytes,
-    HeldBytesExceededError,
-)
+from ..core.answer_limits import MAX_BODY_BYTES
 from .upstream_client import AnswerTooLongError
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterator
 
+    from ..core.caller_memory import CallerMemory, Holding
     from .upstream_client import UpstreamAnswer
 
+#: The library copies a body to send it behind its head, and reads ahead in a stream.
+_COPIES = 2
+
 
 class AnswerBodies:
-    """Bodies that are held in memory until they have been passed on."""
+    """Bodies that are held in memory until they have been passed on.
+
+    Parameters
+    ----------
+    memory
+        Account of what is held for callers.
+    """
 
-    def __init__(self) -> None:
-        self._held = HeldBytes()
+    def __init__(self, memory: CallerMemory) -> None:
+        self._memory = memory
 
     @asynccontextmanager
     async def read(self, answer: UpstreamAnswer) -> AsyncIterator[bytes]:
@@ -37,17 +42,46 @@
             If the body, or all bodies together, are too long.
         """
         body = bytearray()
-        taken_bytes = 0
+        held = self._memory.open(is_answer=True)
         try:
             while piece := await answer.read_piece():
+                if not self._memory.grow(held, _COPIES * len(piece)):
+                    raise AnswerTooLongError("no memory is left for its body")
                 body += piece
                 if len(body) > MAX_BODY_BYTES:
                     raise AnswerTooLongError(f"a body of over {MAX_BODY_BYTES} bytes")
-                if len(body) > MAX_SMALL_BODY_BYTES:
-                    self._held.take(len(piece))
-                    taken_bytes += len(piece)
-            yield bytes(body)
-        except HeldBytesExceededError as error:
-            raise AnswerTooLongError(str(error)) from error
+            content = bytes(body)
+            body.clear()
+            yield content
         finally:
-            self._held.give_back(taken_bytes)
+            self._memory.close(held)
+
+    @contextmanager
+    def stream(self) -> Iterator[HeldStream]:
+        """Account for an answer that is passed on piece by piece."""
+        held = self._memory.open(is_answer=True)
+        try:
+            yield HeldStream(self._memory, held)
+        finally:
+            self._memory.close(held)
+
+
+class HeldStream:
+    """What is held of a stream while its caller takes a piece."""
+
+    def __init__(self, memory: CallerMemory, held: Holding) -> None:
+        self._memory = memory
+        self._held = held
+
+    def hold(self, piece: bytes, passed: bytes, rest_bytes: int) -> None:
+        """Hold a piece, the events of it that are passed on, and the rest.
+
+        Raises
+        ------
+        AnswerTooLongError
+            If there is no memory for them.
+        """
+        # While the caller takes them, about as much as the piece is read ahead.
+        size_bytes = _COPIES * len(piece) + len(passed) + rest_bytes
+        if not self._memory.resize(self._held, size_bytes):
+            raise AnswerTooLongError("no memory is left for its events")
--- a/mothstand/gateway/caller_connections.py
+++ b/mothstand/gateway/caller_connections.py
@@ -9,6 +9,7 @@
 
 from ..errors import ErrorKind, Refusal
 from ..events import Event, emit
+from .sockets import reset
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -42,6 +43,9 @@
 _MAX_DISCARDED_BYTES = 8_388_608
 _DISCARD_S = 2.0
 
+#: Seconds between two looks at an answer that its caller has not taken.
+_UNREAD_CHECK_INTERVAL_S = 1.0
+
 #: Framing of a header field.
 _FIELD_OVERHEAD_BYTES = 4
 
@@ -67,6 +71,8 @@
         Maximum time from the first to the last byte of a request head.
     max_head_bytes
         Maximum bytes of a request head.
+    unread_timeout_s
+        Maximum time for which a caller takes nothing of its answer.
     memory
         Account of what is held for callers.
 
@@ -83,6 +89,7 @@
         "_arriving",
         "_arriving_wire_bytes",
         "_body_refused",
+        "_connection",
         "_discarded_bytes",
         "_head_bytes",
         "_head_timeout_s",
@@ -95,6 +102,10 @@
         "_refusal",
         "_request_bytes",
         "_server",
+        "_unread",
+        "_unread_progress_s",
+        "_unread_timeout_s",
+        "_unread_timer",
         "is_discarding",
     )
 
@@ -104,6 +115,7 @@
         *,
         head_timeout_s: float,
         max_head_bytes: int,
+        unread_timeout_s: float,
         memory: CallerMemory,
         **options: Any,
     ) -> None:
@@ -113,8 +125,14 @@
         self._head_timeout_s = head_timeout_s
         self._head_timer: asyncio.TimerHandle | None = None
         self._max_head_bytes = max_head_bytes
+        self._unread_timeout_s = unread_timeout_s
+        self._unread_timer: asyncio.TimerHandle | None = None
+        self._unread_progress_s = 0.0
         self._memory = memory
         self._held: Holding = memory.open(self._drop_arriving)
+        self._unread: Holding = memory.open(self._drop_unread, is_answer=True)
+        # The library forgets its transport when it begins to close it.
+        self._connection: asyncio.Transport | None = None
         # Payload of the latest request until its end, and whether that comes in chunks.
         self._arriving: tuple[StreamReader, bool] | None = None
         self._arriving_wire_bytes = 0
@@ -129,6 +147,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin a connection, or close it at once if there is no room for it."""
         super().connection_made(transport)
+        self._connection = self.transport
         if not self._memory.grow(self._held, _CONNECTION_BYTES):
             self._server.note_refused("memory")
             self.force_close()
@@ -136,9 +155,13 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Give back all that the connection has taken."""
         self._stop_head_timer()
+        if self._unread_timer is not None:
+            self._unread_timer.cancel()
+        self._memory.close(self._unread)
         if self._current_request is None:
             self._memory.close(self._held)
         self._memory.set_evictable(self._held, is_evictable=False)
+        self._connection = None
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -271,6 +294,52 @@
         self._memory.shrink(self._held, _CONNECTION_BYTES)
         self._request_bytes = 0
 
+    def note_unread(self, written_bytes: int = 0) -> None:
+        """Count what the caller has not taken of its answer, and watch that it does.
+
+        Parameters
+        ----------
+        written_bytes
+            Bytes that have been written since the latest call, without their framing.
+        """
+        size_bytes = 0 if self._connection is None else self._connection.get_write_buffer_size()
+        before_bytes = self._unread.size_bytes
+        if not size_bytes and not before_bytes:
+            return
+        if size_bytes < before_bytes + written_bytes or not before_bytes:
+            self._unread_progress_s = self._loop.time()
+            self._memory.set_evictable(self._unread, is_evictable=False)
+        if size_bytes <= before_bytes:
+            self._memory.shrink(self._unread, size_bytes)
+        elif not self._memory.grow(self._unread, size_bytes - before_bytes):
+            self._drop_unread()
+            return
+        self._memory.set_evictable(self._unread, is_evictable=size_bytes > 0)
+        if size_bytes and self._unread_timer is None:
+            self._watch_unread()
+
+    def _watch_unread(self) -> None:
+        self._unread_timer = self._loop.call_later(_UNREAD_CHECK_INTERVAL_S, self._check_unread)
+
+    def _check_unread(self) -> None:
+        self._unread_timer = None
+        if self._connection is None:
+            return
+        self.note_unread()
+        if not self._unread.size_bytes:
+            return
+        if self._loop.time() - self._unread_progress_s > self._unread_timeout_s:
+            self._drop_unread()
+        elif self._unread_timer is None:
+            self._watch_unread()
+
+    def _drop_unread(self) -> None:
+        """Reset the connection of a caller that does not take its answer."""
+        self._memory.close(self._unread)
+        self._server.note_refused("unread")
+        if self._connection is not None:
+            reset(self._connection)
+
     async def _handle_request(self, request: web.BaseRequest, *args: Any) -> Any:
         try:
             return await super()._handle_request(request, *args)
@@ -279,6 +348,7 @@
 
     def _end_request(self, request: web.BaseRequest) -> None:
         """Give back what the request has taken; bytes of later ones remain counted."""
+        self.note_unread()
         if self.transport is None:
             self._memory.close(self._held)
             return
@@ -408,12 +478,19 @@
             loop=asyncio.get_running_loop(),
             head_timeout_s=head_s,
             max_head_bytes=self._kwargs.get("max_field_size", _MAX_BEHIND_BYTES),
+            unread_timeout_s=idle_s,
             keepalive_timeout=idle_s,
             memory=self._memory,
             **self._kwargs,
         )
 
 
+def note_unread(request: web.BaseRequest, written_bytes: int) -> None:
+    """Count what the caller of a request has not taken of its answer."""
+    if isinstance(request.protocol, CallerHandler):
+        request.protocol.note_unread(written_bytes)
+
+
 def is_discarding(request: web.BaseRequest) -> bool:
     """Return whether the connection of a request ends with its answer, the rest being dropped."""
     return isinstance(request.protocol, CallerHandler) and request.protocol.is_discarding
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -38,6 +38,7 @@
     from collections.abc import Awaitable, Callable
 
     from ..clock import Clock
+    from ..core.caller_memory import CallerMemory
     from ..core.eligibility import Eligibility, EligibleUpstreams
     from ..core.placement import PlacedRequest, Placement
     from ..core.relaying import RelayPeer
@@ -45,6 +46,7 @@
     from ..core.stall_detector import StallDetector
     from ..core.upstreams import RegisteredUpstream, UpstreamDirectory
     from ..types import DataCentre
+    from .answer_bodies import HeldStream
     from .call import Call, CallerConnection
     from .headers import HeaderTranslator
     from .metrics import GatewayMetrics
@@ -136,6 +138,7 @@
         resumptions: Resumptions,
         redirects: Redirects,
         prefills: PrefillScheduling,
+        memory: CallerMemory,
         clock: Clock,
         metrics: GatewayMetrics,
     ) -> None:
@@ -158,7 +161,7 @@
         self._metrics = metrics
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._adaptive_timeout = AdaptiveTimeout()
-        self._bodies = AnswerBodies()
+        self._bodies = AnswerBodies(memory)
         self._admissions: defaultdict[str, Admission] = defaultdict(Admission)
 
     def admit(self, call: Call) -> None:
@@ -588,7 +591,8 @@
         self, call: Call, answer: UpstreamAnswer, placed: PlacedRequest, caller: CallerConnection
     ) -> None:
         if call.route.kind is RequestKind.STREAMING and answer.status == _OK:
-            await self._pass_stream(call, answer, placed, caller)
+            with self._bodies.stream() as held:
+                await self._pass_stream(call, answer, placed, caller, held)
             return
         async with self._bodies.read(answer) as body:
             await self._pass_whole(call, answer, body, caller)
@@ -611,7 +615,12 @@
         )
 
     async def _pass_stream(
-        self, call: Call, answer: UpstreamAnswer, placed: PlacedRequest, caller: CallerConnection
+        self,
+        call: Call,
+        answer: UpstreamAnswer,
+        placed: PlacedRequest,
+        caller: CallerConnection,
+        held: HeldStream,
     ) -> None:
         call.progress.restart()
         gaps = StreamGaps()
@@ -628,6 +637,7 @@
                 raise AnswerTooLongError(str(error)) from error
             except ForeignEventError as error:
                 foreign, passed = error, error.valid_events
+            held.hold(piece, passed, call.progress.splitter.held_bytes)
             if passed:
                 gaps.note_events(call.progress.sent_events - sent_before, self._clock.monotonic_s())
                 if not caller.is_started:
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -298,6 +298,7 @@
             resumptions,
             self._redirects,
             self._prefills,
+            self._caller_memory,
             clock,
             self._metrics,
         )
--- a/mothstand/gateway/relay_server.py
+++ b/mothstand/gateway/relay_server.py
@@ -17,7 +17,7 @@
 from ..core.suspects import Suspect, has_lived_on, part_suspects
 from ..errors import RefusedError
 from ..events import Event, emit
-from .caller_connections import CallerServer
+from .caller_connections import CallerServer, note_unread
 from .quarantine.crash_detector import AttemptSuspect, BrokenAttempt
 from .relay_protocol import (
     RelayOutcome,
@@ -322,6 +322,7 @@
                 if answering_since_s is None:
                     answering_since_s = self._clock.monotonic_s()
                 await response.write(piece)
+                note_unread(request, len(piece))
             if answer.ends_with_connection:
                 # The end of the connection may be a crash.
                 self._report_broken(
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -22,7 +22,7 @@
 from ..events import Event, emit, rounded
 from ..types import BudgetName
 from .call import Call, CallerConnection, CallerGoneError
-from .caller_connections import CallerServer, is_discarding
+from .caller_connections import CallerServer, is_discarding, note_unread
 from .request_body import read_body
 from .sockets import reset
 from .upstream_client import OutgoingRequest
@@ -88,6 +88,7 @@
         assert self.response is not None
         with _translate_disconnect():
             await self.response.write(data)
+        note_unread(self._request, len(data))
 
     async def finish(self) -> None:
         """End a streamed answer as complete."""
@@ -116,6 +117,9 @@
         await self._prepare(response)
         with _translate_disconnect():
             await response.write_eof()
+        # The library keeps the last answer of a connection while it is open.
+        response.body = None
+        note_unread(self._request, len(body))
 
     async def _prepare(self, response: web.StreamResponse) -> None:
         if self._must_close() or is_discarding(self._request):
--- a/mothstand/gateway/upstream_client.py
+++ b/mothstand/gateway/upstream_client.py
@@ -46,6 +46,9 @@
 #: Bytes of a body that are handed to a connection at once.
 _SLICE_BYTES = 65_536
 
+#: Bytes of an answer that are read ahead; the library stops reading at twice as much.
+_READ_BUFFER_BYTES = 65_536
+
 _OK = 200
 
 _STATUS_LINE = re.compile(r"HTTP/\d\.\d \d{3}")
@@ -319,6 +322,7 @@
         timeout=aiohttp.ClientTimeout(total=None),
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=_SKIPPED_HEADERS,
+        read_bufsize=_READ_BUFFER_BYTES,
         auto_decompress=False,
     )
     # The library repeats a request by itself when a pooled connection turns out to be closed.
--- a/mothstand/testing/crash_histories.py
+++ b/mothstand/testing/crash_histories.py
@@ -52,7 +52,13 @@
 from ..types import DataCentre
 from .crash_faults import InjectedFault, choose_check, choose_feed_type
 from .crash_fleet import CRASH_THRESHOLD, PART_CRASH_THRESHOLD, STABLE_WINDOW_S, CrashCause
-from .eligibility import lone_prefills, lone_redirects, lone_resumptions, unrestricted_eligibility
+from .eligibility import (
+    caller_memory,
+    lone_prefills,
+    lone_redirects,
+    lone_resumptions,
+    unrestricted_eligibility,
+)
 from .fakes import RETRIES, NoRelays, NoWitness, UnreachablePeers
 from .frozen_processes import FreezableClock, FreezableStoreLink, FrozenProcesses
 from .memory_store import MemoryStore, StoreLink, random_outcomes
@@ -296,6 +302,7 @@
             lone_resumptions(self.upstream_feed.directory, clock, metrics),
             lone_redirects(clock, metrics),
             lone_prefills(clock, metrics),
+            caller_memory(clock),
             clock,
             metrics,
         )
--- a/mothstand/tests/test_endless_answers.py
+++ b/mothstand/tests/test_endless_answers.py
@@ -10,12 +10,8 @@
 import anyio
 import pytest
 
-from ..core.answer_limits import (
-    MAX_BODY_BYTES,
-    MAX_EVENT_BYTES,
-    MAX_HELD_BYTES,
-    MAX_SMALL_BODY_BYTES,
-)
+from ..clock import SystemClock
+from ..core.answer_limits import MAX_BODY_BYTES, MAX_EVENT_BYTES
 from ..core.event_stream import EventSplitter, EventTooLongError
 from ..core.upstreams import RegisteredUpstream
 from ..gateway.answer_bodies import AnswerBodies
@@ -29,6 +25,7 @@
 )
 from ..platform.headers import PlatformHeaders
 from ..testing.budget_fleet import gateway_settings
+from ..testing.eligibility import CALLER_MEMORY_BYTES, caller_memory
 from ..types import DataCentre
 
 if TYPE_CHECKING:
@@ -109,7 +106,7 @@
     async with _client_of(server) as (client, upstream):
         with anyio.fail_after(_GIVE_UP_S):
             answer = await client.send(upstream, _REQUEST, ())
-            await _read_body(answer, AnswerBodies())
+            await _read_body(answer, AnswerBodies(caller_memory(SystemClock())))
 
 
 async def _read_body(answer: UpstreamAnswer, bodies: AnswerBodies) -> bytes:
@@ -144,7 +141,7 @@
     async def test_many_long_bodies_share_one_bound(self) -> None:
         # Guards against memory that fills with many answers, each below the bound of one.
         server = EndlessServer(_head())
-        bodies = AnswerBodies()
+        bodies = AnswerBodies(caller_memory(SystemClock()))
         async with _client_of(server) as (client, upstream), anyio.create_task_group() as tasks:
 
             async def read() -> None:
@@ -154,7 +151,7 @@
 
             for _ in range(12):
                 tasks.start_soon(read)
-        most_bytes = MAX_HELD_BYTES + 12 * (MAX_SMALL_BODY_BYTES + _BUFFERED_BYTES)
+        most_bytes = CALLER_MEMORY_BYTES + 12 * _BUFFERED_BYTES
         assert server.sent_bytes <= most_bytes
 
     async def test_short_body_is_read_beside_endless_ones(self) -> None:
@@ -162,7 +159,7 @@
         endless, short = EndlessServer(_head(), after_s=0.1), _head("200 OK", b"Content-Length: 4")
         finite = EndlessServer(short + b"good", b"", after_s=5.0)
         async with _client_of(endless) as (client, upstream), _client_of(finite) as (_, other):
-            bodies = AnswerBodies()
+            bodies = AnswerBodies(caller_memory(SystemClock()))
             reading = [await client.send(upstream, _REQUEST, ()) for _ in range(3)]
             async with anyio.create_task_group() as tasks:
 
@@ -215,7 +212,7 @@
         server = EndlessServer(extra, extra * 1000, after_s=0.1)
         async with _client_of(server) as (client, upstream):
             answer = await client.send(upstream, _REQUEST, ())
-            assert await _read_body(answer, AnswerBodies()) == b"x"
+            assert await _read_body(answer, AnswerBodies(caller_memory(SystemClock()))) == b"x"
             await asyncio.sleep(1.0)
             assert server.is_closed
         assert server.sent_bytes <= _BUFFERED_BYTES
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -47,6 +47,7 @@
 from ..log.health import PlatformHealth
 from ..platform.headers import PlatformHeaders
 from ..testing.eligibility import (
+    caller_memory,
     lone_prefills,
     lone_redirects,
     lone_resumptions,
@@ -205,6 +206,7 @@
             lone_resumptions(self.directory, self.clock, self.metrics),
             lone_redirects(self.clock, self.metrics),
             lone_prefills(self.clock, self.metrics),
+            caller_memory(self.clock),
             self.clock,
             self.metrics,
         )
--- a/mothstand/tests/test_relay.py
+++ b/mothstand/tests/test_relay.py
@@ -116,7 +116,7 @@
         answer = await self.client.send(self.peer, attempt, request, _HEADERS)
         try:
             self.answer = answer
-            async with AnswerBodies().read(answer) as body:
+            async with AnswerBodies(caller_memory(SystemClock())).read(answer) as body:
                 return body
         finally:
             answer.close()
--- a/mothstand/tests/test_truncated_answers.py
+++ b/mothstand/tests/test_truncated_answers.py
@@ -8,9 +8,11 @@
 
 import pytest
 
+from ..clock import SystemClock
 from ..core.event_stream import StreamProgress
 from ..gateway.answer_bodies import AnswerBodies
 from ..gateway.upstream_client import MayHaveRunError, OutgoingRequest
+from ..testing.eligibility import caller_memory
 from ..testing.fleet import free_port
 from .test_relay import _ONE_CORE, Relay, _served_relay
 from .test_sockets import reset
@@ -81,7 +83,7 @@
     request = OutgoingRequest("POST", "/", "r", b"")
     answer = await relay.upstream_client.send(relay.upstream, request, ())
     try:
-        async with AnswerBodies().read(answer) as body:
+        async with AnswerBodies(caller_memory(SystemClock())).read(answer) as body:
             return body
     finally:
         answer.close()
