Descriptors are kept for upstreams and peers, and the oldest idle connections go first

What callers saw: with 5,000 connections that send nothing an instance has no descriptor left for upstreams, store and peers; of 48 ordinary requests 21 got 503 and 5 an error. Cause: callers' connections had no limit but the process's.

Change: `ConnectionLimit` allows callers the descriptors of the machine ([callers] file_descriptors, from limits.file_descriptors; 3,075 without it; less where the operating system allows less) without 200 for files and a reserve for the instance's own connections, which covers all connections that can be accepted in one pass of the loop. A connection takes one, and one more while it has a request. Beyond that the connection that has had no request for longest is closed, never one with a request; if all have one, a request gets 503 connections_full at once.

--- a/mothstand/errors.py
+++ b/mothstand/errors.py
@@ -32,6 +32,7 @@
     HEAD_TOO_LARGE = "head_too_large"
     BODY_TOO_SLOW = "body_too_slow"
     MEMORY_FULL = "memory_full"
+    CONNECTIONS_FULL = "connections_full"
     KEY_REUSED = "key_reused"
     KEY_RUNNING = "key_running"
     ANSWER_NOT_KEPT = "answer_not_kept"
@@ -100,6 +101,9 @@
     ErrorKind.MEMORY_FULL: ErrorAnswer(
         503, _NOT_RUN, 1, "The instance's memory for callers is full. Another one may have room."
     ),
+    ErrorKind.CONNECTIONS_FULL: ErrorAnswer(
+        503, _NOT_RUN, 1, "The instance has no connection left. Another one may have."
+    ),
     ErrorKind.KEY_REUSED: ErrorAnswer(
         422, _NOT_RUN, None, "This Idempotency-Key belongs to another body. Use a new key."
     ),
--- a/mothstand/events.py
+++ b/mothstand/events.py
@@ -233,7 +233,7 @@
     CALLERS_REFUSED = (
         7006,
         logging.WARNING,
-        "Connections or requests were refused or closed for lack of memory.",
+        "Connections or requests were refused or closed for lack of memory or descriptors.",
     )
     SETTLE_PENDING = (7002, logging.WARNING, "A settlement could not be delivered yet.")
     REQUEST_ANSWERED = (7003, logging.INFO, "A request got an upstream's answer.")
--- a/mothstand/gateway/caller_connections.py
+++ b/mothstand/gateway/caller_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import OrderedDict
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
@@ -17,6 +18,7 @@
     from aiohttp.streams import StreamReader
 
     from ..core.caller_memory import CallerMemory, Holding
+    from ..core.connection_limit import ConnectionLimit
     from ..core.routes import RequestLimits
 
 #: Memory that a connection takes without any bytes of its caller.
@@ -148,6 +150,7 @@
         """Begin a connection, or close it at once if there is no room for it."""
         super().connection_made(transport)
         self._connection = self.transport
+        self._server.note_connected(self)
         if not self._memory.grow(self._held, _CONNECTION_BYTES):
             self._server.note_refused("memory")
             self.force_close()
@@ -157,6 +160,7 @@
         self._stop_head_timer()
         if self._unread_timer is not None:
             self._unread_timer.cancel()
+        self._server.note_lost(self, is_busy=self._is_busy)
         self._memory.close(self._unread)
         if self._current_request is None:
             self._memory.close(self._held)
@@ -224,6 +228,7 @@
         self._memory.set_evictable(self._held, is_evictable=False)
         if not self._is_busy:
             self._is_busy = True
+            self._server.note_busy(self)
 
     def _take_request(self, data: bytes) -> bool:
         """Take what a request needs beyond its bytes, if these hold the end of its head.
@@ -286,6 +291,11 @@
         missing_bytes = size_bytes - arrived_bytes
         return missing_bytes <= 0 or self._memory.make_room(self._held, missing_bytes)
 
+    @property
+    def has_connections(self) -> bool:
+        """Whether the current request may have a connection to an upstream."""
+        return self._server.has_room
+
     def discard_rest(self) -> None:
         """Read and drop what else arrives; the connection ends with the current answer."""
         self.is_discarding = True
@@ -294,6 +304,11 @@
         self._memory.shrink(self._held, _CONNECTION_BYTES)
         self._request_bytes = 0
 
+    def close_without_request(self) -> None:
+        """Close the connection, which has no request, to make room for others."""
+        self._server.note_refused("descriptors")
+        self.force_close()
+
     def note_unread(self, written_bytes: int = 0) -> None:
         """Count what the caller has not taken of its answer, and watch that it does.
 
@@ -367,6 +382,7 @@
         if not self._messages:
             self._is_busy = False
             self._memory.set_evictable(self._held, is_evictable=True)
+            self._server.note_idle(self)
 
     def _hold_back(self) -> None:
         """Stop reading while much has arrived behind a running request."""
@@ -448,6 +464,8 @@
         Idle and head timeout of connections that begin before the first configuration.
     memory
         Account of what is held for callers.
+    connection_limit
+        Limit on the connections; None for none.
     on_refused
         Called with a reason for each connection or request that is not served for lack of room.
     """
@@ -459,6 +477,7 @@
         *,
         initial_idle_timeout_s: float,
         memory: CallerMemory,
+        connection_limit: ConnectionLimit | None = None,
         on_refused: Callable[[str], None] = lambda _: None,
         **options: Any,
     ) -> None:
@@ -467,6 +486,10 @@
         self._limits = limits
         self._initial_idle_timeout_s = initial_idle_timeout_s
         self._memory = memory
+        self._connection_limit = connection_limit
+        # Connections without a request, the one that has had none for longest first.
+        self._idle: OrderedDict[CallerHandler, None] = OrderedDict()
+        self._counted: set[CallerHandler] = set()
 
     def __call__(self) -> CallerHandler:
         """Return the handler of a new connection."""
@@ -484,6 +507,54 @@
             **self._kwargs,
         )
 
+    @property
+    def has_room(self) -> bool:
+        """Whether one more connection to an upstream is within the limit."""
+        return self._connection_limit is None or self._connection_limit.has_room
+
+    def note_connected(self, handler: CallerHandler) -> None:
+        """Count a new connection, for which an idle one may have to go."""
+        self._idle[handler] = None
+        self._counted.add(handler)
+        if self._connection_limit is not None:
+            self._connection_limit.open += 1
+            self._close_idle()
+
+    def note_busy(self, handler: CallerHandler) -> None:
+        """Note that a connection has a request."""
+        self._idle.pop(handler, None)
+        if self._connection_limit is not None:
+            self._connection_limit.busy += 1
+            self._close_idle()
+
+    def note_idle(self, handler: CallerHandler) -> None:
+        """Note that a connection has no request any more."""
+        self._idle[handler] = None
+        if self._connection_limit is not None:
+            self._connection_limit.busy -= 1
+
+    def note_lost(self, handler: CallerHandler, *, is_busy: bool) -> None:
+        """Note that a connection has ended."""
+        self._idle.pop(handler, None)
+        self._uncount(handler)
+        if self._connection_limit is not None:
+            self._connection_limit.busy -= is_busy
+
+    def _uncount(self, handler: CallerHandler) -> None:
+        if handler in self._counted:
+            self._counted.remove(handler)
+            if self._connection_limit is not None:
+                self._connection_limit.open -= 1
+
+    def _close_idle(self) -> None:
+        """Close idle connections, the oldest first, until the limit is kept."""
+        assert self._connection_limit is not None
+        while self._idle and not self._connection_limit.has_room:
+            handler, _ = self._idle.popitem(last=False)
+            # It ends in the next pass of the event loop.
+            self._uncount(handler)
+            handler.close_without_request()
+
 
 def note_unread(request: web.BaseRequest, written_bytes: int) -> None:
     """Count what the caller of a request has not taken of its answer."""
@@ -494,3 +565,8 @@
 def is_discarding(request: web.BaseRequest) -> bool:
     """Return whether the connection of a request ends with its answer, the rest being dropped."""
     return isinstance(request.protocol, CallerHandler) and request.protocol.is_discarding
+
+
+def has_connections(request: web.BaseRequest) -> bool:
+    """Return whether a request may have a connection to an upstream."""
+    return not isinstance(request.protocol, CallerHandler) or request.protocol.has_connections
--- a/mothstand/gateway/instance.py
+++ b/mothstand/gateway/instance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import resource
 import uuid
 from typing import TYPE_CHECKING
 
@@ -10,6 +11,7 @@
 
 from ..core.caller_memory import CallerMemory, CallerMemoryPolicy
 from ..core.config_freshness import ConfigFreshness
+from ..core.connection_limit import ConnectionLimit
 from ..core.eligibility import Eligibility
 from ..core.evacuation import Evacuations
 from ..core.fleet import Capacity, Member
@@ -109,6 +111,7 @@
             clock,
             on_relieved=allocator.trim,
         )
+        self._connection_limit = ConnectionLimit.of(_descriptors(settings), backlog=BACKLOG)
         self._store = parts.store
         self._prepaid_tokens: dict[BudgetName, int] = {}
         translator: HeaderTranslator = parts.headers
@@ -312,6 +315,7 @@
             resumptions,
             self._redirects,
             self._caller_memory,
+            self._connection_limit,
             clock,
             self._metrics,
             self._shutdown,
@@ -510,6 +514,8 @@
                 self._caller_memory.capacity_bytes
             )
             self._metrics.counts["caller_memory_evictions"] = self._caller_memory.evictions
+            self._metrics.counts["caller_connections"] = self._connection_limit.open
+            self._metrics.counts["caller_connections_busy"] = self._connection_limit.busy
             return web.Response(text=self._metrics.text())
         is_outdated = self._config_feed.freshness.is_outdated(self._clock.monotonic_s())
         self._redirects.update_readiness()
@@ -576,6 +582,14 @@
     return Capacity(section.core_share * section.core_speed, section.link_mbit_per_s)
 
 
+def _descriptors(settings: GatewaySettings) -> int:
+    """Return the file descriptors that the process may open."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY:
+        return settings.callers.file_descriptors
+    return min(settings.callers.file_descriptors, limit)
+
+
 async def _listen(
     runner: web.ServerRunner, address: str, listener: socket.socket | None = None
 ) -> None:
--- a/mothstand/gateway/server.py
+++ b/mothstand/gateway/server.py
@@ -22,7 +22,7 @@
 from ..events import Event, emit, rounded
 from ..types import BudgetName
 from .call import Call, CallerConnection, CallerGoneError
-from .caller_connections import CallerServer, is_discarding, note_unread
+from .caller_connections import CallerServer, has_connections, is_discarding, note_unread
 from .request_body import read_body
 from .sockets import reset
 from .upstream_client import OutgoingRequest
@@ -34,6 +34,7 @@
     from ..core.caller_memory import CallerMemory
     from ..core.claims import Reservation, Usage
     from ..core.config_freshness import ConfigFreshness
+    from ..core.connection_limit import ConnectionLimit
     from ..core.routes import GatewayConfig, GatewayWorkspace, RequestLimits, Route
     from ..core.shutdown import Shutdown
     from .accounts import Accounts
@@ -147,8 +148,8 @@
         Returns the configuration in force, or None before the first one.
     freshness
         Tells how long ago that configuration was known to be the newest.
-    memory
-        Account of what all callers together make the instance hold.
+    memory, connection_limit
+        Bounds on what all callers together make the instance hold.
     shutdown
         State of a stop: connections are closed after their answer, later requests are refused.
     startup_wait
@@ -166,6 +167,7 @@
         resumptions: Resumptions,
         redirects: Redirects,
         memory: CallerMemory,
+        connection_limit: ConnectionLimit,
         clock: Clock,
         metrics: GatewayMetrics,
         shutdown: Shutdown,
@@ -184,6 +186,7 @@
         self._resumptions = resumptions
         self._redirects = redirects
         self._memory = memory
+        self._connection_limit = connection_limit
         self._clock = clock
         self._metrics = metrics
         self._shutdown = shutdown
@@ -195,6 +198,7 @@
             self._limits,
             initial_idle_timeout_s=_INITIAL_IDLE_TIMEOUT_S,
             memory=self._memory,
+            connection_limit=self._connection_limit,
             on_refused=self._note_refused,
             handler_cancellation=True,
             max_line_size=_MAX_HEAD_BYTES,
@@ -217,6 +221,8 @@
             count=self._unlogged_refusals.pop(reason),
             memory_bytes=self._memory.used_bytes,
             memory_capacity_bytes=self._memory.capacity_bytes,
+            connections=self._connection_limit.open,
+            busy_connections=self._connection_limit.busy,
         )
 
     def _limits(self) -> RequestLimits | None:
@@ -305,6 +311,8 @@
         _check_head(headers, config)
         workspace = self._workspace(config, self._route(config, fields, request.raw_path), fields)
         name = "" if workspace is None else workspace.name
+        if not has_connections(request):
+            raise RefusedError(Refusal(ErrorKind.CONNECTIONS_FULL))
         await self._redirects.check(name)
         with self._redirects.running(name):
             await self._serve_here(request, headers, fields, caller, arrived_s, config)
--- a/mothstand/settings/gateway.py
+++ b/mothstand/settings/gateway.py
@@ -42,6 +42,12 @@
         gt=0,
         description="megabytes of memory that the process may take, above 0",
     )
+    file_descriptors: int = Field(
+        3075,
+        ge=64,
+        description="file descriptors that the process may open, 64 or more; the limit of the "
+        "operating system counts if it is lower",
+    )
 
 
 class GatewayListenSection(SectionModel):
--- a/mothstand/tests/test_caller_connections.py
+++ b/mothstand/tests/test_caller_connections.py
@@ -13,6 +13,7 @@
 
 from ..clock import SystemClock
 from ..core.caller_memory import CallerMemory
+from ..core.connection_limit import ConnectionLimit
 from ..core.routes import RequestLimits
 from ..errors import RefusedError
 from ..gateway.caller_connections import CallerServer
@@ -60,12 +61,14 @@
 def make_server(
     handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     memory: CallerMemory | None = None,
+    limit: ConnectionLimit | None = None,
 ) -> CallerServer:
     return CallerServer(
         handler,
         lambda: _LIMITS,
         initial_idle_timeout_s=9.0,
         memory=memory or caller_memory(SystemClock()),
+        connection_limit=limit,
         handler_cancellation=True,
         access_log=None,
     )
@@ -200,6 +203,31 @@
         assert memory.used_bytes == 0
 
 
+class TestIdleConnections:
+    @pytest.mark.anyio
+    async def test_oldest_idle_connection_is_closed_for_a_new_one(self) -> None:
+        # Guards against idle callers that leave no descriptor for others.
+        server = make_server(_echo, limit=ConnectionLimit(3))
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        port = runner.addresses[0][1]
+        async with (
+            await anyio.connect_tcp("127.0.0.1", port) as first,
+            await anyio.connect_tcp("127.0.0.1", port) as second,
+            await anyio.connect_tcp("127.0.0.1", port) as third,
+        ):
+            while len(server.connections) < 3:
+                await anyio.sleep(0.01)
+            # A request takes one more, for its connection to an upstream.
+            await third.send(_HEAD + b"abcd")
+            assert (await third.receive()).endswith(b"abcd")
+            assert await rest_of(first) == b""
+            await second.send(_HEAD + b"abcd")
+            assert (await second.receive()).endswith(b"abcd")
+        await runner.cleanup()
+
+
 class TestBrokenAnswers:
     @pytest.mark.anyio
     async def test_answer_to_an_old_caller_that_is_broken_off_ends_with_a_reset(self) -> None:
--- a/mothstand/tests/test_caller_memory.py
+++ b/mothstand/tests/test_caller_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..core.caller_memory import CallerMemory, CallerMemoryPolicy, Holding
+from ..core.connection_limit import ConnectionLimit
 from ..testing.fakes import SkippingClock
 
 _POLICY = CallerMemoryPolicy(small_bytes=10, progress_bytes=10, min_stall_s=1.0)
@@ -90,3 +91,15 @@
         account.memory.close(account.hold(40))
         assert account.relieved == 1
         assert account.memory.used_bytes == 0
+
+
+class TestConnectionLimit:
+    def test_request_counts_twice_for_its_connection_to_an_upstream(self) -> None:
+        limit = ConnectionLimit(4, open=3, busy=1)
+        assert limit.has_room
+        limit.busy += 1
+        assert not limit.has_room
+
+    def test_descriptors_are_kept_for_files_and_for_connections_of_the_instance(self) -> None:
+        assert ConnectionLimit.of(4200, backlog=512).max_sockets == 4000 - 576
+        assert ConnectionLimit.of(300, backlog=512).max_sockets == 169
