The next request on a kept connection gets its refusal when there is no memory

Reading the diff: where the account is full, the first bytes of a request on a connection that had carried one before closed the connection, since they were taken for those of an idle one that is evicted. They get 503 with Retry-After now, like on a new connection. test_head_that_cannot_be_held_gets_503_on_a_kept_connection fails before (the connection ends).

--- a/mothstand/gateway/caller_connections.py
+++ b/mothstand/gateway/caller_connections.py
@@ -185,11 +185,7 @@
         if self._is_waiting_for_head and self._head_timer is None:
             self._memory.shrink(self._held, _CONNECTION_BYTES)
             self._head_bytes = 0
-        if self._is_waiting_for_head and not self._take_request(data):
-            self._end_head(_NO_MEMORY, "no memory")
-            return
-        if not self._memory.grow(self._held, len(data)):
-            self._drop_arriving()
+        if not self._take(data):
             return
         for begin in range(0, len(data), _PARSED_PIECE_BYTES):
             if self._arriving is not None and not self._arriving[1]:
@@ -200,6 +196,18 @@
                 break
         self._hold_back()
 
+    def _take(self, data: bytes) -> bool:
+        """Take memory for received bytes; if there is none, refuse what they belong to."""
+        if self._is_waiting_for_head:
+            if self._take_request(data) and self._memory.grow(self._held, len(data)):
+                return True
+            self._end_head(_NO_MEMORY, "no memory")
+            return False
+        if self._memory.grow(self._held, len(data)):
+            return True
+        self._drop_arriving()
+        return False
+
     @property
     def _is_waiting_for_head(self) -> bool:
         # No attribute of the library shows a request that is being handed to its handler; its body
@@ -396,7 +404,7 @@
             self._pause_reading_for_buffer()
 
     def _drop_arriving(self) -> None:
-        """Drop what arrives on the connection, since there is no memory for it."""
+        """Drop what arrives on the connection, or the connection itself if it is idle."""
         if self._is_waiting_for_head and self._head_timer is None and self._request_count:
             self._server.note_refused("idle")
             self.force_close()
--- a/mothstand/tests/test_caller_connections.py
+++ b/mothstand/tests/test_caller_connections.py
@@ -150,6 +150,22 @@
             answer = await stream.receive()
         assert answer.endswith(b"memory_full")
 
+    @pytest.mark.anyio
+    async def test_head_that_cannot_be_held_gets_503_on_a_kept_connection(self) -> None:
+        # Guards against connections that are closed without an answer to their next request.
+        memory = CallerMemory(1_000_000, SystemClock())
+        runner = web.ServerRunner(make_server(_echo, memory))
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        async with await anyio.connect_tcp("127.0.0.1", runner.addresses[0][1]) as stream:
+            await stream.send(_HEAD + b"abcd")
+            assert (await stream.receive()).endswith(b"abcd")
+            while memory.grow(memory.open(), 10_000):
+                pass
+            await stream.send(_HEAD[:-2] + b"X: " + b"x" * 15_000)
+            assert (await stream.receive()).startswith(b"HTTP/1.1 503 ")
+        await runner.cleanup()
+
     @pytest.mark.anyio
     async def test_body_over_the_limit_gets_413_before_it_is_read(self) -> None:
         async with connection(_read_and_answer) as stream:
