Events that cannot be held are not taken from their piece

Reading the diff: where the memory for callers was full in mid-stream, the piece was refused after its events had been counted as passed on, so that the next upstream of a resumed stream began behind them, and its caller missed them (ORDER). The piece is held before its events are taken from it, with the most that they can be. test_events_that_cannot_be_held_are_passed_on_from_another_engine: event 2 of 3 is missing before.

--- a/mothstand/gateway/answer_bodies.py
+++ b/mothstand/gateway/answer_bodies.py
@@ -73,15 +73,20 @@
         self._memory = memory
         self._held = held
 
-    def hold(self, piece: bytes, passed: bytes, rest_bytes: int) -> None:
-        """Hold a piece, the events of it that are passed on, and the rest.
+    def hold(self, piece: bytes, unpassed_bytes: int) -> None:
+        """Hold a piece before its events are taken from it: once taken, they must be passed on.
+
+        Parameters
+        ----------
+        unpassed_bytes
+            Bytes of the earlier pieces that are not passed on yet.
 
         Raises
         ------
         AnswerTooLongError
             If there is no memory for them.
         """
-        # While the caller takes them, about as much as the piece is read ahead.
-        size_bytes = _COPIES * len(piece) + len(passed) + rest_bytes
+        # While the caller takes its events, about as much as the piece is read ahead.
+        size_bytes = _COPIES * len(piece) + len(piece) + unpassed_bytes
         if not self._memory.resize(self._held, size_bytes):
             raise AnswerTooLongError("no memory is left for its events")
--- a/mothstand/gateway/forward.py
+++ b/mothstand/gateway/forward.py
@@ -631,13 +631,13 @@
             self._guard.note_answering(call)
             sent_before = call.progress.sent_events
             foreign: ForeignEventError | None = None
+            held.hold(piece, call.progress.splitter.held_bytes)
             try:
                 passed = call.progress.feed(piece)
             except EventTooLongError as error:
                 raise AnswerTooLongError(str(error)) from error
             except ForeignEventError as error:
                 foreign, passed = error, error.valid_events
-            held.hold(piece, passed, call.progress.splitter.held_bytes)
             if passed:
                 gaps.note_events(call.progress.sent_events - sent_before, self._clock.monotonic_s())
                 if not caller.is_started:
--- a/mothstand/tests/test_forward.py
+++ b/mothstand/tests/test_forward.py
@@ -47,6 +47,7 @@
 from ..log.health import PlatformHealth
 from ..platform.headers import PlatformHeaders
 from ..testing.eligibility import (
+    CALLER_MEMORY_BYTES,
     caller_memory,
     lone_prefills,
     lone_redirects,
@@ -468,6 +469,14 @@
         assert broken.is_closed
         assert call.usage(4, is_answered=world.caller.is_started) == Usage(112, 112)
 
+    def test_events_that_cannot_be_held_are_passed_on_from_another_engine(self) -> None:
+        # Guards against a missing event where the memory for callers is full in mid-stream.
+        long_event = b":" + b"x" * (CALLER_MEMORY_BYTES // 3) + b"\n" + event(2)
+        broken = FakeAnswer(200, [event(1), long_event])
+        world = ForwarderHarness(broken, FakeAnswer(200, [event(2), event(3)]))
+        assert world.run(world.call(RequestKind.STREAMING, resumable=True)) is None
+        assert world.caller.body == event(1) + event(2) + event(3)
+
     def test_stream_is_aborted_when_engine_refuses_to_resume(self) -> None:
         broken = FakeAnswer(200, [event(1), MayHaveRunError("reset")])
         world = ForwarderHarness(broken, FakeAnswer(500, [b"no"]))
