Tests: the largest body and a slow one in calm, a body dropped as its end arrives

The largest body that the configuration allows (4 MiB), with a length and in chunks, and one of a byte every 0.2 s are served by an instance with the defaults of the smallest machine. Reading the diff raised the question whether a body that is evicted in the pass in which its end arrives could go on without its begin: it cannot, as a body is only dropped before its end has been parsed; a test holds that. No change of the product.

--- a/mothstand/tests/test_caller_connections.py
+++ b/mothstand/tests/test_caller_connections.py
@@ -16,7 +16,7 @@
 from ..core.connection_limit import ConnectionLimit
 from ..core.routes import RequestLimits
 from ..errors import RefusedError
-from ..gateway.caller_connections import CallerServer
+from ..gateway.caller_connections import CallerHandler, CallerServer
 from ..gateway.request_body import read_body
 from ..gateway.server import HttpCaller
 from ..testing.eligibility import caller_memory
@@ -166,6 +166,25 @@
             assert (await stream.receive()).startswith(b"HTTP/1.1 503 ")
         await runner.cleanup()
 
+    @pytest.mark.anyio
+    async def test_body_whose_end_has_arrived_is_not_dropped(self) -> None:
+        # Guards against a body without its begin that is taken for the whole one.
+        memory = CallerMemory(10_000_000, SystemClock())
+        server = make_server(_read_and_answer, memory)
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        async with await anyio.connect_tcp("127.0.0.1", runner.addresses[0][1]) as stream:
+            await stream.send(_sized_head(8) + b"abcd")
+            await anyio.sleep(0.1)
+            (handler,) = server.connections
+            assert isinstance(handler, CallerHandler)
+            handler.data_received(b"efgh")
+            handler._held.evict()
+            answer = await stream.receive()
+        await runner.cleanup()
+        assert answer.endswith(b"abcdefgh")
+
     @pytest.mark.anyio
     async def test_body_over_the_limit_gets_413_before_it_is_read(self) -> None:
         async with connection(_read_and_answer) as stream:
--- a/mothstand/tests/test_client_crowds.py
+++ b/mothstand/tests/test_client_crowds.py
@@ -269,6 +269,36 @@
         _check(instance)
 
 
+class TestCalm:
+    @pytest.mark.parametrize("is_chunked", [False, True], ids=["sized", "chunked"])
+    def test_largest_body_is_served(self, fleet: GatewayFleet, is_chunked: bool) -> None:
+        # Guards against bounds that a single request inside the limits meets.
+        instance = fleet.start_instance("sto-a-1")
+        body = b"x" * _BODY_BYTES
+        answer = httpx.post(
+            instance.url + PREFIX,
+            headers=request_headers("large"),
+            content=iter([body]) if is_chunked else body,
+            timeout=10,
+        )
+        assert answer.status_code == httpx.codes.OK
+        assert answer.content.count(b"id:") == 5
+
+    def test_slowly_sent_body_is_served(self, fleet: GatewayFleet) -> None:
+        # Guards against a least rate that a caller on a thin link cannot keep.
+        instance = fleet.start_instance("sto-a-1")
+
+        def pieces() -> Iterator[bytes]:
+            for _ in range(15):
+                time.sleep(0.2)
+                yield b"x"
+
+        answer = httpx.post(
+            instance.url + PREFIX, headers=request_headers("slow"), content=pieces(), timeout=10
+        )
+        assert answer.status_code == httpx.codes.OK
+
+
 class TestDescriptors:
     def test_connections_without_a_request_leave_descriptors_for_others(
         self, fleet: GatewayFleet
