--- a/mothstand/gateway/caller_connections.py
+++ b/mothstand/gateway/caller_connections.py
@@ -418,7 +418,7 @@
     def _drop_behind(self) -> None:
         """Drop all requests behind the running one, which is still answered."""
         self._server.note_refused("behind")
-        # The library expects a message that it has been told of.
+        # A task that was woken for a message fails without it.
         while len(self._messages) > (0 if self._request_in_progress else 1):
             self._messages.pop()
         self._close = True
--- a/mothstand/testing/crowds.py
+++ b/mothstand/testing/crowds.py
@@ -28,7 +28,7 @@
 
 
 class Caller:
-    """One connection that sends what it likes and reads only when told to."""
+    """A raw connection that sends any bytes and reads nothing by itself."""
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
