--- a/review/harness2.py
+++ b/review/harness2.py
@@ -15,6 +15,7 @@
 import random
 import re
 import shutil
+import signal
 import socket
 import struct
 import sys
@@ -25,7 +26,6 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    import signal
     from collections.abc import Awaitable, Callable
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -785,11 +785,15 @@
 
     async def run() -> int:
         fleet = Fleet(folder)
+        task = asyncio.current_task()
+        assert task is not None
+        # The processes end with the script, also if that is stopped.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(110):
                 await fleet.store.start()
                 broken = await play(fleet)
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
             fleet.record("could not run", error=repr(error))
             print("could not run:", repr(error))
             return NOT_RUN
